--- /dev/null
+++ b/Libraries/LibBase/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS PkgConfig::XXHASH nlohmann_json::nlohmann_json)
--- /dev/null
+++ b/Libraries/LibBase/Random.cpp
@@ -0,0 +1,35 @@
+#include "LibBase/Random.h"
+
+#include <cmath>
+
+namespace bergamothook {
+
+Random::Random(std::uint64_t Seed) : Engine(Seed) {}
+
+std::uint64_t Random::next() { return this->Engine(); }
+
+std::uint64_t Random::below(std::uint64_t Limit) { return this->Engine(Limit); }
+
+double Random::unit() {
+  constexpr double TwoToMinus53 = 0x1.0p-53;
+  return static_cast<double>(this->next() >> 11) * TwoToMinus53;
+}
+
+bool Random::chance(double Probability) { return this->unit() < Probability; }
+
+double Random::exponential(double Mean) {
+  return -Mean * std::log1p(-this->unit());
+}
+
+Duration Random::jitter(Duration Base) {
+  double Factor = 0.5 + this->unit();
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Base.count()) * Factor));
+}
+
+Hash128 Random::next128() {
+  std::uint64_t High = this->next();
+  return {High, this->next()};
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibPlatform/MembershipHooks.h
@@ -0,0 +1,47 @@
+/// \file
+/// The platform's list of hosts and targets as the rest of the system sees it.
+
+#ifndef BERGAMOTHOOK_LIBPLATFORM_MEMBERSHIPHOOKS_H
+#define BERGAMOTHOOK_LIBPLATFORM_MEMBERSHIPHOOKS_H
+
+#include "LibBase/Result.h"
+#include "LibBase/Time.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace bergamothook {
+
+enum class MemberState { Live, Leaving };
+
+enum class MemberRole { EntryHost, Engine, OrderRunner, Service };
+
+/// One line of the platform's list.
+struct Member {
+  std::string Name;
+  MemberRole Role = MemberRole::Engine;
+  MemberState State = MemberState::Live;
+  std::string FailureDomain;
+  std::string Address;
+  std::uint16_t Port = 0;
+  /// The models that an engine serves, or the names that a service answers to.
+  std::vector<std::string> Serves;
+  /// Whether the target refuses an order with an old fencing number.
+  bool ChecksFence = false;
+};
+
+/// The whole list at one version; versions of the list only grow.
+struct MemberList {
+  std::uint64_t Version = 0;
+  std::vector<Member> Members;
+};
+
+/// Calls of the membership service. Each blocks the calling task.
+struct MembershipHooks {
+  std::function<Result<MemberList>(TimePoint Deadline)> Read;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Meta/bergamothook.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Builds, tests and runs bergamothook on a fresh Debian 12 machine.
+set -euo pipefail
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+build=$root/Build
+jobs=${BERGAMOTHOOK_JOBS:-$(nproc)}
+
+usage() {
+  cat <<'TEXT'
+Usage: Meta/bergamothook.sh COMMAND
+  install                     install the Debian packages that the build needs
+  build                       install and build into Build/
+  test                        build and run every test through ctest
+  check                       check format and lint
+  sanitize                    build and test with the sanitizers in BuildSanitize/
+TEXT
+}
+
+# Installs only what is missing, so that a second call needs no network.
+install_packages() {
+  local missing=()
+  local name
+  while read -r name; do
+    dpkg-query -W -f '${Status}' "$name" 2>/dev/null | grep -q 'ok installed' || missing+=("$name")
+  done <"$root/Meta/packages.txt"
+  [ "${#missing[@]}" -eq 0 ] && return
+  apt-get update -qq
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}"
+}
+
+configure() {
+  cmake -S "$root" -B "$1" -G Ninja "${@:2}" >/dev/null
+}
+
+build_tree() {
+  configure "$build"
+  cmake --build "$build" -j "$jobs"
+}
+
+run_tests() {
+  ctest --test-dir "$1" -j "$jobs" --output-on-failure
+}
+
+sources() {
+  (cd "$root" && git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h')
+}
+
+check_tree() {
+  (cd "$root" && sources | xargs clang-format-16 --dry-run -Werror)
+  configure "$build"
+  (cd "$root" && sources | grep '\.cpp$' |
+    xargs -P "$jobs" -n 2 clang-tidy-16 --quiet -p "$build" 2>/dev/null)
+}
+
+command=${1:-help}
+[ $# -gt 0 ] && shift
+case "$command" in
+install) install_packages ;;
+build)
+  install_packages
+  build_tree
+  ;;
+test)
+  install_packages
+  build_tree
+  run_tests "$build"
+  ;;
+check)
+  install_packages
+  check_tree
+  ;;
+sanitize)
+  install_packages
+  configure "$root/BuildSanitize" -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-O1 -DBERGAMOTHOOK_SANITIZE=ON
+  cmake --build "$root/BuildSanitize" -j "$jobs"
+  run_tests "$root/BuildSanitize"
+  ;;
+help | --help | -h) usage ;;
+*)
+  usage >&2
+  exit 2
+  ;;
+esac
