Serve and call HTTP: Pistache's listener and parser, libcurl's multi interface

Pistache queues bytes for a socket number, so a new connection is refused while bytes for an earlier one with its number may be queued. libcurl would send a request again when a kept connection dies; the second call of the pre-request hook ends the transfer instead.

--- /dev/null
+++ b/Libraries/LibHttp/HttpReply.cpp
@@ -0,0 +1,31 @@
+#include "LibHttp/HttpReply.h"
+
+#include "LibHttp/ReplyState.h"
+
+namespace bergamothook {
+
+HttpReply::HttpReply(std::shared_ptr<detail::ReplyState> State)
+    : State(std::move(State)) {}
+
+void HttpReply::sendWhole(int Status, const std::string &ContentType,
+                          const std::string &Body,
+                          const HttpHeaders &ExtraHeaders) {
+  this->State->sendWhole(Status, ContentType, Body, ExtraHeaders);
+}
+
+void HttpReply::beginStream(int Status, const std::string &ContentType,
+                            const HttpHeaders &ExtraHeaders) {
+  this->State->beginStream(Status, ContentType, ExtraHeaders);
+}
+
+bool HttpReply::write(const std::string &Piece) {
+  return this->State->write(Piece);
+}
+
+void HttpReply::end() { this->State->end(); }
+
+void HttpReply::abort() { this->State->abort(); }
+
+bool HttpReply::isCallerGone() const { return this->State->isCallerGone(); }
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibHttp/HttpStreamHandle.h
@@ -0,0 +1,48 @@
+/// \file
+/// An answer whose body is read piece by piece.
+
+#ifndef BERGAMOTHOOK_LIBHTTP_HTTPSTREAMHANDLE_H
+#define BERGAMOTHOOK_LIBHTTP_HTTPSTREAMHANDLE_H
+
+#include "LibBase/Result.h"
+#include "LibHttp/HttpError.h"
+#include "LibHttp/HttpRequest.h"
+#include "LibTask/Runtime.h"
+
+#include <memory>
+#include <optional>
+
+namespace bergamothook {
+
+namespace detail {
+class CurlLoop;
+class Transfer;
+} // namespace detail
+
+/// Reads the body of one answer. Destroying it ends the transfer and closes its
+/// connection where the body was not read to its end.
+class HttpStreamHandle {
+public:
+  HttpStreamHandle(Runtime Tasks, std::shared_ptr<detail::CurlLoop> Loop,
+                   std::shared_ptr<detail::Transfer> State);
+  ~HttpStreamHandle();
+  HttpStreamHandle(HttpStreamHandle &&) = default;
+  HttpStreamHandle &operator=(HttpStreamHandle &&) = delete;
+
+  int status() const;
+  const HttpHeaders &headers() const;
+
+  /// Waits for the next bytes of the body. \returns nothing at the end of a
+  /// whole body; HttpError::TimedOut at the deadline, after which next() may be
+  /// called again; HttpError::ConnectionLost where the body was cut.
+  Result<std::optional<std::string>> next(TimePoint Deadline);
+
+private:
+  Runtime Tasks;
+  std::shared_ptr<detail::CurlLoop> Loop;
+  std::shared_ptr<detail::Transfer> State;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibHttp/ServerCore.cpp
@@ -0,0 +1,183 @@
+#include "LibHttp/ServerCore.h"
+
+#include "LibHttp/AnswerText.h"
+#include "LibHttp/HttpError.h"
+#include "LibHttp/ReplyState.h"
+#include "LibHttp/ServerHandler.h"
+
+#include <algorithm>
+#include <csignal>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+namespace bergamothook::detail {
+
+namespace {
+
+constexpr int Backlog = 4096;
+constexpr auto SweepInterval = std::chrono::milliseconds(250);
+constexpr const char *ConnectionKey = "connection";
+
+/// File descriptors left to everything that is not a caller's connection.
+constexpr rlim_t ReservedDescriptors = 256;
+
+/// The connections that the process's limit of open files allows.
+std::size_t affordableConnections(std::size_t Wanted) {
+  rlimit Files{};
+  if (getrlimit(RLIMIT_NOFILE, &Files) != 0)
+    return Wanted;
+  rlim_t Usable = Files.rlim_cur > 2 * ReservedDescriptors
+                      ? Files.rlim_cur - ReservedDescriptors
+                      : Files.rlim_cur / 2;
+  return std::min<std::size_t>(Wanted, Usable);
+}
+
+std::shared_ptr<ServerConnection>
+connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  return std::static_pointer_cast<ServerConnection>(
+      Peer->tryGetData(ConnectionKey));
+}
+
+} // namespace
+
+ServerCore::ServerCore(HttpServerLimits Limits, HttpServer::Handler OnRequest)
+    : OnRequest(std::move(OnRequest)) {
+  Limits.MaxConnections = affordableConnections(Limits.MaxConnections);
+  this->Limits = std::make_shared<const HttpServerLimits>(std::move(Limits));
+  this->Sink = [this](HttpRequest Request, ReplyManner Manner,
+                      const std::shared_ptr<ServerConnection> &Connection) {
+    this->answer(std::move(Request), Manner, Connection);
+  };
+}
+
+ServerCore::~ServerCore() { this->stop(); }
+
+Result<void> ServerCore::start() {
+  std::signal(SIGPIPE, SIG_IGN);
+  using Pistache::Tcp::Options;
+  Pistache::Flags<Options> Flags(Options::ReuseAddr);
+  Flags.setFlag(Options::NoDelay);
+  Flags.setFlag(Options::CloseOnExec);
+  try {
+    Pistache::Address At(this->Limits->Address,
+                         Pistache::Port(this->Limits->Port));
+    this->Listener = std::make_unique<Pistache::Tcp::Listener>(At);
+    this->Listener->init(this->Limits->Threads, Flags, "http", Backlog);
+    this->Listener->setHandler(std::make_shared<ServerHandler>(this));
+    this->Listener->bind();
+    this->Listener->runThreaded();
+  } catch (const std::exception &) {
+    this->Listener.reset();
+    return HttpError::CannotListen;
+  }
+  this->Sweeper = std::thread([this] { this->sweepUntilStopped(); });
+  return success();
+}
+
+void ServerCore::stop() {
+  {
+    std::lock_guard Guard(this->Lock);
+    this->IsStopping = true;
+  }
+  this->StopSignal.notify_all();
+  if (this->Sweeper.joinable())
+    this->Sweeper.join();
+  if (!this->Listener)
+    return;
+  for (const auto &Connection : this->openConnections()) {
+    Connection->cut();
+    Connection->markGone();
+  }
+  this->Listener->shutdown();
+  this->Listener.reset();
+}
+
+std::uint16_t ServerCore::port() const {
+  return this->Listener ? static_cast<std::uint16_t>(this->Listener->getPort())
+                        : 0;
+}
+
+std::size_t ServerCore::connections() {
+  std::lock_guard Guard(this->Lock);
+  return this->Connections.size();
+}
+
+void ServerCore::onConnection(
+    const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  std::lock_guard Guard(this->Lock);
+  bool IsFull = this->Connections.size() >= this->Limits->MaxConnections;
+  if (IsFull || this->IsStopping || this->mayHoldOldBytes(Peer->fd())) {
+    ::shutdown(Peer->fd(), SHUT_RDWR);
+    return;
+  }
+  auto Connection = std::make_shared<ServerConnection>(Peer, this->Limits);
+  Peer->putData(ConnectionKey, Connection);
+  this->Connections[Connection.get()] = Connection;
+}
+
+bool ServerCore::mayHoldOldBytes(int Fd) {
+  auto Old = this->Retired.find(Fd);
+  if (Old == this->Retired.end())
+    return false;
+  if (Old->second->hasUnsettledWrites())
+    return true;
+  this->Retired.erase(Old);
+  return false;
+}
+
+void ServerCore::onInput(const char *Bytes, std::size_t Length,
+                         const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  auto Connection = connectionOf(Peer);
+  if (Connection)
+    Connection->receive(Bytes, Length, readMonotonicClock(), this->Sink);
+}
+
+void ServerCore::onDisconnection(
+    const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  auto Connection = connectionOf(Peer);
+  if (!Connection)
+    return;
+  Connection->markGone();
+  std::lock_guard Guard(this->Lock);
+  this->Connections.erase(Connection.get());
+  if (Connection->hasUnsettledWrites())
+    this->Retired[Connection->fd()] = Connection;
+}
+
+void ServerCore::answer(HttpRequest Request, ReplyManner Manner,
+                        const std::shared_ptr<ServerConnection> &Connection) {
+  bool IsFull = *this->ActiveRequests >= this->Limits->MaxRequests;
+  HttpReply Reply(
+      std::make_shared<ReplyState>(Connection, Manner, this->ActiveRequests));
+  if (IsFull) {
+    Reply.sendWhole(503, ProblemContentType,
+                    problemBody(503, "too many requests at once"),
+                    {{"Retry-After", "1"}});
+    return;
+  }
+  this->OnRequest(std::move(Request), Reply);
+}
+
+std::vector<std::shared_ptr<ServerConnection>> ServerCore::openConnections() {
+  std::vector<std::shared_ptr<ServerConnection>> Open;
+  std::lock_guard Guard(this->Lock);
+  for (const auto &[Key, Connection] : this->Connections)
+    Open.push_back(Connection);
+  return Open;
+}
+
+void ServerCore::sweepUntilStopped() {
+  for (;;) {
+    {
+      std::unique_lock Guard(this->Lock);
+      if (this->StopSignal.wait_for(Guard, SweepInterval,
+                                    [this] { return this->IsStopping; }))
+        return;
+    }
+    TimePoint Now = readMonotonicClock();
+    for (const auto &Connection : this->openConnections())
+      Connection->sweep(Now);
+  }
+}
+
+} // namespace bergamothook::detail
--- /dev/null
+++ b/Libraries/LibHttp/ServerCore.h
@@ -0,0 +1,64 @@
+/// \file
+/// What the threads of one HTTP server share.
+
+#ifndef BERGAMOTHOOK_LIBHTTP_SERVERCORE_H
+#define BERGAMOTHOOK_LIBHTTP_SERVERCORE_H
+
+#include "LibHttp/HttpServer.h"
+#include "LibHttp/ServerConnection.h"
+
+#include <condition_variable>
+#include <pistache/listener.h>
+#include <thread>
+#include <unordered_map>
+
+namespace bergamothook::detail {
+
+/// The listener, the table of connections, and the thread that closes slow
+/// ones.
+class ServerCore {
+public:
+  ServerCore(HttpServerLimits Limits, HttpServer::Handler OnRequest);
+  ~ServerCore();
+  ServerCore(const ServerCore &) = delete;
+  ServerCore &operator=(const ServerCore &) = delete;
+
+  Result<void> start();
+  void stop();
+  std::uint16_t port() const;
+  std::size_t connections();
+  std::size_t activeRequests() const { return *this->ActiveRequests; }
+
+  // Called on the workers' threads.
+  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer);
+  void onInput(const char *Bytes, std::size_t Length,
+               const std::shared_ptr<Pistache::Tcp::Peer> &Peer);
+  void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer);
+
+private:
+  bool mayHoldOldBytes(int Fd);
+  void answer(HttpRequest Request, ReplyManner Manner,
+              const std::shared_ptr<ServerConnection> &Connection);
+  void sweepUntilStopped();
+  std::vector<std::shared_ptr<ServerConnection>> openConnections();
+
+  std::shared_ptr<const HttpServerLimits> Limits;
+  HttpServer::Handler OnRequest;
+  std::shared_ptr<std::atomic<std::size_t>> ActiveRequests =
+      std::make_shared<std::atomic<std::size_t>>(0);
+  ServerConnection::RequestSink Sink;
+  std::unique_ptr<Pistache::Tcp::Listener> Listener;
+  std::thread Sweeper;
+
+  std::mutex Lock;
+  std::condition_variable StopSignal;
+  bool IsStopping = false;
+  std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
+      Connections;
+  /// Connections that went while bytes for them were queued, by their socket.
+  std::unordered_map<int, std::shared_ptr<ServerConnection>> Retired;
+};
+
+} // namespace bergamothook::detail
+
+#endif
--- /dev/null
+++ b/Libraries/LibHttp/Transfer.cpp
@@ -0,0 +1,209 @@
+#include "LibHttp/Transfer.h"
+
+#include "LibHttp/HttpError.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace bergamothook::detail {
+
+namespace {
+
+/// Bytes of a body that may wait for the task before the transfer pauses.
+constexpr std::size_t MaxUnreadBytes = 256 << 10;
+
+/// Kept connections older than this are not used again: most servers close an
+/// idle connection later than that.
+constexpr long MaxIdleSeconds = 30;
+
+std::string trim(std::string_view Text) {
+  while (!Text.empty() && std::isspace(static_cast<unsigned char>(Text[0])))
+    Text.remove_prefix(1);
+  while (!Text.empty() && std::isspace(static_cast<unsigned char>(Text.back())))
+    Text.remove_suffix(1);
+  return std::string(Text);
+}
+
+std::string urlOf(const HttpCall &Call) {
+  bool IsIpv6 = Call.Address.find(':') != std::string::npos;
+  std::string Host = IsIpv6 ? "[" + Call.Address + "]" : Call.Address;
+  return (Call.UsesTls ? "https://" : "http://") + Host + ":" +
+         std::to_string(Call.Port) + Call.Path;
+}
+
+} // namespace
+
+Transfer::Transfer(HttpCall Call)
+    : Call(std::move(Call)), Easy(curl_easy_init()) {
+  this->configure();
+  this->configureRequest();
+}
+
+Transfer::~Transfer() {
+  curl_easy_cleanup(this->Easy);
+  curl_slist_free_all(this->HeaderLines);
+}
+
+void Transfer::configure() {
+  CURL *Handle = this->Easy;
+  curl_easy_setopt(Handle, CURLOPT_URL, urlOf(this->Call).c_str());
+  curl_easy_setopt(Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(Handle, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+  auto ConnectTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->Call.ConnectTimeout);
+  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(ConnectTimeout.count()));
+  if (this->Call.UsesFreshConnection) {
+    curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (!this->Call.AuthorityFile.empty())
+    curl_easy_setopt(Handle, CURLOPT_CAINFO, this->Call.AuthorityFile.c_str());
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, beforeRequest);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, takeHeader);
+  curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, takeBody);
+  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
+}
+
+void Transfer::configureRequest() {
+  CURL *Handle = this->Easy;
+  for (const auto &[Name, Value] : this->Call.Headers)
+    this->HeaderLines =
+        curl_slist_append(this->HeaderLines, (Name + ": " + Value).c_str());
+  this->HeaderLines = curl_slist_append(this->HeaderLines, "Expect:");
+  curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, this->HeaderLines);
+  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, this->Call.Method.c_str());
+  if (this->Call.Method == "HEAD")
+    curl_easy_setopt(Handle, CURLOPT_NOBODY, 1L);
+  if (this->Call.Method == "GET" || this->Call.Method == "HEAD")
+    return;
+  curl_easy_setopt(Handle, CURLOPT_POST, 1L);
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, this->Call.Body.data());
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(this->Call.Body.size()));
+}
+
+Result<void> Transfer::awaitHeaders(const Runtime &Tasks, TimePoint Deadline) {
+  bool HasCome = Tasks.waitUntil(this->Changed, Deadline, [this] {
+    std::lock_guard Guard(this->Lock);
+    return this->HasHeaders || this->IsDone;
+  });
+  if (!HasCome)
+    return this->abandon() ? HttpError::TimedOut : HttpError::ConnectFailed;
+  std::lock_guard Guard(this->Lock);
+  if (!this->HasHeaders)
+    return this->Failure;
+  return success();
+}
+
+Result<std::optional<std::string>>
+Transfer::next(const Runtime &Tasks, TimePoint Deadline, bool &Resumes) {
+  bool HasCome = Tasks.waitUntil(this->Changed, Deadline, [this] {
+    std::lock_guard Guard(this->Lock);
+    return !this->Unread.empty() || this->IsDone;
+  });
+  if (!HasCome)
+    return HttpError::TimedOut;
+  std::lock_guard Guard(this->Lock);
+  Resumes = std::exchange(this->IsPaused, false);
+  if (!this->Unread.empty())
+    return std::optional<std::string>(std::exchange(this->Unread, {}));
+  if (this->Failure)
+    return this->Failure;
+  return std::optional<std::string>();
+}
+
+bool Transfer::abandon() {
+  std::lock_guard Guard(this->Lock);
+  this->IsAbandoned = true;
+  return this->MayBeSent;
+}
+
+void Transfer::finish(CURLcode Outcome) {
+  {
+    std::lock_guard Guard(this->Lock);
+    this->IsDone = true;
+    if (Outcome != CURLE_OK)
+      this->Failure = this->errorOf(Outcome);
+    else if (!this->HasHeaders)
+      this->Failure = HttpError::BadAnswer;
+  }
+  this->Changed.notify();
+}
+
+std::error_code Transfer::errorOf(CURLcode Outcome) const {
+  if (!this->MayBeSent)
+    return HttpError::ConnectFailed;
+  switch (Outcome) {
+  case CURLE_OPERATION_TIMEDOUT:
+    return HttpError::TimedOut;
+  case CURLE_WEIRD_SERVER_REPLY:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+  case CURLE_BAD_CONTENT_ENCODING:
+    return HttpError::BadAnswer;
+  default:
+    return HttpError::ConnectionLost;
+  }
+}
+
+int Transfer::beforeRequest(void *Self, char *, char *, int, int) {
+  auto *Call = static_cast<Transfer *>(Self);
+  std::lock_guard Guard(Call->Lock);
+  // The second call for one transfer means that libcurl is about to send the
+  // request again over a new connection, after a kept one died.
+  if (Call->IsAbandoned || Call->MayBeSent)
+    return CURL_PREREQFUNC_ABORT;
+  Call->MayBeSent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t Transfer::takeHeader(char *Bytes, std::size_t, std::size_t Length,
+                                 void *Self) {
+  static_cast<Transfer *>(Self)->addHeaderLine({Bytes, Length});
+  return Length;
+}
+
+void Transfer::addHeaderLine(std::string_view Line) {
+  constexpr long FirstFinalStatus = 200;
+  std::string Text = trim(Line);
+  std::lock_guard Guard(this->Lock);
+  std::size_t Colon = Text.find(':');
+  if (Text.rfind("HTTP/", 0) == 0) {
+    this->Headers.clear();
+  } else if (Text.empty()) {
+    long Code = 0;
+    curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &Code);
+    this->Status = static_cast<int>(Code);
+    this->HasHeaders = Code >= FirstFinalStatus;
+    this->Changed.notify();
+  } else if (Colon != std::string::npos) {
+    std::string Name = Text.substr(0, Colon);
+    std::transform(Name.begin(), Name.end(), Name.begin(),
+                   [](unsigned char Byte) { return std::tolower(Byte); });
+    this->Headers[Name] = trim(std::string_view(Text).substr(Colon + 1));
+  }
+}
+
+std::size_t Transfer::takeBody(char *Bytes, std::size_t, std::size_t Length,
+                               void *Self) {
+  auto *Call = static_cast<Transfer *>(Self);
+  {
+    std::lock_guard Guard(Call->Lock);
+    if (Call->Unread.size() >= MaxUnreadBytes) {
+      Call->IsPaused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    Call->Unread.append(Bytes, Length);
+  }
+  Call->Changed.notify();
+  return Length;
+}
+
+} // namespace bergamothook::detail
--- /dev/null
+++ b/Tests/LibHttp/RawSocket.cpp
@@ -0,0 +1,99 @@
+#include "RawSocket.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+namespace bergamothook {
+
+namespace {
+
+constexpr int ReadTimeoutSeconds = 10;
+
+sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_port = htons(Port);
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return At;
+}
+
+void limitReads(int Fd) {
+  timeval Timeout{ReadTimeoutSeconds, 0};
+  setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
+}
+
+} // namespace
+
+RawSocket::RawSocket(std::uint16_t Port)
+    : Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in At = loopback(Port);
+  limitReads(this->Fd);
+  if (::connect(this->Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0) {
+    ::close(this->Fd);
+    this->Fd = -1;
+  }
+}
+
+RawSocket RawSocket::adopt(int Fd) {
+  RawSocket Socket;
+  Socket.Fd = Fd;
+  limitReads(Fd);
+  return Socket;
+}
+
+RawSocket::~RawSocket() {
+  if (this->Fd >= 0)
+    ::close(this->Fd);
+}
+
+bool RawSocket::send(const std::string &Bytes) {
+  std::size_t Sent = 0;
+  while (Sent < Bytes.size()) {
+    ssize_t Count = ::send(this->Fd, Bytes.data() + Sent, Bytes.size() - Sent,
+                           MSG_NOSIGNAL);
+    if (Count <= 0)
+      return false;
+    Sent += static_cast<std::size_t>(Count);
+  }
+  return true;
+}
+
+std::string RawSocket::readUntil(const std::string &Marker) {
+  std::string Got;
+  std::array<char, 4096> Buffer;
+  while (Marker.empty() || Got.find(Marker) == std::string::npos) {
+    ssize_t Count = ::recv(this->Fd, Buffer.data(), Buffer.size(), 0);
+    if (Count <= 0)
+      break;
+    Got.append(Buffer.data(), static_cast<std::size_t>(Count));
+  }
+  return Got;
+}
+
+std::string RawSocket::readToEnd() { return this->readUntil(""); }
+
+RawListener::RawListener()
+    : Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in At = loopback(0);
+  ::bind(this->Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+  static_cast<void>(::listen(this->Fd, 16));
+}
+
+RawListener::~RawListener() { ::close(this->Fd); }
+
+std::uint16_t RawListener::port() const {
+  sockaddr_in At{};
+  socklen_t Length = sizeof(At);
+  ::getsockname(this->Fd, reinterpret_cast<sockaddr *>(&At), &Length);
+  return ntohs(At.sin_port);
+}
+
+RawSocket RawListener::accept() {
+  return RawSocket::adopt(::accept(this->Fd, nullptr, nullptr));
+}
+
+} // namespace bergamothook
