Add LibStream: batched appends settled by reading back, and an ordered follower

Cause: budgets, orders, configuration and the audit trail all keep records on the log, and each would need batching, back-off and the care for lost answers. Change: one envelope, one appender that counts a record as landed only when it was read back, one follower that refuses to fold from a hole; a bench program whose experiments register themselves.

--- /dev/null
+++ b/Tests/LibStream/StreamTest.cpp
@@ -0,0 +1,125 @@
+#include "LibStandin/MemoryLogHooks.h"
+#include "LibStream/StreamAppender.h"
+#include "LibStream/StreamFollower.h"
+#include "LibTask/VirtualRuntime.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 7;
+
+/// One host's writer and reader of the stream "s".
+struct Host {
+  Host(MemoryLog &Log, const Runtime &Tasks)
+      : Hooks(hooksOverMemoryLog(Log, Tasks)),
+        Appender("s", this->Hooks, Tasks, {}, Seed),
+        Follower("s", Offset{0}, this->Hooks, Tasks, this->followerHooks(), {},
+                 Seed) {
+    Tasks.Spawn([this] { this->Appender.run(); });
+    Tasks.Spawn([this] { this->Follower.run(); });
+  }
+
+  StreamFollowerHooks followerHooks() {
+    StreamFollowerHooks Made;
+    Made.Apply = [this](const StreamRecord &Record, RecordPosition At) {
+      this->Seen.insert(Record.Id);
+      ++this->Copies;
+      this->Appender.confirm(Record.Id, At);
+    };
+    Made.Skip = [this](const LogEntry &, std::error_code) { ++this->Skipped; };
+    Made.Recover = []() -> Result<Offset> { return StreamError::Malformed; };
+    return Made;
+  }
+
+  LogHooks Hooks;
+  StreamAppender Appender;
+  StreamFollower Follower;
+  std::set<RecordId> Seen;
+  int Copies = 0;
+  int Skipped = 0;
+};
+
+StreamRecord recordNumber(std::uint64_t Number) {
+  return {RecordId{0, Number}, Incarnation{HostId{1}, 1}, 1, "body"};
+}
+
+void finish(VirtualRuntime &Simulated, Host &Present) {
+  Present.Appender.stop(Simulated.now());
+  Present.Follower.stop();
+  Simulated.runFor(10s);
+}
+
+} // namespace
+
+TEST_CASE("a batch survives its encoding") {
+  std::vector<StreamRecord> Batch{recordNumber(1), recordNumber(2)};
+  auto Decoded = decodeBatch(encodeBatch(Batch));
+  REQUIRE(Decoded);
+  REQUIRE(Decoded.value().size() == 2);
+  CHECK(Decoded.value()[1].Id == Batch[1].Id);
+  CHECK(Decoded.value()[1].Body == "body");
+}
+
+TEST_CASE("a damaged batch is a typed error") {
+  std::string Whole = encodeBatch({recordNumber(1), recordNumber(2)});
+  for (std::size_t Length = 0; Length < Whole.size(); ++Length)
+    CHECK_FALSE(decodeBatch(std::string_view(Whole).substr(0, Length)));
+  Random Dice(Seed);
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Damaged = Whole;
+    for (int Change = 0; Change < 3; ++Change)
+      Damaged[Dice.below(Damaged.size())] = static_cast<char>(Dice.next());
+    (void)decodeBatch(Damaged);
+  }
+  CHECK(decodeBatch(Whole));
+}
+
+TEST_CASE("every record lands although answers are lost") {
+  VirtualRuntime Simulated;
+  MemoryLog Log({}, Seed);
+  Log.Faults.LoseBeforeEffect = 0.3;
+  Log.Faults.LoseAfterEffect = 0.3;
+  Host Present(Log, Simulated.hooks());
+  for (std::uint64_t Number = 0; Number < 100; ++Number) {
+    CHECK(Present.Appender.submit(recordNumber(Number)));
+    Simulated.runFor(50ms);
+  }
+  CHECK(Simulated.runUntil([&] { return Present.Seen.size() == 100; }, 120s));
+  CHECK(Present.Appender.health().Queued == 0);
+  finish(Simulated, Present);
+}
+
+TEST_CASE("a wait for a record ends at its deadline while the log is down") {
+  VirtualRuntime Simulated;
+  MemoryLog Log({}, Seed);
+  Log.Faults.IsDown = true;
+  Host Present(Log, Simulated.hooks());
+  std::error_code Failure;
+  Simulated.hooks().Spawn([&] {
+    Failure =
+        Present.Appender.submitAndWait(recordNumber(1), Simulated.now() + 5s)
+            .error();
+  });
+  Simulated.runFor(6s);
+  CHECK(Failure == StreamError::NotConfirmed);
+  Log.Faults.IsDown = false;
+  CHECK(Simulated.runUntil([&] { return Present.Seen.size() == 1; }, 20s));
+  finish(Simulated, Present);
+}
+
+TEST_CASE("a foreign payload is skipped and counted") {
+  VirtualRuntime Simulated;
+  MemoryLog Log({}, Seed);
+  CHECK(Log.append("s", "not a batch", Simulated.now()));
+  Host Present(Log, Simulated.hooks());
+  CHECK(Present.Appender.submit(recordNumber(1)));
+  Simulated.runFor(5s);
+  CHECK(Present.Skipped == 1);
+  CHECK(Present.Seen.size() == 1);
+  finish(Simulated, Present);
+}
--- /dev/null
+++ b/Utilities/Bench/Depends.cmake
@@ -0,0 +1,6 @@
+# Experiments link whatever libraries exist.
+file(GLOB Known LIST_DIRECTORIES true ${CMAKE_SOURCE_DIR}/Libraries/Lib*)
+foreach(Folder ${Known})
+  get_filename_component(Library ${Folder} NAME)
+  list(APPEND DEPENDS ${Library})
+endforeach()
