--- /dev/null
+++ b/Libraries/LibApi/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibBase nlohmann_json::nlohmann_json)
--- /dev/null
+++ b/Libraries/LibObserve/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibBase easyloggingpp nlohmann_json::nlohmann_json)
