Add the target table, chooser, prefix index, admission queue and outlier detector

Cause: the router needs to choose targets from lagged reports and late cache events, and to queue or refuse early under overload. Change: LibRouting with the deciding classes; each takes the present time.

--- /dev/null
+++ b/Libraries/LibRouting/PrefixIndex.h
@@ -0,0 +1,126 @@
+/// \file
+/// Which targets hold which prompt prefixes, learned from cache events that
+/// come late and with gaps.
+///
+/// The memory is fixed: a table of sets of entries, in which a new prefix takes
+/// the place of the one used longest ago in its set. An entry names a few
+/// targets. Each target's events carry sequence numbers; after a gap, what is
+/// known of that target counts for less until it has been read anew.
+
+#ifndef BERGAMOTHOOK_LIBROUTING_PREFIXINDEX_H
+#define BERGAMOTHOOK_LIBROUTING_PREFIXINDEX_H
+
+#include "LibRouting/PrefixBlocks.h"
+#include "LibRouting/TargetTable.h"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace bergamothook {
+
+/// One change of a target's prefix cache.
+struct CacheEvent {
+  /// Counts the target's events from 1, without a hole at the target.
+  std::uint64_t Sequence = 0;
+  PrefixHash Block = 0;
+  bool IsStored = true;
+};
+
+/// What the index knows of one target for one prompt.
+struct PrefixHolder {
+  TargetTable::Slot Place = 0;
+  /// The number of leading blocks that the target is believed to hold.
+  std::uint32_t Blocks = 0;
+  /// Set when events of the target were lost and it was not read anew.
+  bool HasGap = false;
+};
+
+/// The index of one host. Not thread-safe.
+class PrefixIndex {
+public:
+  /// The targets that one entry names.
+  static constexpr std::size_t HoldersPerEntry = 5;
+
+  /// Makes an index that never holds more than \p Capacity prefixes, rounded up
+  /// to a power of two.
+  explicit PrefixIndex(std::size_t Capacity);
+
+  /// Takes one event of the target in slot \p Place. Events seen before are
+  /// ignored. \returns false when events are missing before this one, which
+  /// marks the target for resynchronisation.
+  bool apply(TargetTable::Slot Place, const CacheEvent &Event);
+
+  /// Forgets what is known of a target, because it restarted or left, or its
+  /// slot was given to another.
+  void reset(TargetTable::Slot Place);
+
+  /// Replaces what is known of a target by its whole cache as of the event
+  /// \p Sequence.
+  void resynchronise(TargetTable::Slot Place, std::uint64_t Sequence,
+                     std::span<const PrefixHash> Blocks);
+
+  /// Gives the targets whose events have a gap.
+  std::vector<TargetTable::Slot> gaps() const;
+
+  /// Notes that a prompt was sent to a target, which will soon hold its blocks;
+  /// its events tell so only later.
+  void expect(TargetTable::Slot Place, std::span<const PrefixHash> Blocks);
+
+  /// Takes out the blocks that a target proved not to hold: it found only
+  /// \p Held leading blocks of the prompt.
+  void correct(TargetTable::Slot Place, std::span<const PrefixHash> Blocks,
+               std::size_t Held);
+
+  /// Gives the targets that hold leading blocks of a prompt, at most
+  /// HoldersPerEntry of them, and refreshes the entries found.
+  std::vector<PrefixHolder> find(std::span<const PrefixHash> Blocks);
+
+  /// Gives the number of leading blocks that the target in \p Place holds.
+  std::uint32_t covered(TargetTable::Slot Place,
+                        std::span<const PrefixHash> Blocks) const;
+
+  /// Gives the number of prefixes held.
+  std::size_t size() const { return this->Used; }
+
+  std::size_t bytes() const;
+
+private:
+  static constexpr std::size_t EntriesPerSet = 4;
+
+  /// A holder: the slot in the low bits, the generation of its knowledge above.
+  using Holder = std::uint32_t;
+
+  struct Entry {
+    PrefixHash Block = 0;
+    std::uint32_t LastUse = 0;
+    std::array<Holder, HoldersPerEntry> Holders{};
+  };
+
+  struct Source {
+    std::uint64_t LastSequence = 0;
+    std::uint8_t Generation = 1;
+    bool HasGap = false;
+  };
+
+  Source &source(TargetTable::Slot Place);
+  bool isCurrent(Holder Value) const;
+  Holder holderOf(TargetTable::Slot Place) const;
+  Entry *lookUp(PrefixHash Block);
+  const Entry *lookUp(PrefixHash Block) const;
+  void add(TargetTable::Slot Place, PrefixHash Block);
+  void drop(TargetTable::Slot Place, PrefixHash Block);
+  void forget(TargetTable::Slot Place);
+  bool holds(const Entry &Prefix, TargetTable::Slot Place) const;
+
+  std::vector<Entry> Entries;
+  std::vector<Source> Sources;
+  std::size_t SetMask;
+  std::size_t Used = 0;
+  std::uint32_t Clock = 0;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -0,0 +1,33 @@
+#include "LibRouting/RetryBudget.h"
+
+#include <algorithm>
+
+namespace bergamothook {
+
+RetryBudget::RetryBudget(RetryBudgetSettings Settings)
+    : Settings(Settings), Balance(Settings.Reserve) {}
+
+void RetryBudget::firstAttempt() {
+  ++this->FirstAttempts;
+  this->Balance =
+      std::min(this->Settings.Reserve, this->Balance + this->Settings.Share);
+}
+
+bool RetryBudget::tryRetry() {
+  if (this->Balance < 1) {
+    ++this->Refused;
+    return false;
+  }
+  this->Balance -= 1;
+  ++this->Retries;
+  return true;
+}
+
+double RetryBudget::amplification() const {
+  if (this->FirstAttempts == 0)
+    return 1;
+  return 1 + static_cast<double>(this->Retries) /
+                 static_cast<double>(this->FirstAttempts);
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRouting/Ticket.h
@@ -0,0 +1,16 @@
+/// \file
+/// The identifier of a request in an admission queue.
+
+#ifndef BERGAMOTHOOK_LIBROUTING_TICKET_H
+#define BERGAMOTHOOK_LIBROUTING_TICKET_H
+
+#include "LibBase/StrongId.h"
+
+namespace bergamothook {
+
+/// Numbers the requests that one Admission object took in, from 1.
+using TicketId = StrongId<struct TicketTag>;
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Tests/LibRouting/AdmissionTest.cpp
@@ -0,0 +1,170 @@
+#include "LibRouting/Admission.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+
+AdmissionRequest request(std::uint64_t Team, WorkClass Class,
+                         Duration Patience = 1h) {
+  static std::uint64_t Count = 0;
+  AdmissionRequest Request;
+  Request.Request = {0, ++Count};
+  Request.Team = TeamId{Team};
+  Request.Class = Class;
+  Request.Cost = 100;
+  Request.Deadline = Start + Patience;
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("quick answers overtake drafts and drafts are not starved") {
+  Admission Queue({});
+  for (int I = 0; I < 10; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::LongDraft), Start));
+  int FirstDraft = 0;
+  int Drafts = 0;
+  constexpr int Rounds = 60;
+  for (int I = 1; I <= Rounds; ++I) {
+    CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start));
+    auto Next = Queue.next(Start);
+    REQUIRE(Next);
+    if (Next->Request.Class != WorkClass::LongDraft)
+      continue;
+    ++Drafts;
+    FirstDraft = FirstDraft ? FirstDraft : I;
+  }
+  CHECK(FirstDraft > 5);
+  CHECK(Drafts >= Rounds / 12);
+}
+
+TEST_CASE("a higher priority goes first and the lower one still moves") {
+  Admission Queue({});
+  for (int I = 0; I < 5; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  int Low = 0;
+  for (int I = 0; I < 30; ++I) {
+    AdmissionRequest High = request(2, WorkClass::LongDraft);
+    High.Priority = 5;
+    CHECK(Queue.admit(High, Start));
+    auto Next = Queue.next(Start);
+    if (I == 0)
+      CHECK(Next->Request.Priority == 5);
+    Low += Next->Request.Priority == 0 ? 1 : 0;
+  }
+  CHECK(Low >= 2);
+  CHECK(Low <= 4);
+}
+
+TEST_CASE("teams of one priority share by weight") {
+  Admission Queue({});
+  for (int I = 0; I < 300; ++I) {
+    AdmissionRequest Heavy = request(1, WorkClass::QuickAnswer);
+    Heavy.Weight = 3;
+    CHECK(Queue.admit(Heavy, Start));
+    CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start));
+  }
+  std::map<std::uint64_t, int> Started;
+  for (int I = 0; I < 200; ++I)
+    ++Started[Queue.next(Start)->Request.Team.Value];
+  CHECK(Started[1] == doctest::Approx(150).epsilon(0.02));
+}
+
+TEST_CASE("a burst of one team does not delay another") {
+  Admission Queue({});
+  for (int I = 0; I < 500; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start));
+  CHECK(Queue.next(Start));
+  CHECK(Queue.next(Start)->Request.Team == TeamId{2});
+}
+
+TEST_CASE("a request that cannot start in time is refused when it arrives") {
+  AdmissionSettings Settings;
+  Settings.AssumedCostPerSecond = 100;
+  Admission Queue(Settings);
+  for (int I = 0; I < 20; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  AdmissionRequest Hurried = request(1, WorkClass::QuickAnswer, 2s);
+  CHECK(Queue.admit(Hurried, Start).error() ==
+        RoutingError::DeadlineUnreachable);
+  // 20 requests at 1/s of 90% of the rate are ahead, and 2 s are left.
+  Duration After = Queue.retryAfter(Hurried, Start);
+  CHECK(After > 15s);
+  CHECK(After < 25s);
+}
+
+TEST_CASE("a request past its deadline is answered at once and never started") {
+  Admission Queue({});
+  TicketId Late =
+      Queue.admit(request(1, WorkClass::QuickAnswer, 1s), Start).value();
+  CHECK(Queue.nextDeadline() == Start + 1s);
+  auto Refused = Queue.takeRefused(Start + 2s);
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Ticket == Late);
+  CHECK(Refused[0].Reason == RoutingError::DeadlinePassed);
+  CHECK_FALSE(Queue.next(Start + 2s));
+  CHECK(Queue.takeRefused(Start + 2s).empty());
+}
+
+TEST_CASE("a full queue gives up the lowest priority first") {
+  AdmissionSettings Settings;
+  Settings.MaxQueued = 2;
+  Admission Queue(Settings);
+  TicketId Low = Queue.admit(request(1, WorkClass::LongDraft), Start).value();
+  CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  AdmissionRequest High = request(2, WorkClass::QuickAnswer);
+  High.Priority = 1;
+  CHECK(Queue.admit(High, Start));
+  auto Refused = Queue.takeRefused(Start);
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Ticket == Low);
+  CHECK(Refused[0].Reason == RoutingError::Displaced);
+  CHECK(Queue.admit(request(3, WorkClass::LongDraft), Start).error() ==
+        RoutingError::QueueFull);
+}
+
+TEST_CASE("a full queue gives up the team that holds beyond its share") {
+  AdmissionSettings Settings;
+  Settings.MaxQueued = 10;
+  Admission Queue(Settings);
+  for (int I = 0; I < 10; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  for (int I = 0; I < 5; ++I)
+    CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start));
+  CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start).error() ==
+        RoutingError::QueueFull);
+  CHECK(Queue.counts().Displaced == 5);
+}
+
+TEST_CASE("a request that does not fit keeps its place") {
+  Admission Queue({});
+  CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  CHECK_FALSE(
+      Queue.next(Start, [](const AdmissionRequest &) { return false; }));
+  CHECK(Queue.queued() == 1);
+  auto Next = Queue.next(Start + 1s);
+  REQUIRE(Next);
+  CHECK(Next->Waited == 1s);
+  CHECK(Queue.finish(Next->Ticket, Start + 2s));
+  CHECK(Queue.finish(Next->Ticket, Start + 2s).error() ==
+        RoutingError::UnknownTicket);
+}
+
+TEST_CASE("a caller that gives up leaves the queue") {
+  Admission Queue({});
+  TicketId First =
+      Queue.admit(request(1, WorkClass::QuickAnswer), Start).value();
+  TicketId Second =
+      Queue.admit(request(1, WorkClass::QuickAnswer), Start).value();
+  CHECK(Queue.abandon(Second, Start));
+  CHECK(Queue.next(Start)->Ticket == First);
+  CHECK(Queue.abandon(First, Start).error() == RoutingError::UnknownTicket);
+  CHECK_FALSE(Queue.next(Start));
+}
--- /dev/null
+++ b/Tests/LibRouting/OutlierDetectorTest.cpp
@@ -0,0 +1,83 @@
+#include "LibRouting/OutlierDetector.h"
+#include "LibRouting/RetryBudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+constexpr TargetTable::Slot Fleet = 10;
+
+OutlierDetector detectorOfFleet() {
+  OutlierDetector Outliers({});
+  for (TargetTable::Slot Place = 0; Place < Fleet; ++Place)
+    Outliers.add(Place, Start);
+  return Outliers;
+}
+
+} // namespace
+
+TEST_CASE("a target that is slow beyond the others is ejected for a while") {
+  OutlierDetector Outliers = detectorOfFleet();
+  TimePoint Now = Start;
+  for (int I = 0; I < 10; ++I) {
+    Now += 500ms;
+    for (TargetTable::Slot Place = 0; Place < Fleet; ++Place)
+      Outliers.observe(Place, 100ms, Place == 3 ? 1s : 100ms, Now);
+  }
+  CHECK(Outliers.isEjected(3, Now));
+  CHECK(Outliers.slowness(3, Now) > 3);
+  CHECK(Outliers.ejected(Now) == 1);
+  CHECK_FALSE(Outliers.isEjected(3, Now + 1min));
+}
+
+TEST_CASE("an overload of all targets ejects none") {
+  OutlierDetector Outliers = detectorOfFleet();
+  TimePoint Now = Start;
+  for (int I = 0; I < 20; ++I) {
+    Now += 500ms;
+    for (TargetTable::Slot Place = 0; Place < Fleet; ++Place)
+      Outliers.observe(Place, 100ms, 100ms + I * 50ms, Now);
+  }
+  CHECK(Outliers.ejected(Now) == 0);
+}
+
+TEST_CASE("a bad signal never ejects more than the share allowed") {
+  OutlierDetector Outliers = detectorOfFleet();
+  for (int I = 0; I < 5; ++I)
+    for (TargetTable::Slot Place = 0; Place < Fleet; ++Place)
+      Outliers.failed(Place, Start);
+  CHECK(Outliers.ejected(Start) == Fleet / 2);
+}
+
+TEST_CASE("a target that fails again is ejected for longer") {
+  OutlierDetector Outliers = detectorOfFleet();
+  for (int I = 0; I < 3; ++I)
+    Outliers.failed(0, Start);
+  CHECK(Outliers.isEjected(0, Start + 4s));
+  CHECK_FALSE(Outliers.isEjected(0, Start + 6s));
+  Outliers.failed(0, Start + 6s);
+  CHECK(Outliers.isEjected(0, Start + 15s));
+  CHECK_FALSE(Outliers.isEjected(0, Start + 17s));
+}
+
+TEST_CASE("a new target gets its full share only after a while") {
+  OutlierDetector Outliers = detectorOfFleet();
+  CHECK(Outliers.share(0, Start) == doctest::Approx(0.2));
+  CHECK(Outliers.share(0, Start + 5s) == doctest::Approx(0.6));
+  CHECK(Outliers.share(0, Start + 1min) == 1);
+}
+
+TEST_CASE("retries add less than a fifth to the load") {
+  RetryBudget Budget({});
+  for (int I = 0; I < 1000; ++I) {
+    Budget.firstAttempt();
+    while (Budget.tryRetry()) {
+    }
+  }
+  CHECK(Budget.amplification() < 1.2);
+  CHECK(Budget.refused() > 0);
+}
