Meet the platform and the targets over HTTP, and stand in for them

LibAdapter fills the hooks of log, membership, engines and services. Only a connection that never came about, or the target's own word, proves that nothing ran. LibStandinServer and bergamothook-standin serve all four roles with faults that can be set while they run; ledgers tell what ran.

--- /dev/null
+++ b/Libraries/LibAdapter/HttpEngine.cpp
@@ -0,0 +1,130 @@
+#include "LibAdapter/HttpEngine.h"
+
+#include "LibAdapter/EngineWire.h"
+#include "LibAdapter/ErrorMapping.h"
+
+namespace bergamothook {
+
+namespace {
+
+/// A line of a stream longer than this is no answer of an engine.
+constexpr std::size_t MaxLineBytes = 1 << 20;
+
+HttpCall callTo(const TargetAddress &Target, const char *Method,
+                const std::string &Path) {
+  HttpCall Call;
+  Call.Method = Method;
+  Call.Address = Target.Address;
+  Call.Port = Target.Port;
+  Call.Path = Path;
+  return Call;
+}
+
+std::string pathOf(RequestId Request) {
+  return std::string(EngineStreamsPath) + "/" + toHex(Request);
+}
+
+std::error_code failureOf(int Status, const HttpHeaders &Headers) {
+  if (auto Refusal = targetRefusalOf(Headers))
+    return Refusal;
+  bool IsMalformed = Status == 400 || Status == 413 || Status == 431;
+  return IsMalformed ? TargetError::BadRequest : TargetError::BadAnswer;
+}
+
+/// Cuts the body of a stream into lines.
+class LineReader {
+public:
+  explicit LineReader(HttpStreamHandle Body) : Body(std::move(Body)) {}
+
+  Result<StreamChunk> next(TimePoint Deadline) {
+    std::size_t End = this->Unread.find('\n');
+    while (End == std::string::npos) {
+      if (this->Unread.size() > MaxLineBytes)
+        return TargetError::BadAnswer;
+      auto Piece = this->Body.next(Deadline);
+      if (!Piece)
+        return targetErrorOf(Piece.error());
+      // A body that ends before the last piece of the stream is a cut stream.
+      if (!Piece.value())
+        return TargetError::ConnectionLost;
+      this->Unread += *Piece.value();
+      End = this->Unread.find('\n');
+    }
+    std::string Line = this->Unread.substr(0, End);
+    this->Unread.erase(0, End + 1);
+    return streamChunkOfJson(nlohmann::json::parse(Line, nullptr, false));
+  }
+
+private:
+  HttpStreamHandle Body;
+  std::string Unread;
+};
+
+Result<EngineStream> openStream(HttpClient &Client, const TargetAddress &Target,
+                                const GenerationOrder &Order,
+                                TimePoint Deadline) {
+  HttpCall Call = callTo(Target, "POST", EngineStreamsPath);
+  Call.Headers["Content-Type"] = "application/json";
+  Call.Body = toJson(Order).dump(-1, ' ', false,
+                                 nlohmann::json::error_handler_t::replace);
+  auto Opened = Client.open(std::move(Call), Deadline);
+  if (!Opened)
+    return targetErrorOf(Opened.error());
+  auto &Body = Opened.value();
+  if (Body.status() != 200)
+    return failureOf(Body.status(), Body.headers());
+  auto Lines = std::make_shared<LineReader>(std::move(Body));
+  EngineStream Stream;
+  Stream.Next = [Lines](TimePoint NextDeadline) {
+    return Lines->next(NextDeadline);
+  };
+  return Stream;
+}
+
+Result<nlohmann::json> callForJson(HttpClient &Client, HttpCall Call,
+                                   TimePoint Deadline) {
+  auto Answer = Client.call(std::move(Call), Deadline);
+  if (!Answer)
+    return targetErrorOf(Answer.error());
+  if (Answer.value().Status != 200)
+    return failureOf(Answer.value().Status, Answer.value().Headers);
+  return nlohmann::json::parse(Answer.value().Body, nullptr, false);
+}
+
+Result<StreamStatus> callForStatus(HttpClient &Client, HttpCall Call,
+                                   TimePoint Deadline) {
+  BOOST_OUTCOME_TRY(Json, callForJson(Client, std::move(Call), Deadline));
+  return streamStatusOfJson(Json);
+}
+
+} // namespace
+
+EngineHooks makeHttpEngines(HttpClient &Client) {
+  EngineHooks Hooks;
+  Hooks.Open = [&Client](const TargetAddress &Target,
+                         const GenerationOrder &Order, TimePoint Deadline) {
+    return openStream(Client, Target, Order, Deadline);
+  };
+  Hooks.Cancel = [&Client](const TargetAddress &Target, RequestId Request,
+                           TimePoint Deadline) {
+    return callForStatus(Client, callTo(Target, "DELETE", pathOf(Request)),
+                         Deadline);
+  };
+  Hooks.Probe = [&Client](const TargetAddress &Target, RequestId Request,
+                          TimePoint Deadline) {
+    HttpCall Call = callTo(Target, "GET", pathOf(Request));
+    // A kept connection may be the very thing that went silent.
+    Call.UsesFreshConnection = true;
+    return callForStatus(Client, std::move(Call), Deadline);
+  };
+  Hooks.ReadLoad = [&Client](const TargetAddress &Target,
+                             TimePoint Deadline) -> Result<EngineLoad> {
+    BOOST_OUTCOME_TRY(
+        Json,
+        callForJson(Client, callTo(Target, "GET", EngineLoadPath), Deadline));
+    return engineLoadOfJson(Json);
+  };
+  return Hooks;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibAdapter/HttpLog.h
@@ -0,0 +1,19 @@
+/// \file
+/// The platform's log over HTTP.
+
+#ifndef BERGAMOTHOOK_LIBADAPTER_HTTPLOG_H
+#define BERGAMOTHOOK_LIBADAPTER_HTTPLOG_H
+
+#include "LibHttp/HttpClient.h"
+#include "LibPlatform/LogHooks.h"
+
+namespace bergamothook {
+
+/// Makes hooks that call the log at \p Address and \p Port, an IP number and a
+/// port, through \p Client, which must outlive them.
+LogHooks makeHttpLog(HttpClient &Client, const Runtime &Tasks,
+                     const std::string &Address, std::uint16_t Port);
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibStandin/OrderBook.cpp
@@ -0,0 +1,28 @@
+#include "LibStandin/OrderBook.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+Result<ServiceAnswer> OrderBook::run(const ServiceCall &Call) {
+  std::uint64_t &Highest = this->HighestFence[Call.Request];
+  if (this->ChecksFence && Call.FencingNumber < Highest)
+    return TargetError::FencedOff;
+  Highest = std::max(Highest, Call.FencingNumber);
+  this->Runs.push_back({Call.Request, Call.Attempt, Call.FencingNumber,
+                        Call.Method, Call.Path, Call.Body});
+  nlohmann::json Body{{"request", toHex(Call.Request)},
+                      {"run", this->Runs.size()},
+                      {"path", Call.Path},
+                      {"done", true}};
+  return ServiceAnswer{200, "application/json", Body.dump()};
+}
+
+std::size_t OrderBook::timesRun(RequestId Request) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Runs.begin(), this->Runs.end(),
+      [&](const OrderRun &Run) { return Run.Request == Request; }));
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibStandinServer/LogStandin.cpp
@@ -0,0 +1,128 @@
+#include "LibStandinServer/LogStandin.h"
+
+#include "LibAdapter/LogWire.h"
+#include "LibHttp/UrlCoding.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace bergamothook {
+
+namespace {
+
+constexpr Duration CallTimeout = std::chrono::seconds(60);
+constexpr std::uint64_t LongestWaitMs = 60000;
+constexpr std::uint64_t DefaultEntries = 1000;
+constexpr std::uint64_t MaxEntries = 10000;
+constexpr Duration HangPollInterval = std::chrono::milliseconds(100);
+
+struct LogPath {
+  std::string Stream;
+  std::string Action;
+};
+
+/// Takes apart "/log/STREAM/ACTION".
+std::optional<LogPath> parsePath(const std::string &Path) {
+  const std::string Prefix = "/log/";
+  std::size_t Slash = Path.rfind('/');
+  if (Path.rfind(Prefix, 0) != 0 || Slash <= Prefix.size())
+    return std::nullopt;
+  std::string Stream = Path.substr(Prefix.size(), Slash - Prefix.size());
+  return LogPath{urlDecode(Stream), Path.substr(Slash + 1)};
+}
+
+int statusOf(std::error_code Failure) {
+  if (Failure == LogError::BelowRetention)
+    return 410;
+  if (Failure == LogError::TooLarge)
+    return 413;
+  if (Failure == LogError::RateLimited)
+    return 429;
+  return 503;
+}
+
+/// Answers a failure as the log would; a lost answer is a closed connection.
+void answerLogFailure(HttpReply &Reply, std::error_code Failure) {
+  if (Failure == LogError::AnswerLost)
+    Reply.abort();
+  else
+    answerFailure(Reply, statusOf(Failure), Failure);
+}
+
+} // namespace
+
+LogStandin::LogStandin(LogLimits Limits, std::uint64_t Seed, Runtime Tasks)
+    : Log(Limits, Seed), Tasks(std::move(Tasks)),
+      Hooks(hooksOverMemoryLog(this->Log, this->Tasks)) {
+  this->Faults.addFlag("is_down", this->Log.Faults.IsDown);
+  this->Faults.addFlag("hangs", this->Hangs);
+  this->Faults.addNumber("lose_before_effect",
+                         this->Log.Faults.LoseBeforeEffect);
+  this->Faults.addNumber("lose_after_effect", this->Log.Faults.LoseAfterEffect);
+  this->Faults.addCount("lose_next_answers", this->LostAnswers);
+  this->Faults.addTime("latency_ms", this->Log.Faults.Latency);
+  this->Faults.addTime("retention_ms", this->Log.Limits.Retention);
+  this->Faults.addNumber("appends_per_second",
+                         this->Log.Limits.AppendsPerSecond);
+}
+
+void LogStandin::serve(const HttpRequest &Request, HttpReply Reply) {
+  if (answerCommon(Request, Reply, this->Faults))
+    return;
+  if (Request.Path == "/ledger") {
+    answerJson(Reply, 200, {{"appends", this->Log.Appends}});
+    return;
+  }
+  this->hang(Reply);
+  auto Path = parsePath(Request.Path);
+  if (Path && Path->Action == "entries" && Request.Method == "POST")
+    this->append(Path->Stream, Request, Reply);
+  else if (Path && Path->Action == "entries" && Request.Method == "GET")
+    this->read(Path->Stream, Request, Reply);
+  else if (Path && Path->Action == "truncate" && Request.Method == "POST") {
+    this->Log.truncate(Path->Stream,
+                       Offset{numberParameter(Request, "below", 0)});
+    answerJson(Reply, 200, {{"ok", true}});
+  } else
+    answerJson(Reply, 404, {{"error", "no such path"}});
+}
+
+void LogStandin::hang(HttpReply &Reply) {
+  if (!this->Hangs)
+    return;
+  while (this->Hangs && !Reply.isCallerGone())
+    this->Tasks.sleepUntil(this->Tasks.Now() + HangPollInterval);
+  Reply.abort();
+}
+
+void LogStandin::append(const std::string &Stream, const HttpRequest &Request,
+                        HttpReply &Reply) {
+  if (Reply.isCallerGone())
+    return;
+  auto At =
+      this->Hooks.Append(Stream, Request.Body, this->Tasks.Now() + CallTimeout);
+  if (!At)
+    answerLogFailure(Reply, At.error());
+  else if (takeOne(this->LostAnswers))
+    Reply.abort();
+  else
+    answerJson(Reply, 200, {{"offset", At.value().Value}});
+}
+
+void LogStandin::read(const std::string &Stream, const HttpRequest &Request,
+                      HttpReply &Reply) {
+  Offset From{numberParameter(Request, "from", 0)};
+  std::uint64_t Most =
+      std::min(MaxEntries, numberParameter(Request, "max", DefaultEntries));
+  std::uint64_t WaitMs =
+      std::min(LongestWaitMs, numberParameter(Request, "wait_ms", 0));
+  auto Page =
+      this->Hooks.Read(Stream, From, Most, std::chrono::milliseconds(WaitMs));
+  if (!Page)
+    answerLogFailure(Reply, Page.error());
+  else
+    Reply.sendWhole(200, "application/octet-stream",
+                    encodeLogPage(Page.value()));
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibStandinServer/MembershipStandin.h
@@ -0,0 +1,35 @@
+/// \file
+/// The stand-in for the platform's membership list.
+///
+///     GET  /members   -> {"version": N, "members": [...]}, with a lag
+///     POST /members   {"members": [...]} replaces the list
+
+#ifndef BERGAMOTHOOK_LIBSTANDINSERVER_MEMBERSHIPSTANDIN_H
+#define BERGAMOTHOOK_LIBSTANDINSERVER_MEMBERSHIPSTANDIN_H
+
+#include "LibStandin/MemberBoard.h"
+#include "LibStandinServer/Answers.h"
+#include "LibTask/Runtime.h"
+
+namespace bergamothook {
+
+class MembershipStandin {
+public:
+  MembershipStandin(std::vector<Member> First, Runtime Tasks);
+  MembershipStandin(const MembershipStandin &) = delete;
+  MembershipStandin &operator=(const MembershipStandin &) = delete;
+
+  void serve(const HttpRequest &Request, HttpReply Reply);
+
+  MemberBoard Board;
+  FaultTable Faults;
+
+private:
+  void replace(const HttpRequest &Request, HttpReply &Reply);
+
+  Runtime Tasks;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Services/Standin/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibStandinServer LibSettings LibObserve)
--- /dev/null
+++ b/Tests/LibAdapter/HttpEngineTest.cpp
@@ -0,0 +1,183 @@
+#include "LibAdapter/HttpEngine.h"
+#include "LibStandin/TokenText.h"
+#include "LibStandinServer/EngineStandin.h"
+#include "StandinFixture.h"
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+const RequestId Asked{1, 2};
+
+GenerationOrder orderOf(std::uint32_t Tokens) {
+  GenerationOrder Order;
+  Order.Request = Asked;
+  Order.Attempt = AttemptNumber{1};
+  Order.Model = "small";
+  Order.Prompt = "mend the fountain [tokens=" + std::to_string(Tokens) + "]";
+  Order.MaxTokens = 10000;
+  return Order;
+}
+
+struct EngineTest {
+  StandinTest &Standin;
+  EngineHooks Engines;
+  TargetAddress Target;
+
+  Result<EngineStream> open(const GenerationOrder &Order) {
+    return this->Engines.Open(this->Target, Order, this->Standin.soon());
+  }
+};
+
+void withEngine(const std::function<void(EngineTest &)> &Test) {
+  RealRuntime Real;
+  BatchEngineLimits Limits;
+  Limits.Models = {"small"};
+  Limits.StepBase = 1ms;
+  StandinServer *Server = nullptr;
+  EngineStandin Role(Limits, 1, Real.hooks(),
+                     [&] { Server->restartAfter(10ms); });
+  bool HasEnded = false;
+  Real.post([&] {
+    Role.run();
+    HasEnded = true;
+  });
+  serveWhile(
+      Real, handlerOf(Role),
+      [&](StandinTest &Handed) {
+        Server = &Handed.Server;
+        EngineTest Made{Handed,
+                        makeHttpEngines(Handed.Client),
+                        {"127.0.0.1", Handed.Server.port()}};
+        Test(Made);
+      },
+      [&] {
+        Role.stop();
+        while (!HasEnded)
+          Real.hooks().sleepUntil(Real.hooks().Now() + 1ms);
+      });
+}
+
+/// Reads a stream to its end, or to its first failure.
+struct Read {
+  std::string Text;
+  std::uint32_t Tokens = 0;
+  std::optional<StreamChunk> Last;
+  std::error_code Failure;
+};
+
+Read readAll(EngineStream &Stream, const StandinTest &Standin,
+             Duration Patience = 10s) {
+  Read Got;
+  while (!Got.Last) {
+    auto Piece = Stream.Next(Standin.Tasks.Now() + Patience);
+    if (!Piece) {
+      Got.Failure = Piece.error();
+      return Got;
+    }
+    Got.Text += Piece.value().Text;
+    Got.Tokens += Piece.value().Tokens;
+    if (Piece.value().IsLast)
+      Got.Last = Piece.value();
+  }
+  return Got;
+}
+
+} // namespace
+
+TEST_CASE("a stream arrives whole, with the engine's count") {
+  withEngine([](EngineTest &Test) {
+    auto Stream = Test.open(orderOf(40));
+    REQUIRE(Stream);
+    Read Got = readAll(Stream.value(), Test.Standin);
+    REQUIRE(Got.Last);
+    CHECK(Got.Text == tokensText(Asked, 0, 40));
+    CHECK(Got.Last->Counted.GeneratedTokens == 40);
+    CHECK(Got.Last->Attempt == AttemptNumber{1});
+  });
+}
+
+TEST_CASE("a cut stream resumes without a gap or a repeat, and runs once") {
+  withEngine([](EngineTest &Test) {
+    Test.Standin.post("/faults", {{"cut_next", 1}, {"fate_after_tokens", 5}});
+    auto First = Test.open(orderOf(60));
+    REQUIRE(First);
+    Read Before = readAll(First.value(), Test.Standin);
+    CHECK(Before.Failure == TargetError::ConnectionLost);
+    GenerationOrder Again = orderOf(60);
+    Again.Attempt = AttemptNumber{2};
+    Again.ResumeAfterTokens = Before.Tokens;
+    auto Second = Test.open(Again);
+    REQUIRE(Second);
+    Read After = readAll(Second.value(), Test.Standin);
+    CHECK(Before.Text + After.Text == tokensText(Asked, 0, 60));
+    auto Ledger = Test.Standin.get("/ledger")["runs"];
+    REQUIRE(Ledger.size() == 1);
+    CHECK(Ledger[0]["opens"] == 2);
+    CHECK(Ledger[0]["generated_tokens"] == 60);
+  });
+}
+
+TEST_CASE(
+    "a silent connection is no dead engine: a probe over a new one works") {
+  withEngine([](EngineTest &Test) {
+    Test.Standin.post("/faults",
+                      {{"silent_next", 1}, {"fate_after_tokens", 0}});
+    auto Stream = Test.open(orderOf(20));
+    REQUIRE(Stream);
+    Read Got = readAll(Stream.value(), Test.Standin, 100ms);
+    CHECK(Got.Failure == TargetError::Silent);
+    CHECK(Test.Engines.Probe(Test.Target, Asked, Test.Standin.soon()));
+  });
+}
+
+TEST_CASE("a marked request crashes the engine, and it comes back empty") {
+  withEngine([](EngineTest &Test) {
+    GenerationOrder Poison = orderOf(20);
+    Poison.Prompt += " [crash]";
+    auto Stream = Test.open(Poison);
+    REQUIRE(Stream);
+    Read Got = readAll(Stream.value(), Test.Standin);
+    CHECK(Got.Failure == TargetError::ConnectionLost);
+    auto Status = Test.Engines.Probe(Test.Target, Asked, Test.Standin.soon());
+    while (Status.has_error() && Status.error() != TargetError::UnknownStream)
+      Status = Test.Engines.Probe(Test.Target, Asked, Test.Standin.soon());
+    CHECK(Test.Standin.get("/ledger")["runs"][0]["outcome"] == "crashed");
+  });
+}
+
+TEST_CASE("cancel ends a generation and tells what was counted") {
+  withEngine([](EngineTest &Test) {
+    auto Stream = Test.open(orderOf(5000));
+    REQUIRE(Stream);
+    REQUIRE(Stream.value().Next(Test.Standin.soon()));
+    auto Status = Test.Engines.Cancel(Test.Target, Asked, Test.Standin.soon());
+    REQUIRE(Status);
+    CHECK_FALSE(Status.value().IsRunning);
+    Read Got = readAll(Stream.value(), Test.Standin);
+    REQUIRE(Got.Last);
+    CHECK(Got.Last->Reason == FinishReason::Cancelled);
+    CHECK(Got.Last->Counted.GeneratedTokens ==
+          Status.value().Counted.GeneratedTokens);
+  });
+}
+
+TEST_CASE("each refusal of an engine proves that nothing ran") {
+  withEngine([](EngineTest &Test) {
+    GenerationOrder Order = orderOf(20);
+    Order.Model = "absent";
+    CHECK(Test.open(Order).error() == TargetError::Refused);
+    Order = orderOf(20);
+    Order.MaxTokens = 0;
+    CHECK(Test.open(Order).error() == TargetError::BadRequest);
+    Order = orderOf(20);
+    Order.ResumeAfterTokens = 3;
+    CHECK(Test.open(Order).error() == TargetError::UnknownStream);
+    Test.Standin.post("/faults", {{"is_leaving", true}});
+    CHECK(Test.open(orderOf(20)).error() == TargetError::Refused);
+    auto Load = Test.Engines.ReadLoad(Test.Target, Test.Standin.soon());
+    CHECK(Load.value().IsLeaving);
+    CHECK(Test.Standin.get("/ledger")["runs"].empty());
+  });
+}
--- /dev/null
+++ b/Tests/LibAdapter/HttpLogTest.cpp
@@ -0,0 +1,92 @@
+#include "LibAdapter/HttpLog.h"
+#include "LibAdapter/LogWire.h"
+#include "LibStandinServer/LogStandin.h"
+#include "StandinFixture.h"
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+void withLog(const std::function<void(StandinTest &, const LogHooks &)> &Test) {
+  RealRuntime Real;
+  LogStandin Role({}, 1, Real.hooks());
+  serveWhile(Real, handlerOf(Role), [&](StandinTest &Handed) {
+    Test(Handed, makeHttpLog(Handed.Client, Handed.Tasks, "127.0.0.1",
+                             Handed.Server.port()));
+  });
+}
+
+} // namespace
+
+TEST_CASE("binary payloads come back whole, in order, with their offsets") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    const std::string Binary("\0\n\xff\x80 %", 6);
+    CHECK(Log.Append("a b/c", Binary, Test.soon()).value().Value == 0);
+    CHECK(Log.Append("a b/c", "", Test.soon()).value().Value == 1);
+    LogPage Page = Log.Read("a b/c", Offset{0}, 10, 0s).value();
+    REQUIRE(Page.Entries.size() == 2);
+    CHECK(Page.Entries[0].Payload == Binary);
+    CHECK(Page.Entries[1].At.Value == 1);
+    CHECK(Page.Next.Value == 2);
+  });
+}
+
+TEST_CASE("an append whose answer is lost is not called without effect") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    Test.post("/faults", {{"lose_next_answers", 1}});
+    auto Lost = Log.Append("a", "x", Test.soon());
+    CHECK(Lost.error() == LogError::AnswerLost);
+    CHECK_FALSE(provesNoEffect(Lost.error()));
+    CHECK(Log.Read("a", Offset{0}, 10, 0s).value().Entries.size() == 1);
+  });
+}
+
+TEST_CASE(
+    "an append that hangs past its deadline is not called without effect") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    Test.post("/faults", {{"hangs", true}});
+    auto Lost = Log.Append("a", "x", Test.Tasks.Now() + 50ms);
+    CHECK(Lost.error() == LogError::AnswerLost);
+    Test.post("/faults", {{"hangs", false}});
+  });
+}
+
+TEST_CASE("each refusal of the log keeps its meaning") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    Test.post("/faults", {{"is_down", true}});
+    CHECK(Log.Append("a", "x", Test.soon()).error() == LogError::Unreachable);
+    Test.post("/faults", {{"is_down", false}});
+    auto Large = Log.Append("a", std::string(2 << 20, 'x'), Test.soon());
+    CHECK(Large.error() == LogError::TooLarge);
+    CHECK(Log.Append("a", "x", Test.soon()));
+    Test.post("/log/a/truncate?below=1", {});
+    CHECK(Log.Read("a", Offset{0}, 1, 0s).error() == LogError::BelowRetention);
+  });
+}
+
+TEST_CASE("a log that nothing listens for is unreachable") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    Test.Server.stop();
+    CHECK(Log.Append("a", "x", Test.soon()).error() == LogError::Unreachable);
+  });
+}
+
+TEST_CASE("a read waits for the first entry") {
+  withLog([](StandinTest &Test, const LogHooks &Log) {
+    Test.Tasks.Spawn([&] { CHECK(Log.Append("a", "x", Test.soon())); });
+    LogPage Page = Log.Read("a", Offset{0}, 10, 10s).value();
+    CHECK(Page.Entries.size() == 1);
+  });
+}
+
+TEST_CASE("a page that is cut or too long is malformed") {
+  LogPage Page;
+  Page.Entries.push_back({Offset{3}, "payload"});
+  std::string Bytes = encodeLogPage(Page);
+  REQUIRE(decodeLogPage(Bytes));
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    CHECK(decodeLogPage(Bytes.substr(0, Length)).error() ==
+          LogError::BadAnswer);
+  CHECK(decodeLogPage(Bytes + "x").error() == LogError::BadAnswer);
+}
