--- a/Libraries/LibRouting/Admission.h
+++ b/Libraries/LibRouting/Admission.h
@@ -14,11 +14,11 @@
 #include "LibBase/Ids.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibBase/WorkClass.h"
 #include "LibRouting/DrainRate.h"
 #include "LibRouting/FairQueue.h"
 #include "LibRouting/RoutingError.h"
 #include "LibRouting/Ticket.h"
-#include "LibRouting/WorkClass.h"
 
 #include <functional>
 #include <map>
