--- a/Libraries/LibBase/WorkClass.h
+++ b/Libraries/LibBase/WorkClass.h
@@ -11,13 +11,14 @@
 
 namespace bergamothook {
 
+/// In the order in which they go first.
 enum class WorkClass : std::uint8_t {
   /// Someone waits for the first token.
   QuickAnswer,
-  /// A long generation that may wait and has to finish.
-  LongDraft,
   /// A call that changes something outside.
   Order,
+  /// A long generation that may wait and has to finish.
+  LongDraft,
 };
 
 constexpr std::size_t WorkClassCount = 3;
