--- /dev/null
+++ b/Libraries/LibConfig/ConfigProblem.h
@@ -0,0 +1,46 @@
+/// \file
+/// One reason why a change is refused, with its place and what is allowed.
+
+#ifndef BERGAMOTHOOK_LIBCONFIG_CONFIGPROBLEM_H
+#define BERGAMOTHOOK_LIBCONFIG_CONFIGPROBLEM_H
+
+#include "LibBase/Result.h"
+#include "LibConfig/ConfigError.h"
+#include "LibConfig/ConfigObject.h"
+
+namespace bergamothook {
+
+/// Says what is wrong, in which object and where in it.
+struct ConfigProblem {
+  ConfigError Error = ConfigError::Malformed;
+  ObjectKey Object;
+  /// The JSON pointer of the value within the object.
+  std::string Pointer;
+  /// The value found, as JSON or as a name.
+  std::string Found;
+  /// The values that are allowed, in words or as a range.
+  std::string Allowed;
+};
+
+/// Writes \p Problem as one line for an operator.
+inline std::string toString(const ConfigProblem &Problem) {
+  std::string Text = make_error_code(Problem.Error).message() + ": " +
+                     toString(Problem.Object) + " at \"" + Problem.Pointer +
+                     "\"";
+  if (!Problem.Found.empty())
+    Text += ", found " + Problem.Found;
+  if (!Problem.Allowed.empty())
+    Text += ", allowed " + Problem.Allowed;
+  return Text;
+}
+
+/// Holds a \p T, or the problem that says why there is none.
+/// Asking it for the one that it does not hold throws.
+template <typename T>
+using Checked = boost::outcome_v2::result<
+    T, ConfigProblem,
+    boost::outcome_v2::policy::throw_bad_result_access<ConfigProblem, void>>;
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibConfig/ShardedTable.h
@@ -0,0 +1,77 @@
+/// \file
+/// A hash table whose copies share what they have in common.
+
+#ifndef BERGAMOTHOOK_LIBCONFIG_SHARDEDTABLE_H
+#define BERGAMOTHOOK_LIBCONFIG_SHARDEDTABLE_H
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+namespace bergamothook {
+
+/// A table of shards. Copying it copies one pointer a shard; a change copies
+/// only the shard that it falls in, and only while another copy shares it. One
+/// thread changes a table; other threads may read copies of it.
+template <typename Key, typename Value> class ShardedTable {
+public:
+  /// \returns the value of \p Name, or null.
+  const Value *find(const Key &Name) const {
+    const auto &Shared = this->Shards[this->shardOf(Name)];
+    if (!Shared)
+      return nullptr;
+    auto Known = Shared->find(Name);
+    return Known == Shared->end() ? nullptr : &Known->second;
+  }
+
+  void put(const Key &Name, Value New) {
+    this->writable(Name).insert_or_assign(Name, std::move(New));
+  }
+
+  void erase(const Key &Name) {
+    if (this->find(Name))
+      this->writable(Name).erase(Name);
+  }
+
+  std::size_t size() const {
+    std::size_t Count = 0;
+    for (const auto &Shared : this->Shards)
+      Count += Shared ? Shared->size() : 0;
+    return Count;
+  }
+
+  /// Calls \p Visit with each key and value, in no order.
+  template <typename Visitor> void forEach(Visitor Visit) const {
+    for (const auto &Shared : this->Shards)
+      if (Shared)
+        for (const auto &[Name, Known] : *Shared)
+          Visit(Name, Known);
+  }
+
+private:
+  using Shard = std::unordered_map<Key, Value>;
+  static constexpr std::size_t ShardCount = 256;
+
+  std::size_t shardOf(const Key &Name) const {
+    return std::hash<Key>{}(Name) % ShardCount;
+  }
+
+  Shard &writable(const Key &Name) {
+    auto &Shared = this->Shards[this->shardOf(Name)];
+    if (!Shared)
+      Shared = std::make_shared<Shard>();
+    else if (Shared.use_count() > 1)
+      Shared = std::make_shared<Shard>(*Shared);
+    else
+      // Orders the write after the reads of a copy that has just gone.
+      std::atomic_thread_fence(std::memory_order_acquire);
+    return *Shared;
+  }
+
+  std::array<std::shared_ptr<Shard>, ShardCount> Shards;
+};
+
+} // namespace bergamothook
+
+#endif
