--- a/Libraries/LibConfig/EffectiveTeam.h
+++ b/Libraries/LibConfig/EffectiveTeam.h
@@ -6,6 +6,7 @@
 
 #include "LibBase/Ids.h"
 #include "LibBase/Time.h"
+#include "LibBase/WorkClass.h"
 #include "LibConfig/Sha256.h"
 
 #include <array>
@@ -14,14 +15,6 @@
 
 namespace bergamothook {
 
-/// The classes of work that a request may belong to.
-enum class WorkClass : std::uint8_t { QuickAnswer, LongDraft, Order };
-
-constexpr std::size_t WorkClassCount = 3;
-
-/// The name of \p Class in settings and requests: "quick", "draft" or "order".
-const char *nameOf(WorkClass Class);
-
 /// What is in force for one class of work of a team.
 struct ClassSettings {
   /// The time from the request's arrival to the end of its answer.
