--- /dev/null
+++ b/Libraries/LibOutcome/DrainState.cpp
@@ -0,0 +1,52 @@
+#include "LibOutcome/DrainState.h"
+
+namespace bergamothook {
+
+DrainState::DrainState(DrainLimits Limits) : Limits(Limits) {}
+
+void DrainState::signal(TimePoint Now) {
+  this->IsForced = this->IsStopping;
+  if (!this->IsStopping)
+    this->StoppedAt = Now;
+  this->IsStopping = true;
+  this->Changed.notify();
+}
+
+DrainPhase DrainState::phase(TimePoint Now) const {
+  if (!this->IsStopping)
+    return DrainPhase::Serving;
+  if (this->IsForced || Now - this->StoppedAt >= this->Limits.Bound)
+    return DrainPhase::Cutting;
+  if (Now - this->StoppedAt < this->Limits.NotReadyTime)
+    return DrainPhase::NotReady;
+  return DrainPhase::Draining;
+}
+
+bool DrainState::isReady(TimePoint Now) const {
+  return this->phase(Now) == DrainPhase::Serving;
+}
+
+bool DrainState::enter(TimePoint Now) {
+  DrainPhase Present = this->phase(Now);
+  if (Present == DrainPhase::Draining || Present == DrainPhase::Cutting)
+    return false;
+  ++this->Requests;
+  return true;
+}
+
+void DrainState::leave() {
+  --this->Requests;
+  this->Changed.notify();
+}
+
+std::size_t DrainState::waitUntilEmpty(const Runtime &Tasks) {
+  if (!this->IsStopping)
+    this->signal(Tasks.Now());
+  TimePoint Quiet = this->StoppedAt + this->Limits.NotReadyTime;
+  Tasks.waitUntil(this->Changed, Quiet, [this] { return this->IsForced; });
+  Tasks.waitUntil(this->Changed, this->StoppedAt + this->Limits.Bound,
+                  [this] { return this->IsForced || this->Requests == 0; });
+  return this->Requests;
+}
+
+} // namespace bergamothook
