--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -1,19 +1,11 @@
 #include "LibRouting/Admission.h"
 
+#include "LibRouting/Seconds.h"
+
 #include <algorithm>
 
 namespace bergamothook {
 
-namespace {
-
-Duration fromSeconds(double Seconds) {
-  constexpr double LongestSeconds = 86400;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(Seconds, LongestSeconds)));
-}
-
-} // namespace
-
 bool Admission::LaneKey::operator<(const LaneKey &Other) const {
   if (this->Priority != Other.Priority)
     return this->Priority > Other.Priority;
@@ -104,7 +96,7 @@
   double Shared = (Before + Own) / (Rate * (1 - Share));
   // The share of what is passed over bounds the wait behind other lanes.
   double Bounded = Before > 0 ? (Own + Request.Cost) / (Rate * Share) : Shared;
-  return fromSeconds(std::min(Shared, Bounded));
+  return detail::fromSeconds(std::min(Shared, Bounded));
 }
 
 Duration Admission::retryAfter(const AdmissionRequest &Request,
--- a/Libraries/LibRouting/OutlierDetector.cpp
+++ b/Libraries/LibRouting/OutlierDetector.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/OutlierDetector.h"
 
+#include "LibRouting/Seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,10 +20,6 @@
 
 constexpr Duration MedianPeriod = std::chrono::seconds(1);
 
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 } // namespace
 
 OutlierDetector::OutlierDetector(OutlierSettings Settings)
@@ -50,8 +48,9 @@
   if (Place >= this->Watches.size())
     return;
   Watch &Target = this->Watches[Place];
-  double Base = seconds(std::max(Expected, SmallestExpected));
-  double Ratio = std::clamp(seconds(Observed) / Base, 1 / MaxRatio, MaxRatio);
+  double Base = detail::toSeconds(std::max(Expected, SmallestExpected));
+  double Ratio =
+      std::clamp(detail::toSeconds(Observed) / Base, 1 / MaxRatio, MaxRatio);
   double Before = this->decayedRatio(Target, Now);
   Target.Ratio = Before + ObservationWeight * (Ratio - Before);
   Target.RatioAt = Now;
@@ -89,8 +88,8 @@
 double OutlierDetector::share(TargetTable::Slot Place, TimePoint Now) const {
   if (Place >= this->Watches.size() || !this->Watches[Place].IsUsed)
     return 1;
-  double Grown = seconds(Now - this->Watches[Place].SlowStartFrom) /
-                 seconds(this->Settings.SlowStart);
+  double Grown = detail::toSeconds(Now - this->Watches[Place].SlowStartFrom) /
+                 detail::toSeconds(this->Settings.SlowStart);
   double First = this->Settings.FirstShare;
   return std::clamp(First + (1 - First) * Grown, First, 1.0);
 }
@@ -129,8 +128,9 @@
 }
 
 double OutlierDetector::decayedRatio(const Watch &Target, TimePoint Now) const {
-  double HalfLives = seconds(std::max(Duration::zero(), Now - Target.RatioAt)) /
-                     seconds(this->Settings.SlownessHalfLife);
+  double HalfLives =
+      detail::toSeconds(std::max(Duration::zero(), Now - Target.RatioAt)) /
+      detail::toSeconds(this->Settings.SlownessHalfLife);
   return 1 + (Target.Ratio - 1) * std::exp2(-HalfLives);
 }
 
--- a/Libraries/LibRouting/PrefixIndex.h
+++ b/Libraries/LibRouting/PrefixIndex.h
@@ -10,8 +10,9 @@
 #ifndef BERGAMOTHOOK_LIBROUTING_PREFIXINDEX_H
 #define BERGAMOTHOOK_LIBROUTING_PREFIXINDEX_H
 
-#include "LibRouting/PrefixBlocks.h"
 #include "LibRouting/TargetTable.h"
+#include "LibTarget/CacheEvents.h"
+#include "LibTarget/PrefixBlocks.h"
 
 #include <array>
 #include <cstdint>
@@ -20,14 +21,6 @@
 
 namespace bergamothook {
 
-/// One change of a target's prefix cache.
-struct CacheEvent {
-  /// Counts the target's events from 1, without a hole at the target.
-  std::uint64_t Sequence = 0;
-  PrefixHash Block = 0;
-  bool IsStored = true;
-};
-
 /// What the index knows of one target for one prompt.
 struct PrefixHolder {
   TargetTable::Slot Place = 0;
--- a/Libraries/LibRouting/RequestFeatures.h
+++ b/Libraries/LibRouting/RequestFeatures.h
@@ -5,8 +5,8 @@
 #define BERGAMOTHOOK_LIBROUTING_REQUESTFEATURES_H
 
 #include "LibBase/Ids.h"
-#include "LibRouting/PrefixBlocks.h"
 #include "LibRouting/WorkClass.h"
+#include "LibTarget/PrefixBlocks.h"
 
 #include <span>
 
--- /dev/null
+++ b/Libraries/LibRouting/Seconds.h
@@ -0,0 +1,27 @@
+/// \file
+/// Conversions between durations and the seconds that estimates compute with.
+
+#ifndef BERGAMOTHOOK_LIBROUTING_SECONDS_H
+#define BERGAMOTHOOK_LIBROUTING_SECONDS_H
+
+#include "LibBase/Time.h"
+
+#include <algorithm>
+
+namespace bergamothook::detail {
+
+/// The longest time that an estimate tells; more is cut to it.
+constexpr double LongestEstimateSeconds = 86400;
+
+inline double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+inline Duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(Seconds, LongestEstimateSeconds)));
+}
+
+} // namespace bergamothook::detail
+
+#endif
--- a/Libraries/LibRouting/TargetChooser.cpp
+++ b/Libraries/LibRouting/TargetChooser.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/TargetChooser.h"
 
+#include "LibRouting/Seconds.h"
+
 #include <algorithm>
 
 namespace bergamothook {
@@ -10,12 +12,6 @@
 /// one.
 constexpr double EmptyStepShare = 0.5;
 
-Duration fromSeconds(double Seconds) {
-  constexpr double LongestWaitSeconds = 3600;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(Seconds, LongestWaitSeconds)));
-}
-
 bool contains(const std::vector<TargetTable::Slot> &Places,
               TargetTable::Slot Place) {
   return std::find(Places.begin(), Places.end(), Place) != Places.end();
@@ -157,9 +153,10 @@
   double StepSeconds =
       FullStepSeconds * (EmptyStepShare + (1 - EmptyStepShare) * Filled);
 
-  Scored.Queue = fromSeconds(QueueSeconds * Factor);
-  Scored.Prefill = fromSeconds(Uncovered / PrefillRate * Factor);
-  Scored.Decode = fromSeconds(Request.ExpectedTokens * StepSeconds * Slowness);
+  Scored.Queue = detail::fromSeconds(QueueSeconds * Factor);
+  Scored.Prefill = detail::fromSeconds(Uncovered / PrefillRate * Factor);
+  Scored.Decode =
+      detail::fromSeconds(Request.ExpectedTokens * StepSeconds * Slowness);
   double DecodeWeight = Request.Class == WorkClass::LongDraft
                             ? this->Settings.DraftDecodeWeight
                             : this->Settings.QuickDecodeWeight;
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/TargetTable.h"
 
 #include "LibRouting/RoutingError.h"
+#include "LibRouting/Seconds.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,10 +14,6 @@
 /// The changes kept since the last report; older ones are merged.
 constexpr std::size_t MaxChanges = 64;
 
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 template <typename Number> Number lessAtLeastZero(Number Value, Number Less) {
   return Value > Less ? Value - Less : Number{0};
 }
@@ -190,7 +187,8 @@
     Load.PrefillTokens += static_cast<double>(Change.PrefillTokens) * Peers;
   }
   Duration Age = std::max(Duration::zero(), Now - Target.Report.TakenAt);
-  double Trust = std::exp(-seconds(Age) / seconds(this->Settings.ReportDecay));
+  double Trust = std::exp(-detail::toSeconds(Age) /
+                          detail::toSeconds(this->Settings.ReportDecay));
   auto Blend = [Trust](double Reported, double Own, double AtLeast) {
     return std::max(AtLeast, Trust * Reported + (1 - Trust) * Own);
   };
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -14,6 +14,7 @@
 #include "LibBase/Ids.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibTarget/EngineControl.h"
 #include "LibTarget/EngineHooks.h"
 
 #include <cstdint>
@@ -25,9 +26,6 @@
 
 enum class TargetState : std::uint8_t { Live, Suspect, Leaving };
 
-/// Which phases of a generation an engine takes.
-enum class EngineRole : std::uint8_t { Both, Prefill, Decode };
-
 /// Gives the identifier of one model with one adapter in one version. An empty
 /// adapter and version name the bare model, as idOfName() does.
 ModelId variantIdOf(std::string_view Model, std::string_view Adapter,
--- a/Libraries/LibRouting/PrefixBlocks.cpp
+++ b/Libraries/LibTarget/PrefixBlocks.cpp
@@ -1,4 +1,4 @@
-#include "LibRouting/PrefixBlocks.h"
+#include "LibTarget/PrefixBlocks.h"
 
 #include "LibBase/Hash.h"
 
--- a/Libraries/LibRouting/PrefixBlocks.h
+++ b/Libraries/LibTarget/PrefixBlocks.h
@@ -2,8 +2,8 @@
 /// Cuts a prompt into blocks and names each block by all the text up to its
 /// end, so that equal names mean equal prefixes.
 
-#ifndef BERGAMOTHOOK_LIBROUTING_PREFIXBLOCKS_H
-#define BERGAMOTHOOK_LIBROUTING_PREFIXBLOCKS_H
+#ifndef BERGAMOTHOOK_LIBTARGET_PREFIXBLOCKS_H
+#define BERGAMOTHOOK_LIBTARGET_PREFIXBLOCKS_H
 
 #include <cstdint>
 #include <string_view>
