--- a/Libraries/LibRouting/RequestFeatures.h
+++ b/Libraries/LibRouting/RequestFeatures.h
@@ -6,7 +6,7 @@
 
 #include "LibBase/Ids.h"
 #include "LibBase/WorkClass.h"
-#include "LibRouting/PrefixBlocks.h"
+#include "LibTarget/PrefixBlocks.h"
 
 #include <span>
 
