--- a/Libraries/LibSettings/SettingsFile.cpp
+++ b/Libraries/LibSettings/SettingsFile.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t LongestExcerpt = 120;
 
-Checked<std::string> readWholeFile(const std::string &File) {
+SettingsResult<std::string> readWholeFile(const std::string &File) {
   std::ifstream In(File, std::ios::binary);
   std::ostringstream Content;
   if (In)
@@ -65,9 +65,9 @@
 
 } // namespace
 
-Checked<nlohmann::json> checkSettingsText(const std::string &File,
-                                          std::string_view Text,
-                                          std::string_view Schema) {
+SettingsResult<nlohmann::json> checkSettingsText(const std::string &File,
+                                                 std::string_view Text,
+                                                 std::string_view Schema) {
   auto Document = nlohmann::json::parse(Text, nullptr, false);
   if (Document.is_discarded())
     return SettingsProblem{SettingsError::NotJson, File, "", "", "JSON"};
@@ -83,13 +83,13 @@
   return Document;
 }
 
-Checked<nlohmann::json> readSettingsFile(const std::string &File,
-                                         std::string_view Schema) {
+SettingsResult<nlohmann::json> readSettingsFile(const std::string &File,
+                                                std::string_view Schema) {
   BOOST_OUTCOME_TRY(Text, readWholeFile(File));
   return checkSettingsText(File, Text, Schema);
 }
 
-Checked<std::string> readSecretFile(const std::string &File) {
+SettingsResult<std::string> readSecretFile(const std::string &File) {
   BOOST_OUTCOME_TRY(Secret, readWholeFile(File));
   while (!Secret.empty() && (Secret.back() == '\n' || Secret.back() == '\r'))
     Secret.pop_back();
--- a/Libraries/LibSettings/SettingsFile.h
+++ b/Libraries/LibSettings/SettingsFile.h
@@ -15,22 +15,22 @@
 
 /// A value, or the problem that a person has to mend.
 template <typename T>
-using Checked =
+using SettingsResult =
     boost::outcome_v2::basic_result<T, SettingsProblem,
                                     boost::outcome_v2::policy::all_narrow>;
 
 /// Checks \p Text, the content of \p File, against the JSON Schema \p Schema.
-Checked<nlohmann::json> checkSettingsText(const std::string &File,
-                                          std::string_view Text,
-                                          std::string_view Schema);
+SettingsResult<nlohmann::json> checkSettingsText(const std::string &File,
+                                                 std::string_view Text,
+                                                 std::string_view Schema);
 
 /// Reads and checks the file at \p File.
-Checked<nlohmann::json> readSettingsFile(const std::string &File,
-                                         std::string_view Schema);
+SettingsResult<nlohmann::json> readSettingsFile(const std::string &File,
+                                                std::string_view Schema);
 
 /// Reads a secret, such as a key, from its own file. A newline at the end is
 /// no part of it.
-Checked<std::string> readSecretFile(const std::string &File);
+SettingsResult<std::string> readSecretFile(const std::string &File);
 
 } // namespace bergamothook
 
--- a/Utilities/Bench/Main.cpp
+++ b/Utilities/Bench/Main.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-using namespace bergamothook;
+namespace bergamothook {
 
 namespace {
 
@@ -127,7 +127,10 @@
 
 } // namespace
 
+} // namespace bergamothook
+
 int main(int Count, char **Words) {
+  using namespace bergamothook;
   int ExitCode = 0;
   auto Command = parse(Count, Words, ExitCode);
   if (!Command)
--- a/Utilities/Ctl/Command.h
+++ b/Utilities/Ctl/Command.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
