--- /dev/null
+++ b/Libraries/LibLedger/BudgetFold.h
@@ -0,0 +1,237 @@
+/// \file
+/// The state that the records of one ledger stream amount to. Every reader of
+/// the same records has the same state, so that nobody has to agree by talking.
+
+#ifndef BERGAMOTHOOK_LIBLEDGER_BUDGETFOLD_H
+#define BERGAMOTHOOK_LIBLEDGER_BUDGETFOLD_H
+
+#include "LibLedger/LedgerRecord.h"
+#include "LibLedger/RequestMemory.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace bergamothook {
+
+enum class LedgerOutcome : std::uint8_t {
+  /// The record counts.
+  Accepted = 1,
+  /// A grant could not be given; its minimum stays as a demand.
+  Denied,
+  /// A second copy of a record that counted.
+  Duplicate,
+  /// Another record billed the request first: the tokens stay in the slice.
+  AlreadyBilled,
+  /// The record is older than what the fold remembers. Whether it counted
+  /// before can't be told, so the tokens stay in the slice.
+  Late,
+  /// The writer was fenced, or the record breaks a rule. It has no effect.
+  Void,
+};
+
+/// Tokens that moved from a budget into a slice.
+struct SliceGrant {
+  TeamId Team;
+  Incarnation Holder;
+  TokenCount Tokens = 0;
+};
+
+/// What one record did.
+struct LedgerVerdict {
+  LedgerOutcome Outcome = LedgerOutcome::Void;
+  /// All grants that followed, also those to other holders whose demands could
+  /// be served.
+  std::vector<SliceGrant> Grants;
+};
+
+struct SliceView {
+  Incarnation Holder;
+  TokenCount Outstanding = 0;
+  TokenCount UnwitnessedCap = 0;
+  /// The tokens for which the holder waits; 0 for none.
+  TokenCount Demand = 0;
+  Incarnation Witness;
+  std::uint32_t Sequence = 0;
+  /// The holder has ended; its tokens are stranded.
+  bool IsEnded = false;
+};
+
+/// A budget as operators see it.
+struct BudgetView {
+  TokenCount ToppedUp = 0;
+  TokenCount Settled = 0;
+  TokenCount Unallocated = 0;
+  /// Tokens in all slices, the stranded ones included.
+  TokenCount Outstanding = 0;
+  /// Tokens in the slices of ended holders.
+  TokenCount Stranded = 0;
+  bool IsClosed = false;
+  std::vector<SliceView> Slices;
+  /// The last record that the view includes.
+  RecordPosition Position;
+};
+
+/// How often records of each outcome came, and what was ever found wrong.
+struct BudgetFoldCounters {
+  std::uint64_t Applied = 0;
+  std::uint64_t Duplicates = 0;
+  std::uint64_t SecondBills = 0;
+  std::uint64_t Late = 0;
+  std::uint64_t Voided = 0;
+  /// Settlements above what their slice held. Always 0 unless a holder errs.
+  std::uint64_t Overdraws = 0;
+  /// Records after which a budget did not add up. Always 0.
+  std::uint64_t Violations = 0;
+  /// Bodies that could not be decoded.
+  std::uint64_t Malformed = 0;
+};
+
+/// The fold of one ledger stream.
+class BudgetFold {
+public:
+  /// \p MemoryEpochs: how many epochs a billed request is remembered for at
+  /// least. All readers of a stream use the same value.
+  explicit BudgetFold(LedgerEpoch MemoryEpochs = DefaultMemoryEpochs);
+
+  static constexpr LedgerEpoch DefaultMemoryEpochs = 60;
+
+  /// Takes the next record of the stream. The verdict is valid until the next
+  /// call. A record at or below position() is a Duplicate.
+  const LedgerVerdict &apply(const StreamRecord &Record, RecordPosition At);
+
+  /// The same for a body that is decoded already.
+  const LedgerVerdict &apply(const LedgerBody &Body, RecordId Id,
+                             Incarnation Writer, RecordPosition At);
+
+  /// \returns LedgerError::UnknownTeam for a team without a budget.
+  Result<BudgetView> view(TeamId Team) const;
+
+  /// The slice of \p Holder in the budget of \p Team, if it has one.
+  Result<SliceView> slice(TeamId Team, Incarnation Holder) const;
+
+  /// The tokens of the team that are not settled, wherever they are.
+  TokenCount unsettled(TeamId Team) const;
+  TokenCount unallocated(TeamId Team) const;
+  bool isKnown(TeamId Team) const { return this->TeamIndex.contains(Team); }
+  bool isClosed(TeamId Team) const;
+  /// Tells whether some holder waits for tokens of the team.
+  bool hasDemand(TeamId Team) const;
+  bool isBilled(RequestId Request) const {
+    return this->Memory.contains(Request);
+  }
+  bool isEnded(Incarnation Holder) const;
+  LedgerEpoch epoch() const { return this->Epoch; }
+  LedgerEpoch memoryEpochs() const { return this->MemoryEpochs; }
+  RecordPosition position() const { return this->Position; }
+  const BudgetFoldCounters &counters() const { return this->Counters; }
+  std::vector<TeamId> teams() const;
+  /// The teams of which \p Holder has a slice.
+  std::vector<TeamId> teamsOf(Incarnation Holder) const;
+  /// The ended incarnations that still have slices.
+  std::vector<Incarnation> strandedHolders() const;
+
+  /// Adds every budget up from its slices. \returns the first team whose sum
+  /// is wrong or that has a term below zero, or nothing.
+  std::vector<TeamId> verify() const;
+
+  /// The same for equal states, however they were reached.
+  std::uint64_t digest() const;
+
+  /// Encodes the whole state.
+  std::string snapshot() const;
+
+  /// Replaces the state by that of a snapshot. On an error it stays as it was.
+  Result<void> restore(std::string_view Snapshot);
+
+  std::size_t budgetCount() const { return this->Budgets.size(); }
+  std::size_t sliceCount() const;
+  std::size_t rememberedCount() const { return this->Memory.size(); }
+  /// The memory in use, by what it is used for.
+  std::size_t budgetBytes() const;
+  std::size_t sliceBytes() const;
+  std::size_t memoryBytes() const { return this->Memory.bytes(); }
+
+private:
+  using Index = std::uint32_t;
+  static constexpr Index None = ~Index{0};
+
+  struct Budget {
+    TeamId Team;
+    TokenCount ToppedUp = 0;
+    TokenCount Settled = 0;
+    TokenCount Unallocated = 0;
+    TokenCount Outstanding = 0;
+    Index FirstSlice = None;
+    std::uint16_t Demands = 0;
+    bool IsClosed = false;
+  };
+
+  struct Slice {
+    TokenCount Outstanding = 0;
+    TokenCount UnwitnessedCap = 0;
+    TokenCount Demand = 0;
+    /// Orders demands by their age.
+    std::uint64_t DemandOrder = 0;
+    Index Holder = None;
+    Index Witness = None;
+    Index Next = None;
+    std::uint32_t Sequence = 0;
+  };
+
+  struct Holder {
+    Incarnation Id;
+    bool IsEnded = false;
+  };
+
+  /// Where the record that is being applied came from.
+  struct Origin {
+    RecordId Id;
+    Incarnation Writer;
+  };
+
+  LedgerOutcome applyBody(const TopUp &Body, const Origin &From);
+  LedgerOutcome applyBody(const GrantRequest &Body, const Origin &From);
+  LedgerOutcome applyBody(const Settle &Body, const Origin &From);
+  LedgerOutcome applyBody(const SliceReturn &Body, const Origin &From);
+  LedgerOutcome applyBody(const IncarnationEnded &Body, const Origin &From);
+  LedgerOutcome applyBody(const WitnessReport &Body, const Origin &From);
+  LedgerOutcome applyBody(const WriteBack &Body, const Origin &From);
+  LedgerOutcome applyBody(const CloseBudget &Body, const Origin &From);
+  LedgerOutcome applyBody(const EpochMark &Body, const Origin &From);
+
+  Budget *findBudget(TeamId Team);
+  const Budget *findBudget(TeamId Team) const;
+  Index findSlice(const Budget &Owner, Incarnation Holder) const;
+  Index addSlice(Budget &Owner, Incarnation Holder);
+  void removeSlice(Budget &Owner, Index At);
+  Index holderIndex(Incarnation Id);
+  void move(Budget &Owner, Slice &To, TokenCount Tokens);
+  void dropDemand(Budget &Owner, Slice &Of);
+  void serveDemands(Budget &Owner);
+  void endSlices(Index Ended);
+  bool isLate(LedgerEpoch Of) const;
+  SliceView viewOf(const Slice &Of) const;
+  void check(const Budget &Owner);
+  void count(LedgerOutcome Outcome);
+  template <typename Archive> void load(Archive &Ar, std::size_t Size);
+  template <typename Archive> void loadBudget(Archive &Ar, std::size_t Size);
+
+  LedgerEpoch MemoryEpochs;
+  LedgerEpoch Epoch = 0;
+  RecordPosition Position;
+  bool HasPosition = false;
+  std::uint64_t NextDemandOrder = 1;
+  std::vector<Budget> Budgets;
+  std::unordered_map<TeamId, Index> TeamIndex;
+  std::vector<Slice> Slices;
+  std::vector<Index> FreeSlices;
+  std::vector<Holder> Holders;
+  std::unordered_map<Incarnation, Index> HolderIndex;
+  RequestMemory Memory;
+  BudgetFoldCounters Counters;
+  LedgerVerdict Verdict;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibLedger/SettlementNote.h
@@ -0,0 +1,56 @@
+/// \file
+/// What a holder tells its witness, over the fleet's own protocol.
+
+#ifndef BERGAMOTHOOK_LIBLEDGER_SETTLEMENTNOTE_H
+#define BERGAMOTHOOK_LIBLEDGER_SETTLEMENTNOTE_H
+
+#include "LibLedger/LedgerRecord.h"
+
+namespace bergamothook {
+
+/// The number of a reservation, from 1, unique within its incarnation.
+using ReservationId = StrongId<struct ReservationTag>;
+
+enum class NoteKind : std::uint8_t {
+  /// The reservation is open; \p Tokens is its worst case.
+  Opened = 1,
+  /// The request is to be billed \p Tokens, and the log may not know yet.
+  Settled,
+  /// The reservation spends nothing, or its settlement is in the log.
+  Closed,
+};
+
+/// The state of one reservation. Of two notes of one reservation the one with
+/// the greater kind is the later.
+struct SettlementNote {
+  NoteKind Kind = NoteKind::Opened;
+  Incarnation Holder;
+  ReservationId Reservation;
+  /// All reservations below this one are closed.
+  ReservationId LowestOpen;
+  RequestId Request;
+  TeamId Team;
+  TokenCount Tokens = 0;
+  AttemptNumber Attempt;
+  LedgerEpoch Epoch = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->Holder, this->Reservation, this->LowestOpen,
+       this->Request, this->Team, this->Tokens, this->Attempt, this->Epoch);
+  }
+};
+
+/// What the witness answers: it holds the note.
+struct NoteAcknowledgement {
+  Incarnation Witness;
+  ReservationId Reservation;
+  NoteKind Kind = NoteKind::Opened;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Witness, this->Reservation, this->Kind);
+  }
+};
+
+} // namespace bergamothook
+
+#endif
