--- a/Libraries/LibLedger/BudgetFold.cpp
+++ b/Libraries/LibLedger/BudgetFold.cpp
@@ -180,9 +180,11 @@
                                     const Origin &From) {
   bool IsOwn = From.Writer == Body.Ended;
   bool IsSameHost = From.Writer.Host == Body.Ended.Host;
-  if (Body.Evidence == EndEvidence::Farewell && !IsOwn)
-    return LedgerOutcome::Void;
-  if (Body.Evidence == EndEvidence::Successor && (IsOwn || !IsSameHost))
+  bool IsProof =
+      (Body.Evidence == EndEvidence::Farewell && IsOwn) ||
+      (Body.Evidence == EndEvidence::Successor && !IsOwn && IsSameHost) ||
+      (Body.Evidence == EndEvidence::Operator && !IsOwn);
+  if (!IsProof)
     return LedgerOutcome::Void;
   Index Ended = this->holderIndex(Body.Ended);
   if (this->Holders[Ended].IsEnded)
--- a/Libraries/LibLedger/Detail/Text.h
+++ b/Libraries/LibLedger/Detail/Fields.h
@@ -1,13 +1,14 @@
 /// \file
-/// Short texts inside of records.
+/// Short texts and enumerations inside of records.
 
-#ifndef BERGAMOTHOOK_LIBLEDGER_DETAIL_TEXT_H
-#define BERGAMOTHOOK_LIBLEDGER_DETAIL_TEXT_H
+#ifndef BERGAMOTHOOK_LIBLEDGER_DETAIL_FIELDS_H
+#define BERGAMOTHOOK_LIBLEDGER_DETAIL_FIELDS_H
 
 #include <algorithm>
 #include <cereal/cereal.hpp>
 #include <cstdint>
 #include <string>
+#include <type_traits>
 
 namespace bergamothook::detail {
 
@@ -21,6 +22,14 @@
   Ar(cereal::binary_data(Text.data(), Size));
 }
 
+/// Writes or reads an enumeration as its number.
+template <typename Archive, typename Enum>
+void serializeEnum(Archive &Ar, Enum &Value) {
+  auto Number = static_cast<std::underlying_type_t<Enum>>(Value);
+  Ar(Number);
+  Value = static_cast<Enum>(Number);
+}
+
 } // namespace bergamothook::detail
 
 #endif
--- a/Libraries/LibLedger/LedgerRecord.h
+++ b/Libraries/LibLedger/LedgerRecord.h
@@ -6,7 +6,7 @@
 #define BERGAMOTHOOK_LIBLEDGER_LEDGERRECORD_H
 
 #include "LibBase/Ids.h"
-#include "LibLedger/Detail/Text.h"
+#include "LibLedger/Detail/Fields.h"
 #include "LibLedger/LedgerError.h"
 #include "LibStream/StreamRecord.h"
 
@@ -107,7 +107,8 @@
   std::string By;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Ended, this->Evidence);
+    Ar(this->Ended);
+    detail::serializeEnum(Ar, this->Evidence);
     detail::serializeText(Ar, this->By);
   }
 };
--- a/Libraries/LibLedger/SettlementNote.h
+++ b/Libraries/LibLedger/SettlementNote.h
@@ -35,8 +35,9 @@
   LedgerEpoch Epoch = 0;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Kind, this->Holder, this->Reservation, this->LowestOpen,
-       this->Request, this->Team, this->Tokens, this->Attempt, this->Epoch);
+    detail::serializeEnum(Ar, this->Kind);
+    Ar(this->Holder, this->Reservation, this->LowestOpen, this->Request,
+       this->Team, this->Tokens, this->Attempt, this->Epoch);
   }
 };
 
@@ -47,7 +48,8 @@
   NoteKind Kind = NoteKind::Opened;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Witness, this->Reservation, this->Kind);
+    Ar(this->Witness, this->Reservation);
+    detail::serializeEnum(Ar, this->Kind);
   }
 };
 
