--- a/Libraries/LibTarget/EngineHooks.h
+++ b/Libraries/LibTarget/EngineHooks.h
@@ -40,6 +40,9 @@
   /// The number of tokens that the caller has already got: a resumed stream
   /// starts with the next one.
   std::uint32_t ResumeAfterTokens = 0;
+  /// Whether the engine must know the stream already, and answers
+  /// TargetError::UnknownStream instead of generating anew.
+  bool MustResume = false;
 };
 
 /// Why an engine ended a stream.
