--- a/Libraries/LibLedger/BudgetSnapshot.cpp
+++ b/Libraries/LibLedger/BudgetSnapshot.cpp
@@ -1,5 +1,5 @@
 #include "LibLedger/BudgetFold.h"
-#include "LibLedger/Detail/MemoryStream.h"
+#include "LibLedger/MemoryStream.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
--- a/Libraries/LibLedger/LedgerRecord.cpp
+++ b/Libraries/LibLedger/LedgerRecord.cpp
@@ -1,7 +1,8 @@
 #include "LibLedger/LedgerRecord.h"
 
-#include "LibLedger/Detail/MemoryStream.h"
+#include "LibLedger/MemoryStream.h"
 
+#include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
@@ -25,16 +26,18 @@
   return LedgerBody{std::move(Decoded)};
 }
 
-template <std::size_t Index = 0>
-Result<LedgerBody> decodeKind(std::uint16_t Kind, const std::string &Bytes) {
-  if constexpr (Index < std::variant_size_v<LedgerBody>) {
-    if (Kind == Index + 1)
-      return decodeAs<std::variant_alternative_t<Index, LedgerBody>>(Bytes);
-    return decodeKind<Index + 1>(Kind, Bytes);
-  }
-  return LedgerError::Malformed;
+using Decoder = Result<LedgerBody> (*)(const std::string &);
+
+template <std::size_t... Index>
+constexpr auto decodersOf(std::index_sequence<Index...>) {
+  return std::array<Decoder, sizeof...(Index)>{
+      decodeAs<std::variant_alternative_t<Index, LedgerBody>>...};
 }
 
+/// By kind, from kind 1.
+constexpr auto Decoders =
+    decodersOf(std::make_index_sequence<std::variant_size_v<LedgerBody>>{});
+
 } // namespace
 
 StreamRecord makeLedgerRecord(RecordId Id, Incarnation Writer,
@@ -50,7 +53,9 @@
 }
 
 Result<LedgerBody> decodeLedgerBody(const StreamRecord &Record) {
-  return decodeKind(Record.Kind, Record.Body);
+  if (Record.Kind == 0 || Record.Kind > Decoders.size())
+    return LedgerError::Malformed;
+  return Decoders[Record.Kind - 1](Record.Body);
 }
 
 RecordId settleRecordId(RequestId Request, Incarnation Holder,
--- /dev/null
+++ b/Libraries/LibLedger/MemoryStream.h
@@ -0,0 +1,25 @@
+/// \file
+/// An input stream over bytes that stay where they are.
+
+#ifndef BERGAMOTHOOK_LIBLEDGER_MEMORYSTREAM_H
+#define BERGAMOTHOOK_LIBLEDGER_MEMORYSTREAM_H
+
+#include <istream>
+#include <streambuf>
+#include <string_view>
+
+namespace bergamothook::detail {
+
+/// Reads \p Bytes without a copy. They must outlive it.
+class MemoryStream : private std::streambuf {
+public:
+  explicit MemoryStream(std::string_view Bytes);
+
+  bool isAtEnd() const;
+
+  std::istream Stream;
+};
+
+} // namespace bergamothook::detail
+
+#endif
