Serve the whole path: routers, the operators' tool, and a run of three hosts

Cause: the libraries stood alone. Noticed: a retry that arrives before the settlement is read is generated a second time (billed once); hosts need to tell each other which engine has a request.

--- a/Libraries/LibAdapter/EngineWire.cpp
+++ b/Libraries/LibAdapter/EngineWire.cpp
@@ -101,7 +101,8 @@
           {"prompt", Order.Prompt},
           {"max_tokens", Order.MaxTokens},
           {"priority", Order.Priority},
-          {"resume_after_tokens", Order.ResumeAfterTokens}};
+          {"resume_after_tokens", Order.ResumeAfterTokens},
+          {"must_resume", Order.MustResume}};
 }
 
 nlohmann::json toJson(const StreamChunk &Chunk) {
@@ -144,6 +145,7 @@
     Order.MaxTokens = tokensAt(Json, "max_tokens");
     Order.Priority = Json.value("priority", 0);
     Order.ResumeAfterTokens = tokensAt(Json, "resume_after_tokens");
+    Order.MustResume = Json.value("must_resume", false);
     return Order;
   });
 }
--- a/Libraries/LibStandin/BatchEngine.cpp
+++ b/Libraries/LibStandin/BatchEngine.cpp
@@ -51,7 +51,7 @@
 }
 
 Result<void> BatchEngine::checkOrder(const GenerationOrder &Order) const {
-  if (Order.ResumeAfterTokens > 0)
+  if (Order.ResumeAfterTokens > 0 || Order.MustResume)
     return TargetError::UnknownStream;
   if (Order.MaxTokens == 0)
     return TargetError::BadRequest;
--- a/Libraries/LibStandinServer/EngineStandin.cpp
+++ b/Libraries/LibStandinServer/EngineStandin.cpp
@@ -1,5 +1,7 @@
 #include "LibStandinServer/EngineStandin.h"
 
+#include "LibStandin/TokenText.h"
+
 #include "LibAdapter/EngineWire.h"
 
 #include <algorithm>
@@ -261,13 +263,15 @@
 nlohmann::json EngineStandin::ledgerJson() const {
   auto Runs = nlohmann::json::array();
   for (const GenerationRun &Run : this->Engine.ledger())
-    Runs.push_back({{"request", toHex(Run.Request)},
-                    {"attempt", Run.Attempt.Value},
-                    {"prompt_tokens", Run.Counted.PromptTokens},
-                    {"cached_prompt_tokens", Run.Counted.CachedPromptTokens},
-                    {"generated_tokens", Run.Counted.GeneratedTokens},
-                    {"opens", Run.Opens},
-                    {"outcome", nameOf(Run.Outcome)}});
+    Runs.push_back(
+        {{"request", toHex(Run.Request)},
+         {"attempt", Run.Attempt.Value},
+         {"prompt_tokens", Run.Counted.PromptTokens},
+         {"cached_prompt_tokens", Run.Counted.CachedPromptTokens},
+         {"generated_tokens", Run.Counted.GeneratedTokens},
+         {"opens", Run.Opens},
+         {"answer", tokensText(Run.Request, 0, Run.Counted.GeneratedTokens)},
+         {"outcome", nameOf(Run.Outcome)}});
   return {{"runs", Runs}};
 }
 
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -11,12 +11,21 @@
 Usage: Meta/bergamothook.sh COMMAND
   install                     install the Debian packages that the build needs
   build                       install and build into Build/
+  run [--keep]                build, start a fleet of three hosts, and show it at work;
+                              --keep leaves it up until Ctrl-C
   test                        build and run every test through ctest
+  bench [NAME] [--json FILE] [--seed N]
+                              build and run one experiment, or all of them
   check                       check format and lint
   sanitize                    build and test with the sanitizers in BuildSanitize/
 TEXT
 }
 
+# shellcheck source=Meta/fleet.sh
+source "$root/Meta/fleet.sh"
+# shellcheck source=Meta/demo.sh
+source "$root/Meta/demo.sh"
+
 # Installs only what is missing, so that a second call needs no network.
 install_packages() {
   local missing=()
@@ -35,7 +44,7 @@
 
 build_tree() {
   configure "$build"
-  cmake --build "$build" -j "$jobs"
+  cmake --build "$build" -j "$jobs" | tail -3
 }
 
 run_tests() {
@@ -61,11 +70,21 @@
   install_packages
   build_tree
   ;;
+run)
+  install_packages
+  build_tree
+  run_demo "$@"
+  ;;
 test)
   install_packages
   build_tree
   run_tests "$build"
   ;;
+bench)
+  install_packages
+  build_tree
+  "$build/bin/bergamothook-bench" "$@"
+  ;;
 check)
   install_packages
   check_tree
--- /dev/null
+++ b/Services/Router/BudgetDesk.cpp
@@ -0,0 +1,179 @@
+#include "BudgetDesk.h"
+
+#include "LibObserve/StructuredLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+const AttemptNumber FirstAttempt{1};
+
+bool mayChange(std::error_code Refusal) {
+  return Refusal == LedgerError::SliceNotInHand ||
+         Refusal == LedgerError::WitnessBehind;
+}
+
+} // namespace
+
+BudgetDesk::Ledger::Ledger(BudgetDesk &Desk, std::uint32_t Shard,
+                           Incarnation Self, std::uint64_t Seed)
+    : Link(ledgerStreamName(Shard), Desk.Hooks.Log, Desk.Hooks.Tasks,
+           followerHooksFor(
+               ledgerStreamName(Shard),
+               [&Desk, Shard](const StreamRecord &Record, RecordPosition At) {
+                 Desk.apply(Shard, Record, At);
+               }),
+           Seed),
+      Holder(Self, this->Fold, Desk.Settings.Policy, Desk.holderHooks(Shard),
+             Seed) {}
+
+BudgetDesk::BudgetDesk(Incarnation Self, BudgetDeskSettings Settings,
+                       BudgetDeskHooks Hooks, std::uint64_t Seed)
+    : Settings(Settings), Hooks(std::move(Hooks)) {
+  for (std::uint32_t Shard = 0; Shard < Settings.Shards; ++Shard)
+    this->Ledgers.push_back(
+        std::make_unique<Ledger>(*this, Shard, Self, Seed + Shard));
+}
+
+void BudgetDesk::apply(std::uint32_t Shard, const StreamRecord &Record,
+                       RecordPosition At) {
+  Ledger &Of = *this->Ledgers[Shard];
+  const LedgerVerdict &Verdict = Of.Fold.apply(Record, At);
+  Of.Holder.onApplied(Record, Verdict, this->Hooks.Tasks.Now());
+}
+
+SliceHolderHooks BudgetDesk::holderHooks(std::uint32_t Shard) {
+  SliceHolderHooks Made;
+  Made.Append = [this, Shard](StreamRecord Record) {
+    return this->Ledgers[Shard]->Link.Appender.submit(std::move(Record));
+  };
+  Made.SendNote = this->Hooks.SendNote;
+  Made.ChooseWitness = this->Hooks.ChooseWitness;
+  Made.Changed = [this](TeamId) { this->Changed.notify(); };
+  return Made;
+}
+
+void BudgetDesk::start() {
+  const Runtime &Tasks = this->Hooks.Tasks;
+  for (auto &Of : this->Ledgers)
+    Of->Link.start();
+  Tasks.Spawn([this] { this->runPlans(); });
+}
+
+void BudgetDesk::runPlans() {
+  const Runtime &Tasks = this->Hooks.Tasks;
+  while (!this->IsStopping) {
+    for (auto &Of : this->Ledgers)
+      if (Of->Link.Follower.hasCaughtUp())
+        Of->Holder.planGrants(Tasks.Now());
+    Tasks.sleepUntil(Tasks.Now() + this->Settings.PlanInterval);
+  }
+}
+
+void BudgetDesk::stop(TimePoint Deadline) {
+  const Runtime &Tasks = this->Hooks.Tasks;
+  for (auto &Of : this->Ledgers)
+    Of->Holder.beginStop(Tasks.Now());
+  auto IsDone = [this] {
+    for (const auto &Of : this->Ledgers)
+      if (!Of->Holder.isDrained() || Of->Link.Appender.health().Queued > 0)
+        return false;
+    return true;
+  };
+  while (!IsDone() && Tasks.Now() < Deadline)
+    Tasks.sleepUntil(Tasks.Now() + StopCheckInterval);
+  this->IsStopping = true;
+  for (auto &Of : this->Ledgers)
+    Of->Link.stop(Deadline);
+}
+
+Result<HeldReservation> BudgetDesk::reserve(TeamId Account, RequestId Request,
+                                            TokenCount Tokens,
+                                            TimePoint Deadline) {
+  const Runtime &Tasks = this->Hooks.Tasks;
+  Ledger &Of = this->ledgerOf(Account);
+  Result<ReservationId> Held = LedgerError::SliceNotInHand;
+  Tasks.waitUntil(this->Changed, Deadline, [&] {
+    Held =
+        Of.Holder.reserve(Account, Request, FirstAttempt, Tokens, Tasks.Now());
+    return Held.has_value() || !mayChange(Held.error());
+  });
+  if (!Held) {
+    Of.Holder.abandon(Account, Request);
+    return Held.error();
+  }
+  return HeldReservation{ledgerShardOf(Account, this->Settings.Shards),
+                         Held.value()};
+}
+
+void BudgetDesk::settle(const HeldReservation &Held, TokenCount Tokens) {
+  auto Settled = this->Ledgers[Held.Shard]->Holder.settle(
+      Held.Id, Tokens, this->Hooks.Tasks.Now());
+  if (!Settled)
+    logEvent(LogLevel::Error, "settlement_refused",
+             {{"reason", Settled.error().message()}});
+}
+
+void BudgetDesk::release(const HeldReservation &Held) {
+  auto Released = this->Ledgers[Held.Shard]->Holder.release(
+      Held.Id, this->Hooks.Tasks.Now());
+  if (!Released)
+    logEvent(LogLevel::Error, "release_refused",
+             {{"reason", Released.error().message()}});
+}
+
+void BudgetDesk::onAcknowledged(const NoteAcknowledgement &Answer) {
+  for (auto &Of : this->Ledgers)
+    Of->Holder.onAcknowledged(Answer, this->Hooks.Tasks.Now());
+}
+
+void BudgetDesk::warm(TeamId Account) {
+  this->ledgerOf(Account).Holder.warm(Account);
+}
+
+bool BudgetDesk::hasCaughtUp() const {
+  for (const auto &Of : this->Ledgers)
+    if (!Of->Link.Follower.hasCaughtUp())
+      return false;
+  return true;
+}
+
+bool BudgetDesk::isBilled(TeamId Account, RequestId Request) const {
+  return this->ledgerOf(Account).Fold.isBilled(Request);
+}
+
+const BudgetFold &BudgetDesk::foldOf(TeamId Account) const {
+  return this->ledgerOf(Account).Fold;
+}
+
+LocalSliceView BudgetDesk::localSlice(TeamId Account) const {
+  return this->ledgerOf(Account).Holder.slice(Account);
+}
+
+StreamAppenderHealth BudgetDesk::health() const {
+  StreamAppenderHealth Sum;
+  for (const auto &Of : this->Ledgers) {
+    StreamAppenderHealth One = Of->Link.Appender.health();
+    Sum.Appends += One.Appends;
+    Sum.Failures += One.Failures;
+    Sum.Queued += One.Queued;
+    Sum.FailuresInARow = std::max(Sum.FailuresInARow, One.FailuresInARow);
+  }
+  return Sum;
+}
+
+std::size_t BudgetDesk::reservations() const {
+  std::size_t Sum = 0;
+  for (const auto &Of : this->Ledgers)
+    Sum += Of->Holder.reservationCount();
+  return Sum;
+}
+
+BudgetDesk::Ledger &BudgetDesk::ledgerOf(TeamId Account) const {
+  return *this->Ledgers[ledgerShardOf(Account, this->Settings.Shards)];
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Services/Router/BudgetDesk.h
@@ -0,0 +1,100 @@
+/// \file
+/// The budgets as one host spends them: for each ledger stream the fold, the
+/// reader, the writer and the holder of this host's slices.
+
+#ifndef BERGAMOTHOOK_SERVICES_ROUTER_BUDGETDESK_H
+#define BERGAMOTHOOK_SERVICES_ROUTER_BUDGETDESK_H
+
+#include "LibLedger/SliceHolder.h"
+#include "StreamLink.h"
+
+#include <memory>
+
+namespace bergamothook {
+
+/// A reservation and the stream that it belongs to.
+struct HeldReservation {
+  std::uint32_t Shard = 0;
+  ReservationId Id;
+};
+
+struct BudgetDeskSettings {
+  std::uint32_t Shards = 1;
+  SlicePolicy Policy;
+  Duration PlanInterval = std::chrono::milliseconds(50);
+};
+
+/// What the desk needs from its host.
+struct BudgetDeskHooks {
+  LogHooks Log;
+  Runtime Tasks;
+  std::function<void(Incarnation Witness, const SettlementNote &)> SendNote;
+  std::function<Incarnation(Incarnation)> ChooseWitness;
+};
+
+/// All budgets of one host. All calls come from tasks of one runtime.
+class BudgetDesk {
+public:
+  BudgetDesk(Incarnation Self, BudgetDeskSettings Settings,
+             BudgetDeskHooks Hooks, std::uint64_t Seed);
+
+  /// Starts the tasks of all streams.
+  void start();
+
+  /// Hands all slices back; the tasks end at \p Deadline at the latest.
+  /// Blocks the calling task until that is on the log.
+  void stop(TimePoint Deadline);
+
+  /// Reserves \p Tokens, waiting until \p Deadline for tokens that are on
+  /// their way.
+  Result<HeldReservation> reserve(TeamId Account, RequestId Request,
+                                  TokenCount Tokens, TimePoint Deadline);
+
+  void settle(const HeldReservation &Held, TokenCount Tokens);
+  void release(const HeldReservation &Held);
+  void onAcknowledged(const NoteAcknowledgement &Answer);
+
+  /// Keeps tokens of \p Account in hand before the first request comes.
+  void warm(TeamId Account);
+
+  /// Tells whether every ledger was read to its end once.
+  bool hasCaughtUp() const;
+
+  bool isBilled(TeamId Account, RequestId Request) const;
+  const BudgetFold &foldOf(TeamId Account) const;
+  LocalSliceView localSlice(TeamId Account) const;
+  StreamAppenderHealth health() const;
+  std::size_t reservations() const;
+  std::uint32_t shards() const {
+    return static_cast<std::uint32_t>(this->Ledgers.size());
+  }
+  const BudgetFold &fold(std::uint32_t Shard) const {
+    return this->Ledgers[Shard]->Fold;
+  }
+
+private:
+  struct Ledger {
+    Ledger(BudgetDesk &Desk, std::uint32_t Shard, Incarnation Self,
+           std::uint64_t Seed);
+
+    BudgetFold Fold;
+    StreamLink Link;
+    SliceHolder Holder;
+  };
+
+  void apply(std::uint32_t Shard, const StreamRecord &Record,
+             RecordPosition At);
+  SliceHolderHooks holderHooks(std::uint32_t Shard);
+  Ledger &ledgerOf(TeamId Account) const;
+  void runPlans();
+
+  BudgetDeskSettings Settings;
+  BudgetDeskHooks Hooks;
+  std::vector<std::unique_ptr<Ledger>> Ledgers;
+  Event Changed;
+  bool IsStopping = false;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Services/Router/Depends.cmake
@@ -0,0 +1,2 @@
+set(DEPENDS LibAdapter LibApi LibConfig LibHttp LibLedger LibObserve LibOutcome
+        LibPlatform LibRouting LibSettings LibStream LibTarget LibTask)
--- /dev/null
+++ b/Services/Router/OrderApi.h
@@ -0,0 +1,74 @@
+/// \file
+/// The callers' interface of orders and of plain services.
+
+#ifndef BERGAMOTHOOK_SERVICES_ROUTER_ORDERAPI_H
+#define BERGAMOTHOOK_SERVICES_ROUTER_ORDERAPI_H
+
+#include "LibApi/ChatRequest.h"
+#include "LibConfig/ConfigSnapshot.h"
+#include "LibHttp/HttpReply.h"
+#include "LibObserve/Metrics.h"
+#include "LibOutcome/OrderDesk.h"
+#include "LibRouting/RetryBudget.h"
+#include "TargetWatch.h"
+
+namespace bergamothook {
+
+/// What the interface works with. All of it outlives the interface.
+struct OrderApiParts {
+  Runtime Tasks;
+  ServiceHooks Services;
+  Metrics &Measured;
+  OrderDesk &Orders;
+  RetryBudget &Retries;
+  TargetWatch &Watch;
+};
+
+/// Orders and calls of plain services on one host. Each call runs in the task
+/// of its request.
+class OrderApi {
+public:
+  explicit OrderApi(OrderApiParts Parts);
+
+  /// POST /v1/orders
+  void postOrder(const ConfigSnapshot &Config, const HttpRequest &Request,
+                 HttpReply Reply);
+
+  /// POST /v1/orders/tickets
+  void postTicket(const ConfigSnapshot &Config, const HttpRequest &Request,
+                  HttpReply Reply);
+
+  /// GET /v1/orders/{key}
+  void getOrder(const ConfigSnapshot &Config, const HttpRequest &Request,
+                const std::string &Key, HttpReply Reply);
+
+  /// Any method on /v1/services/{name}/...
+  void callService(const ConfigSnapshot &Config, const HttpRequest &Request,
+                   HttpReply Reply);
+
+  /// Gives a runner or service that takes \p Service.
+  static Result<OrderTarget>
+  chooseTarget(const TargetWatch &Watch, const std::string &Service,
+               RequestId Request, const std::vector<TargetId> &Excluded);
+
+  std::size_t active() const { return this->Active; }
+
+private:
+  ApiResult<OrderRequest> makeOrder(const EffectiveTeam &Team,
+                                    const HttpRequest &Request,
+                                    const std::string &Service,
+                                    const std::string &Path) const;
+  void runOrder(const EffectiveTeam &Team, const OrderRequest &Order,
+                HttpReply &Reply);
+  void forwardRepeatable(const EffectiveTeam &Team, const HttpRequest &Request,
+                         const std::string &Service, const std::string &Path,
+                         HttpReply &Reply);
+  void sendAnswer(const OrderAnswer &Answer, HttpReply &Reply);
+
+  OrderApiParts Parts;
+  std::size_t Active = 0;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Services/Router/Router.cpp
@@ -0,0 +1,287 @@
+#include "Router.h"
+
+#include "Answering.h"
+#include "LibAdapter/HttpEngine.h"
+#include "LibAdapter/HttpLog.h"
+#include "LibAdapter/HttpMembership.h"
+#include "LibAdapter/HttpService.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+constexpr std::size_t PrefixIndexBlocks = 65536;
+constexpr std::size_t ExplanationsKept = 2048;
+constexpr std::size_t CandidatesKept = 8;
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration HandBackTimeout = std::chrono::seconds(10);
+const std::string OrderPrefix = "/v1/orders/";
+
+std::uint64_t seedOf(Incarnation Self) { return Self.Host.Value ^ Self.Run; }
+
+} // namespace
+
+Router::Router(RouterSettings Given, RealRuntime &Threads)
+    : Settings(std::move(Given)), Threads(Threads), Tasks(Threads.hooks()),
+      Self(this->makeSelf()), Seed(seedOf(this->Self)), Http(this->Tasks),
+      Log(makeHttpLog(this->Http, this->Tasks, this->Settings.Log.Address,
+                      this->Settings.Log.Port)),
+      Engines(makeHttpEngines(this->Http)),
+      Services(makeHttpServices(this->Http)), Targets({}),
+      Prefixes(PrefixIndexBlocks), Outliers({}), Retries({}),
+      Explanations(ExplanationsKept, CandidatesKept),
+      Chooser(this->Targets, this->Prefixes, this->Outliers, {}, this->Seed),
+      Watch(this->Targets,
+            makeHttpMembership(this->Http, this->Settings.Membership.Address,
+                               this->Settings.Membership.Port),
+            this->Engines, this->Tasks, {}),
+      Config(this->Log, this->Tasks, this->Seed),
+      Budgets(this->Self, this->budgetSettings(), this->budgetHooks(),
+              this->Seed),
+      OrderLink(OrderStream, this->Log, this->Tasks,
+                followerHooksFor(
+                    OrderStream,
+                    [this](const StreamRecord &Record, RecordPosition At) {
+                      this->Orders.apply(Record, At);
+                    }),
+                this->Seed),
+      Orders(this->Self, this->OrderLink.Appender, {}, {}, this->orderHooks(),
+             this->Seed),
+      Suspects(this->Self, this->Log, this->Tasks, this->Seed),
+      Admissions(this->Targets, this->Tasks, {}),
+      Chats(this->chatSettings(),
+            {this->Tasks, this->Engines, this->Measured, this->Budgets,
+             this->Admissions, this->Targets, this->Chooser, this->Outliers,
+             this->Retries, this->Watch, this->Explanations, this->Suspects},
+            this->Seed),
+      OrderCalls({this->Tasks, this->Services, this->Measured, this->Orders,
+                  this->Retries, this->Watch}),
+      OperatorCalls({this->Tasks, this->Measured, this->Budgets, this->Orders,
+                     this->Watch, this->Explanations, this->Suspects,
+                     [this] { return this->status(); }}),
+      CallerServer(this->limitsOf(this->Settings.Callers),
+                   this->handlerFor(&Router::answerCaller)),
+      OperatorServer(this->limitsOf(this->Settings.Operators),
+                     this->handlerFor(&Router::answerOperator)) {}
+
+Incarnation Router::makeSelf() const {
+  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  auto Run = std::chrono::duration_cast<std::chrono::nanoseconds>(SinceEpoch);
+  return {this->Settings.host(), static_cast<std::uint64_t>(Run.count())};
+}
+
+BudgetDeskSettings Router::budgetSettings() const {
+  BudgetDeskSettings Made;
+  Made.Shards = this->Settings.Ledger.Shards;
+  Made.Policy.Eagerness = 1 - this->Settings.Ledger.Caution;
+  return Made;
+}
+
+BudgetDeskHooks Router::budgetHooks() {
+  BudgetDeskHooks Made;
+  Made.Log = this->Log;
+  Made.Tasks = this->Tasks;
+  Made.SendNote = [](Incarnation, const SettlementNote &) {};
+  Made.ChooseWitness = [this](Incarnation) { return this->Self; };
+  return Made;
+}
+
+OrderDeskHooks Router::orderHooks() {
+  OrderDeskHooks Made;
+  Made.Tasks = this->Tasks;
+  Made.Service = this->Services;
+  Made.ChooseTarget = [this](const OrderRequest &Order,
+                             const std::vector<TargetId> &Excluded, TimePoint) {
+    return OrderApi::chooseTarget(this->Watch, Order.Service,
+                                  requestIdOf(Order.Team, Order.Key), Excluded);
+  };
+  Made.Report = [](TargetId, std::error_code, TimePoint) {};
+  Made.WallNow = readWallClock;
+  return Made;
+}
+
+ChatDeskSettings Router::chatSettings() const {
+  ChatDeskSettings Made;
+  Made.Domain = this->Settings.domain();
+  Made.Stream.FirstChunkTimeout = this->Settings.Limits.FirstTokenTimeout;
+  Made.Stream.ChunkTimeout = this->Settings.Limits.BetweenTokensTimeout;
+  return Made;
+}
+
+HttpServerLimits Router::limitsOf(const ListenSettings &Listen) const {
+  HttpServerLimits Made;
+  Made.Address = Listen.At.Address;
+  Made.Port = Listen.At.Port;
+  Made.MaxBodyBytes = Listen.MaxBodyBytes;
+  Made.MaxRequests = Listen.MaxRequests;
+  Made.MaxUnsentBytes = Listen.MaxUnsentBytes;
+  return Made;
+}
+
+HttpServer::Handler
+Router::handlerFor(void (Router::*Answer)(const HttpRequest &, HttpReply)) {
+  return [this, Answer](HttpRequest Request, HttpReply Reply) {
+    bool IsTaken = this->Threads.post(
+        [this, Answer, Request = std::move(Request), Reply]() mutable {
+          (this->*Answer)(Request, std::move(Reply));
+        });
+    if (!IsTaken)
+      sendProblem(Reply, {ApiFailure::Overloaded, "", std::chrono::seconds(1)});
+  };
+}
+
+Result<void> Router::start() {
+  this->startTasks();
+  BOOST_OUTCOME_TRYV(this->OperatorServer.start());
+  BOOST_OUTCOME_TRYV(this->CallerServer.start());
+  logEvent(LogLevel::Info, "started",
+           {{"run", this->Self.Run},
+            {"callers_port", this->CallerServer.port()},
+            {"operators_port", this->OperatorServer.port()}});
+  return success();
+}
+
+void Router::startTasks() {
+  this->Config.OnChange = [this](const ConfigSnapshot &Present) {
+    this->warmBudgets(Present);
+  };
+  this->Tasks.Spawn([this] { this->Config.run(); });
+  this->Tasks.Spawn([this] { this->Watch.run(); });
+  this->OrderLink.start();
+  this->Suspects.start();
+  this->Tasks.Spawn([this] { this->Admissions.run(); });
+  this->Budgets.start();
+}
+
+void Router::warmBudgets(const ConfigSnapshot &Present) {
+  Present.tables().Teams.forEach(
+      [this](TeamId, const std::shared_ptr<const EffectiveTeam> &Team) {
+        this->Budgets.warm(idOfName<TeamId>(Team->Budget.Account));
+      });
+}
+
+void Router::stop() {
+  this->IsStopping = true;
+  logEvent(LogLevel::Info, "stopping", {{"active", this->active()}});
+  TimePoint Start = this->Tasks.Now();
+  this->Tasks.sleepUntil(Start + this->Settings.Limits.NotReadyBeforeDrain);
+  TimePoint Deadline = Start + this->Settings.Limits.DrainTimeout;
+  this->waitForRequests(Deadline);
+  this->Orders.drain(this->IsHurried ? this->Tasks.Now() : Deadline);
+  std::size_t Left = this->active();
+  this->Budgets.stop(this->Tasks.Now() + HandBackTimeout);
+  this->OrderLink.stop(this->Tasks.Now() + HandBackTimeout);
+  this->CallerServer.stop();
+  this->OperatorServer.stop();
+  logEvent(LogLevel::Info, "stopped", {{"cut_off", Left}});
+}
+
+void Router::waitForRequests(TimePoint Deadline) const {
+  while (this->active() > 0 && !this->IsHurried && this->Tasks.Now() < Deadline)
+    this->Tasks.sleepUntil(this->Tasks.Now() + DrainCheckInterval);
+}
+
+std::size_t Router::active() const {
+  return this->Chats.active() + this->OrderCalls.active();
+}
+
+std::string Router::notReadyReason() const {
+  if (this->IsStopping)
+    return "stopping";
+  if (!this->Config.isReady())
+    return "configuration";
+  if (!this->Budgets.hasCaughtUp())
+    return "ledger";
+  if (!this->OrderLink.Follower.hasCaughtUp())
+    return "orders";
+  if (!this->Watch.hasList())
+    return "membership list";
+  return "";
+}
+
+HostStatus Router::status() const {
+  HostStatus Present;
+  Present.Name = this->Settings.HostName;
+  Present.Self = this->Self;
+  Present.Waiting = this->notReadyReason();
+  Present.IsReady = Present.Waiting.empty();
+  Present.IsStopping = this->IsStopping;
+  Present.Active = this->active();
+  return Present;
+}
+
+void Router::sendReadiness(HttpReply &Reply) const {
+  std::string Reason = this->notReadyReason();
+  if (Reason.empty())
+    return sendJson(Reply, 200, {{"ready", true}});
+  sendJson(Reply, 503, {{"ready", false}, {"waiting_for", Reason}});
+}
+
+void Router::sendMetrics(HttpReply &Reply) {
+  StreamAppenderHealth Health = this->Budgets.health();
+  this->Measured.set("requests_active", static_cast<double>(this->active()));
+  this->Measured.set("requests_queued",
+                     static_cast<double>(this->Admissions.queued()));
+  this->Measured.set("ledger_records_waiting",
+                     static_cast<double>(Health.Queued));
+  this->Measured.set("ledger_append_failures_in_a_row", Health.FailuresInARow);
+  this->Measured.set("reservations_open",
+                     static_cast<double>(this->Budgets.reservations()));
+  this->Measured.set("targets_known",
+                     static_cast<double>(this->Targets.size()));
+  this->Measured.set(
+      "targets_ejected",
+      static_cast<double>(this->Outliers.ejected(this->Tasks.Now())));
+  this->Measured.set("configuration_revision",
+                     static_cast<double>(this->Config.fold().revision().Value));
+  Reply.sendWhole(200, "text/plain; version=0.0.4",
+                  this->Measured.toPrometheusText());
+}
+
+void Router::answerOperator(const HttpRequest &Request, HttpReply Reply) {
+  if (Request.Path == "/healthz")
+    return sendJson(Reply, 200, {{"alive", true}});
+  if (Request.Path == "/readyz")
+    return this->sendReadiness(Reply);
+  if (Request.Path == "/metrics")
+    return this->sendMetrics(Reply);
+  this->OperatorCalls.answer(this->Config.snapshot(), Request,
+                             std::move(Reply));
+}
+
+void Router::answerCaller(const HttpRequest &Request, HttpReply Reply) {
+  if (Request.Path == "/healthz")
+    return sendJson(Reply, 200, {{"alive", true}});
+  if (Request.Path == "/readyz")
+    return this->sendReadiness(Reply);
+  std::string Reason = this->notReadyReason();
+  // Requests that the balancer still sends while a stop begins are served.
+  if (!Reason.empty() && !this->IsStopping)
+    return sendProblem(Reply, {ApiFailure::NotReady, "waiting for " + Reason,
+                               std::chrono::seconds(1)});
+  // The request keeps this revision to its end.
+  ConfigSnapshot Present = this->Config.snapshot();
+  this->routeCaller(Present, Request, Reply);
+}
+
+void Router::routeCaller(const ConfigSnapshot &Present,
+                         const HttpRequest &Request, HttpReply &Reply) {
+  const std::string &Path = Request.Path;
+  bool IsPost = Request.Method == "POST";
+  if (Path == "/v1/chat/completions" && IsPost)
+    return this->Chats.answer(Present, Request, Reply);
+  if (Path == "/v1/orders" && IsPost)
+    return this->OrderCalls.postOrder(Present, Request, Reply);
+  if (Path == "/v1/orders/tickets" && IsPost)
+    return this->OrderCalls.postTicket(Present, Request, Reply);
+  if (Path.starts_with(OrderPrefix) && Request.Method == "GET")
+    return this->OrderCalls.getOrder(Present, Request,
+                                     Path.substr(OrderPrefix.size()), Reply);
+  if (Path.starts_with("/v1/services/"))
+    return this->OrderCalls.callService(Present, Request, Reply);
+  sendProblem(Reply, {ApiFailure::UnknownRoute, "", std::nullopt});
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Services/Router/Router.h
@@ -0,0 +1,91 @@
+/// \file
+/// Puts the parts of one entry host together.
+
+#ifndef BERGAMOTHOOK_SERVICES_ROUTER_ROUTER_H
+#define BERGAMOTHOOK_SERVICES_ROUTER_ROUTER_H
+
+#include "ChatDesk.h"
+#include "ConfigWatch.h"
+#include "LibHttp/HttpClient.h"
+#include "LibHttp/HttpServer.h"
+#include "LibTask/RealRuntime.h"
+#include "OperatorApi.h"
+#include "OrderApi.h"
+#include "RouterSettings.h"
+#include "SuspectDesk.h"
+
+namespace bergamothook {
+
+/// One entry host. Servers hand requests to the thread of the runtime, where
+/// one task answers each.
+class Router {
+public:
+  Router(RouterSettings Settings, RealRuntime &Threads);
+
+  /// Starts the tasks and the servers.
+  Result<void> start();
+
+  /// Stops gracefully: not ready first, then no new requests, then all in
+  /// progress to their end, then slices back. Blocks the calling task.
+  void stop();
+
+  /// Cuts off what stop() still waits for.
+  void hurry() { this->IsHurried = true; }
+
+private:
+  Incarnation makeSelf() const;
+  BudgetDeskSettings budgetSettings() const;
+  BudgetDeskHooks budgetHooks();
+  OrderDeskHooks orderHooks();
+  ChatDeskSettings chatSettings() const;
+  HttpServerLimits limitsOf(const ListenSettings &Listen) const;
+  HttpServer::Handler handlerFor(void (Router::*Answer)(const HttpRequest &,
+                                                        HttpReply));
+  void answerCaller(const HttpRequest &Request, HttpReply Reply);
+  void answerOperator(const HttpRequest &Request, HttpReply Reply);
+  void routeCaller(const ConfigSnapshot &Config, const HttpRequest &Request,
+                   HttpReply &Reply);
+  void sendReadiness(HttpReply &Reply) const;
+  void sendMetrics(HttpReply &Reply);
+  void startTasks();
+  void warmBudgets(const ConfigSnapshot &Config);
+  HostStatus status() const;
+  std::string notReadyReason() const;
+  std::size_t active() const;
+  void waitForRequests(TimePoint Deadline) const;
+
+  RouterSettings Settings;
+  RealRuntime &Threads;
+  Runtime Tasks;
+  Incarnation Self;
+  std::uint64_t Seed;
+  HttpClient Http;
+  LogHooks Log;
+  EngineHooks Engines;
+  ServiceHooks Services;
+  Metrics Measured;
+  TargetTable Targets;
+  PrefixIndex Prefixes;
+  OutlierDetector Outliers;
+  RetryBudget Retries;
+  ExplanationRing Explanations;
+  TargetChooser Chooser;
+  TargetWatch Watch;
+  ConfigWatch Config;
+  BudgetDesk Budgets;
+  StreamLink OrderLink;
+  OrderDesk Orders;
+  SuspectDesk Suspects;
+  AdmissionDesk Admissions;
+  ChatDesk Chats;
+  OrderApi OrderCalls;
+  OperatorApi OperatorCalls;
+  HttpServer CallerServer;
+  HttpServer OperatorServer;
+  bool IsStopping = false;
+  bool IsHurried = false;
+};
+
+} // namespace bergamothook
+
+#endif
