--- a/Libraries/LibStandin/BatchEngine.cpp
+++ b/Libraries/LibStandin/BatchEngine.cpp
@@ -266,9 +266,9 @@
 }
 
 EngineLoad BatchEngine::load(TimePoint Now) const {
-  EngineLoad Seen;
-  Seen.Engine = this->Limits.Name;
-  Seen.BatchLimit = this->Limits.BatchLimit;
+  // Before the first request the engine idles, as it does now.
+  EngineLoad Seen = this->Loads.empty() ? this->presentLoad()
+                                        : this->Loads.front().second;
   TimePoint Visible = Now - this->Limits.LoadLag;
   for (const auto &[At, Load] : this->Loads)
     if (At <= Visible)
--- a/Services/Standin/StandinSettings.cpp
+++ b/Services/Standin/StandinSettings.cpp
@@ -124,7 +124,7 @@
 
 } // namespace
 
-Checked<StandinSettings> readStandinSettings(const std::string &File) {
+SettingsResult<StandinSettings> readStandinSettings(const std::string &File) {
   BOOST_OUTCOME_TRY(Document, readSettingsFile(File, Schema));
   StandinSettings Settings;
   const json Empty = json::object();
--- a/Services/Standin/StandinSettings.h
+++ b/Services/Standin/StandinSettings.h
@@ -26,7 +26,7 @@
 };
 
 /// Reads and checks the file at \p File. docs/API-standin.md lists its keys.
-Checked<StandinSettings> readStandinSettings(const std::string &File);
+SettingsResult<StandinSettings> readStandinSettings(const std::string &File);
 
 } // namespace bergamothook
 
