--- /dev/null
+++ b/Libraries/LibOutcome/RequestNotes.cpp
@@ -0,0 +1,72 @@
+#include "LibOutcome/RequestNotes.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bergamothook {
+
+namespace {
+
+std::uint64_t rankOf(RequestId Request, HostId Host) {
+  // A mix of both, so that each request has an order of hosts of its own.
+  std::uint64_t Mixed = Request.Low ^ (Host.Value * 0x9e3779b97f4a7c15ULL);
+  Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
+  return Mixed ^ (Mixed >> 31);
+}
+
+} // namespace
+
+RequestNotes::RequestNotes(RequestNotesLimits Limits) : Limits(Limits) {}
+
+void RequestNotes::note(RequestId Request, TargetId Target, TimePoint Now) {
+  this->forgetOld(Now);
+  this->Notes[Request] = {Target, Now};
+  this->Order.emplace_back(Now, Request);
+}
+
+std::optional<TargetId> RequestNotes::find(RequestId Request,
+                                           TimePoint Now) const {
+  auto Known = this->Notes.find(Request);
+  if (Known == this->Notes.end() ||
+      Known->second.At + this->Limits.Lifetime < Now)
+    return std::nullopt;
+  return Known->second.Target;
+}
+
+void RequestNotes::forgetOld(TimePoint Now) {
+  while (!this->Order.empty()) {
+    auto [At, Request] = this->Order.front();
+    bool IsOld = At + this->Limits.Lifetime < Now;
+    if (!IsOld && this->Order.size() < this->Limits.MaxNotes)
+      return;
+    this->Order.pop_front();
+    auto Known = this->Notes.find(Request);
+    if (Known != this->Notes.end() && Known->second.At == At)
+      this->Notes.erase(Known);
+  }
+}
+
+std::vector<HostId> chooseNoteKeepers(RequestId Request,
+                                      std::vector<NoteKeeper> Present,
+                                      std::size_t Count) {
+  std::sort(Present.begin(), Present.end(),
+            [Request](const NoteKeeper &Left, const NoteKeeper &Right) {
+              return rankOf(Request, Left.Host) < rankOf(Request, Right.Host);
+            });
+  std::vector<HostId> Chosen;
+  std::vector<HostId> Spare;
+  std::set<FailureDomainId> Used;
+  for (const NoteKeeper &Keeper : Present) {
+    if (Used.insert(Keeper.Domain).second)
+      Chosen.push_back(Keeper.Host);
+    else
+      Spare.push_back(Keeper.Host);
+  }
+  Chosen.insert(Chosen.end(), Spare.begin(), Spare.end());
+  if (Chosen.size() > Count)
+    Chosen.resize(Count);
+  return Chosen;
+}
+
+} // namespace bergamothook
