--- a/Libraries/LibConfig/ConfigChange.cpp
+++ b/Libraries/LibConfig/ConfigChange.cpp
@@ -35,8 +35,8 @@
   return Text;
 }
 
-Checked<ConfigEdit> readEdit(const std::string &Name, const json &Value,
-                             const std::string &Pointer) {
+ConfigResult<ConfigEdit> readEdit(const std::string &Name, const json &Value,
+                                  const std::string &Pointer) {
   auto Key = parseObjectKey(Name);
   if (!Key)
     return malformed(Pointer, "template/, team/, service/ or operator/ and a "
@@ -48,7 +48,7 @@
   return ConfigEdit{std::move(*Key), Value};
 }
 
-Checked<std::vector<ConfigEdit>> readEdits(const json &Object) {
+ConfigResult<std::vector<ConfigEdit>> readEdits(const json &Object) {
   if (!Object.is_object() || Object.empty())
     return malformed("/edits", "an object with an entry for each edit");
   if (Object.size() > MaxEditsPerChange)
@@ -100,7 +100,7 @@
   return Body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Checked<ConfigChange> decodeChange(RecordId Id, std::string_view Body) {
+ConfigResult<ConfigChange> decodeChange(RecordId Id, std::string_view Body) {
   if (Body.size() > MaxChangeBytes)
     return ConfigProblem{ConfigError::TooLarge,
                          {},
@@ -141,7 +141,7 @@
   return {Change.Id, Writer, ConfigChangeKind, encodeChange(Change)};
 }
 
-Checked<std::vector<ConfigEdit>> parseEdits(std::string_view Text) {
+ConfigResult<std::vector<ConfigEdit>> parseEdits(std::string_view Text) {
   if (Text.size() > MaxChangeBytes)
     return ConfigProblem{ConfigError::TooLarge,
                          {},
--- a/Libraries/LibConfig/ConfigChange.h
+++ b/Libraries/LibConfig/ConfigChange.h
@@ -51,7 +51,7 @@
 std::string encodeChange(const ConfigChange &Change);
 
 /// Reads the body of the record \p Id.
-Checked<ConfigChange> decodeChange(RecordId Id, std::string_view Body);
+ConfigResult<ConfigChange> decodeChange(RecordId Id, std::string_view Body);
 
 /// Makes the record that carries \p Change to the log.
 StreamRecord recordOfChange(const ConfigChange &Change, Incarnation Writer);
@@ -59,7 +59,7 @@
 /// Reads the edits of a file of an operator: an object whose keys are names as
 /// toString(ObjectKey) writes them, and whose values are whole objects, or null
 /// for an object to remove.
-Checked<std::vector<ConfigEdit>> parseEdits(std::string_view Text);
+ConfigResult<std::vector<ConfigEdit>> parseEdits(std::string_view Text);
 
 /// Parses JSON text without exceptions; text that nests too deeply is refused.
 std::optional<nlohmann::json> parseBoundedJson(std::string_view Text);
--- a/Libraries/LibConfig/ConfigFold.cpp
+++ b/Libraries/LibConfig/ConfigFold.cpp
@@ -52,7 +52,7 @@
       [this, &Fold](const ObjectKey &Name) { return this->find(Fold, Name); };
 }
 
-Checked<void> ConfigFold::checkBase(const ConfigChange &Change) const {
+ConfigResult<void> ConfigFold::checkBase(const ConfigChange &Change) const {
   std::uint64_t Present = this->Tables.At.Value;
   std::uint64_t Base = Change.Base.Value;
   std::string Allowed = "at most " + std::to_string(Present);
@@ -65,7 +65,7 @@
   return success();
 }
 
-Checked<void> ConfigFold::checkConflict(const ConfigChange &Change) const {
+ConfigResult<void> ConfigFold::checkConflict(const ConfigChange &Change) const {
   for (const auto &Edit : Change.Edits) {
     auto Known = this->Objects.find(Edit.Object);
     auto Gone = this->Removed.find(Edit.Object);
@@ -103,9 +103,9 @@
   return Affected;
 }
 
-Checked<void> ConfigFold::claimTokens(Draft &Made, const ObjectKey &Name,
-                                      const std::vector<Sha256> &Keys,
-                                      const TokenOwner &Owner) const {
+ConfigResult<void> ConfigFold::claimTokens(Draft &Made, const ObjectKey &Name,
+                                           const std::vector<Sha256> &Keys,
+                                           const TokenOwner &Owner) const {
   auto Refusal = [&](const Sha256 &Key) {
     return ConfigProblem{ConfigError::DuplicateToken, Name, "/keys", toHex(Key),
                          "a hash that no other object has"};
@@ -132,8 +132,8 @@
   return success();
 }
 
-Checked<void> ConfigFold::resolveTeam(Draft &Made,
-                                      const ObjectKey &Name) const {
+ConfigResult<void> ConfigFold::resolveTeam(Draft &Made,
+                                           const ObjectKey &Name) const {
   BOOST_OUTCOME_TRY(Resolved, resolveSettings(Name, Made.lookup(*this), false));
   BOOST_OUTCOME_TRY(Team, detail::readSettings(Name, Resolved.Settings));
   if (Name.Kind == ObjectKind::Template)
@@ -153,8 +153,8 @@
   return success();
 }
 
-Checked<void> ConfigFold::resolveObject(Draft &Made,
-                                        const ObjectKey &Name) const {
+ConfigResult<void> ConfigFold::resolveObject(Draft &Made,
+                                             const ObjectKey &Name) const {
   const json *Value = Made.find(*this, Name);
   if (!Value)
     return success();
@@ -174,7 +174,8 @@
   return success();
 }
 
-Checked<ConfigFold::Draft> ConfigFold::check(const ConfigChange &Change) const {
+ConfigResult<ConfigFold::Draft>
+ConfigFold::check(const ConfigChange &Change) const {
   BOOST_OUTCOME_TRYV(this->checkBase(Change));
   BOOST_OUTCOME_TRYV(this->checkConflict(Change));
   Draft Made;
@@ -186,7 +187,8 @@
   return Made;
 }
 
-Checked<ChangePreview> ConfigFold::preview(const ConfigChange &Change) const {
+ConfigResult<ChangePreview>
+ConfigFold::preview(const ConfigChange &Change) const {
   BOOST_OUTCOME_TRY(Made, this->check(Change));
   ChangePreview Preview;
   for (const auto &[Name, Value] : Made.Edited) {
@@ -339,12 +341,13 @@
   return Names;
 }
 
-Checked<ResolvedSettings> ConfigFold::explain(const std::string &Name) const {
+ConfigResult<ResolvedSettings>
+ConfigFold::explain(const std::string &Name) const {
   Draft Present;
   return resolveSettings({ObjectKind::Team, Name}, Present.lookup(*this), true);
 }
 
-Checked<std::vector<ConfigEdit>>
+ConfigResult<std::vector<ConfigEdit>>
 ConfigFold::editsBackTo(Revision Target) const {
   ConfigProblem Gone{ConfigError::HistoryGone,
                      {},
--- a/Libraries/LibConfig/ConfigFold.h
+++ b/Libraries/LibConfig/ConfigFold.h
@@ -67,7 +67,7 @@
                                      RecordPosition Position);
 
   /// Tells whether \p Change would be accepted now, and what it would do.
-  Checked<ChangePreview> preview(const ConfigChange &Change) const;
+  ConfigResult<ChangePreview> preview(const ConfigChange &Change) const;
 
   /// What became of the change \p Id; nothing if it was not seen, or too long
   /// ago.
@@ -83,14 +83,14 @@
 
   /// Makes the edits that bring every object back to its state at \p Target.
   /// ConfigError::HistoryGone if that is too long ago.
-  Checked<std::vector<ConfigEdit>> editsBackTo(Revision Target) const;
+  ConfigResult<std::vector<ConfigEdit>> editsBackTo(Revision Target) const;
 
   /// The JSON of an object; nothing if there is none.
   std::optional<nlohmann::json> object(const ObjectKey &Name) const;
   std::vector<ObjectKey> objectNames() const;
 
   /// Resolves the team \p Name with the source of every value.
-  Checked<ResolvedSettings> explain(const std::string &Name) const;
+  ConfigResult<ResolvedSettings> explain(const std::string &Name) const;
 
   /// Digest of all that the fold's decisions rest on. Two hosts that have
   /// folded up to the same position have the same digest.
@@ -100,7 +100,7 @@
   std::string encode() const;
 
   /// Reads what encode() wrote.
-  static Checked<ConfigFold> decode(std::string_view Bytes);
+  static ConfigResult<ConfigFold> decode(std::string_view Bytes);
 
 private:
   struct StoredObject {
@@ -124,14 +124,14 @@
     ObjectLookup lookup(const ConfigFold &Fold);
   };
 
-  Checked<Draft> check(const ConfigChange &Change) const;
-  Checked<void> checkBase(const ConfigChange &Change) const;
-  Checked<void> checkConflict(const ConfigChange &Change) const;
-  Checked<void> resolveObject(Draft &Made, const ObjectKey &Name) const;
-  Checked<void> resolveTeam(Draft &Made, const ObjectKey &Name) const;
-  Checked<void> claimTokens(Draft &Made, const ObjectKey &Name,
-                            const std::vector<Sha256> &Keys,
-                            const TokenOwner &Owner) const;
+  ConfigResult<Draft> check(const ConfigChange &Change) const;
+  ConfigResult<void> checkBase(const ConfigChange &Change) const;
+  ConfigResult<void> checkConflict(const ConfigChange &Change) const;
+  ConfigResult<void> resolveObject(Draft &Made, const ObjectKey &Name) const;
+  ConfigResult<void> resolveTeam(Draft &Made, const ObjectKey &Name) const;
+  ConfigResult<void> claimTokens(Draft &Made, const ObjectKey &Name,
+                                 const std::vector<Sha256> &Keys,
+                                 const TokenOwner &Owner) const;
   std::set<ObjectKey> affectedBy(const ConfigChange &Change) const;
   void commit(const ConfigChange &Change, Draft Made, RecordPosition Position);
   void putTables(const Draft &Made);
@@ -139,7 +139,7 @@
   void dropTokens(const ObjectKey &Name);
   void remember(const ConfigChange &Change, const ConfigVerdict &Verdict);
   void forgetOld();
-  Checked<void> rebuildTables();
+  ConfigResult<void> rebuildTables();
 
   std::map<ObjectKey, StoredObject> Objects;
   /// When objects that no longer exist were removed.
--- a/Libraries/LibConfig/ConfigFoldCodec.cpp
+++ b/Libraries/LibConfig/ConfigFoldCodec.cpp
@@ -103,7 +103,7 @@
   return Bytes;
 }
 
-Checked<ConfigFold> ConfigFold::decode(std::string_view Bytes) {
+ConfigResult<ConfigFold> ConfigFold::decode(std::string_view Bytes) {
   ConfigProblem Refusal{
       ConfigError::Malformed, {}, "", "", "a state of this release"};
   json State = json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
@@ -132,7 +132,7 @@
   return Fold;
 }
 
-Checked<void> ConfigFold::rebuildTables() {
+ConfigResult<void> ConfigFold::rebuildTables() {
   Draft Made;
   for (const auto &[Name, Stored] : this->Objects) {
     json Value = json::parse(Stored.Json, nullptr, false);
--- a/Libraries/LibConfig/ConfigProblem.h
+++ b/Libraries/LibConfig/ConfigProblem.h
@@ -37,7 +37,7 @@
 /// Holds a \p T, or the problem that says why there is none.
 /// Asking it for the one that it does not hold throws.
 template <typename T>
-using Checked = boost::outcome_v2::result<
+using ConfigResult = boost::outcome_v2::result<
     T, ConfigProblem,
     boost::outcome_v2::policy::throw_bad_result_access<ConfigProblem, void>>;
 
--- a/Libraries/LibConfig/TeamReader.cpp
+++ b/Libraries/LibConfig/TeamReader.cpp
@@ -111,8 +111,8 @@
   return Defaults;
 }
 
-Checked<EffectiveTeam> readSettings(const ObjectKey &Object,
-                                    const json &Settings) {
+ConfigResult<EffectiveTeam> readSettings(const ObjectKey &Object,
+                                         const json &Settings) {
   ReadState State{Object, std::nullopt};
   ObjectReader Reader(State, Settings, "");
   EffectiveTeam Read;
@@ -143,8 +143,8 @@
   return Read;
 }
 
-Checked<EffectiveService> readService(const ObjectKey &Object,
-                                      const json &Value) {
+ConfigResult<EffectiveService> readService(const ObjectKey &Object,
+                                           const json &Value) {
   ReadState State{Object, std::nullopt};
   ObjectReader Reader(State, Value, "");
   EffectiveService Read;
@@ -157,8 +157,8 @@
   return Read;
 }
 
-Checked<EffectiveOperator> readOperator(const ObjectKey &Object,
-                                        const json &Value) {
+ConfigResult<EffectiveOperator> readOperator(const ObjectKey &Object,
+                                             const json &Value) {
   ReadState State{Object, std::nullopt};
   ObjectReader Reader(State, Value, "");
   EffectiveOperator Read;
--- a/Libraries/LibConfig/TeamReader.h
+++ b/Libraries/LibConfig/TeamReader.h
@@ -16,16 +16,16 @@
 const nlohmann::json &defaultSettings();
 
 /// Reads whole, resolved settings into a team without identity and keys.
-Checked<EffectiveTeam> readSettings(const ObjectKey &Object,
-                                    const nlohmann::json &Settings);
+ConfigResult<EffectiveTeam> readSettings(const ObjectKey &Object,
+                                         const nlohmann::json &Settings);
 
 /// Reads a whole object of the kind Service.
-Checked<EffectiveService> readService(const ObjectKey &Object,
-                                      const nlohmann::json &Value);
+ConfigResult<EffectiveService> readService(const ObjectKey &Object,
+                                           const nlohmann::json &Value);
 
 /// Reads a whole object of the kind Operator.
-Checked<EffectiveOperator> readOperator(const ObjectKey &Object,
-                                        const nlohmann::json &Value);
+ConfigResult<EffectiveOperator> readOperator(const ObjectKey &Object,
+                                             const nlohmann::json &Value);
 
 } // namespace bergamothook::detail
 
--- a/Libraries/LibConfig/TemplateResolver.cpp
+++ b/Libraries/LibConfig/TemplateResolver.cpp
@@ -36,8 +36,8 @@
       : Target(Target), Object(std::move(Object)), Given(Given),
         WithSources(WithSources) {}
 
-  Checked<void> merge(json &Into, const json &From,
-                      const std::string &Pointer) {
+  ConfigResult<void> merge(json &Into, const json &From,
+                           const std::string &Pointer) {
     for (const auto &[Field, Value] : From.items()) {
       BOOST_OUTCOME_TRYV(this->mergeField(Into, Field, Value, Pointer));
     }
@@ -45,8 +45,8 @@
   }
 
 private:
-  Checked<void> mergeField(json &Into, const std::string &Field,
-                           const json &Value, const std::string &Pointer) {
+  ConfigResult<void> mergeField(json &Into, const std::string &Field,
+                                const json &Value, const std::string &Pointer) {
     std::string Here = Pointer + "/" + Field;
     if (isParameterUse(Value)) {
       auto Known = this->Given.find(Value[ParameterField]);
@@ -101,7 +101,7 @@
   json Settings;
 };
 
-Checked<Layer> readLayer(const ObjectKey &Name, const json &Value) {
+ConfigResult<Layer> readLayer(const ObjectKey &Name, const json &Value) {
   detail::ReadState State{Name, std::nullopt};
   detail::ObjectReader Reader(State, Value, "");
   Layer Read;
@@ -121,9 +121,10 @@
 }
 
 /// Works out the values that the parent's parameters have for this child.
-Checked<Arguments> bindArguments(const ObjectKey &Parent, const Layer &Declared,
-                                 const ObjectKey &Child, const Layer &User,
-                                 const Arguments &OfChild) {
+ConfigResult<Arguments> bindArguments(const ObjectKey &Parent,
+                                      const Layer &Declared,
+                                      const ObjectKey &Child, const Layer &User,
+                                      const Arguments &OfChild) {
   Arguments Bound;
   for (const auto &[Name, Default] : Declared.Parameters.items()) {
     Argument &Made = Bound[Name];
@@ -164,8 +165,8 @@
   Resolution(const ObjectLookup &Lookup, bool WithSources)
       : Lookup(Lookup), WithSources(WithSources) {}
 
-  Checked<void> resolve(const ObjectKey &Name, const Layer &Present,
-                        const Arguments &Given, int Depth) {
+  ConfigResult<void> resolve(const ObjectKey &Name, const Layer &Present,
+                             const Arguments &Given, int Depth) {
     if (Depth > MaxTemplateDepth)
       return ConfigProblem{
           ConfigError::TemplateTooDeep, Name, "/extends", Present.Extends,
@@ -180,8 +181,8 @@
   ResolvedSettings Made;
 
 private:
-  Checked<void> resolveParent(const ObjectKey &Name, const Layer &Present,
-                              const Arguments &Given, int Depth) {
+  ConfigResult<void> resolveParent(const ObjectKey &Name, const Layer &Present,
+                                   const Arguments &Given, int Depth) {
     ObjectKey ParentName{ObjectKind::Template, Present.Extends};
     const json *Found = this->Lookup(ParentName);
     if (!Found)
@@ -201,9 +202,9 @@
 
 } // namespace
 
-Checked<ResolvedSettings> resolveSettings(const ObjectKey &Name,
-                                          const ObjectLookup &Lookup,
-                                          bool WithSources) {
+ConfigResult<ResolvedSettings> resolveSettings(const ObjectKey &Name,
+                                               const ObjectLookup &Lookup,
+                                               bool WithSources) {
   const json *Found = Lookup(Name);
   if (!Found)
     return ConfigProblem{ConfigError::UnknownObject, Name, "", "", ""};
--- a/Libraries/LibConfig/TemplateResolver.h
+++ b/Libraries/LibConfig/TemplateResolver.h
@@ -41,9 +41,9 @@
 /// value. Settings merge over those of the template extended: objects field by
 /// field, everything else whole. A template is resolved with the defaults of
 /// its parameters; where it has none, the value stays at its built-in default.
-Checked<ResolvedSettings> resolveSettings(const ObjectKey &Name,
-                                          const ObjectLookup &Lookup,
-                                          bool WithSources);
+ConfigResult<ResolvedSettings> resolveSettings(const ObjectKey &Name,
+                                               const ObjectLookup &Lookup,
+                                               bool WithSources);
 
 /// The template that the object refers to directly; empty for none.
 std::string templateOf(const ObjectKey &Name, const nlohmann::json &Value);
