--- a/Libraries/LibConfig/ConfigError.cpp
+++ b/Libraries/LibConfig/ConfigError.cpp
@@ -44,6 +44,8 @@
     return "the caller is not known";
   case ConfigError::NotPermitted:
     return "the operator does not have the role needed";
+  case ConfigError::OutcomeUnknown:
+    return "the change may or may not be accepted";
   case ConfigError::NotReady:
     return "the configuration is not known yet";
   }
--- a/Libraries/LibConfig/ConfigError.h
+++ b/Libraries/LibConfig/ConfigError.h
@@ -45,6 +45,9 @@
   NotAuthenticated,
   /// The operator does not have the role that is needed.
   NotPermitted,
+  /// The append of a change had no certain effect before the deadline: the
+  /// change may still be accepted.
+  OutcomeUnknown,
   /// The configuration is not known well enough to serve by it.
   NotReady,
 };
--- a/Libraries/LibConfig/Depends.cmake
+++ b/Libraries/LibConfig/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibBase LibStream LibTask OpenSSL::Crypto nlohmann_json::nlohmann_json)
+set(DEPENDS LibBase LibStream LibTask LibPeer OpenSSL::Crypto nlohmann_json::nlohmann_json)
