--- /dev/null
+++ b/Libraries/LibFleet/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibConfig LibMembership LibPeer)
--- a/Libraries/LibMembership/HostTable.cpp
+++ b/Libraries/LibMembership/HostTable.cpp
@@ -47,6 +47,10 @@
 RumorEffect HostTable::apply(const HostRumor &Told, TimePoint Now) {
   if (Told.Host == this->Self.Host)
     return this->applyToSelf(Told);
+  // A dead host that was forgotten here stays forgotten, or hosts would keep
+  // it among themselves for ever.
+  if (Told.State == HostState::Dead && !this->Hosts.contains(Told.Host))
+    return RumorEffect::None;
   auto [Known, IsNew] = this->Hosts.try_emplace(Told.Host);
   Entry &Present = Known->second;
   if (!IsNew && !overrides(Told, Present.Rumor))
@@ -154,7 +158,8 @@
 std::uint64_t HostTable::digest() const {
   std::uint64_t Sum = digestOf(this->Self);
   for (const auto &[Host, Present] : this->Hosts)
-    Sum += digestOf(Present.Rumor);
+    if (Present.Rumor.State != HostState::Dead)
+      Sum += digestOf(Present.Rumor);
   return Sum;
 }
 
--- a/Libraries/LibMembership/HostTable.h
+++ b/Libraries/LibMembership/HostTable.h
@@ -71,7 +71,7 @@
   /// All statements, with this host's own.
   std::vector<HostRumor> all() const;
 
-  /// The same on hosts that believe the same.
+  /// The same on hosts that believe the same of the hosts that live.
   std::uint64_t digest() const;
 
 private:
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration ExpireInterval = std::chrono::milliseconds(200);
 constexpr std::size_t MaxNoticesPerDatagram = 70;
+constexpr std::size_t MaxRumorsPerTablePart = 500;
 
 using Kind = MembershipMessageKind;
 
@@ -245,9 +246,7 @@
   case Kind::TableDigest: {
     BOOST_OUTCOME_TRY(Digest, decodeMessage<std::uint64_t>(Body));
     if (Digest != this->Table.digest())
-      this->Hooks.SendReliably(
-          Sender.Host, Kind::Table,
-          encodeMessage(TableMessage{this->Table.all(), true}));
+      this->sendTable(Sender.Host, true);
     return success();
   }
   case Kind::Table: {
@@ -290,9 +289,18 @@
 void Membership::takeTable(HostId Sender, const TableMessage &Message) {
   this->takeRumors(Message.Rumors);
   if (Message.WantsAnswer)
-    this->Hooks.SendReliably(
-        Sender, Kind::Table,
-        encodeMessage(TableMessage{this->Table.all(), false}));
+    this->sendTable(Sender, false);
+}
+
+void Membership::sendTable(HostId To, bool WantsAnswer) {
+  std::vector<HostRumor> All = this->Table.all();
+  for (std::size_t At = 0; At < All.size(); At += MaxRumorsPerTablePart) {
+    std::size_t End = std::min(All.size(), At + MaxRumorsPerTablePart);
+    TableMessage Part{{All.begin() + static_cast<std::ptrdiff_t>(At),
+                       All.begin() + static_cast<std::ptrdiff_t>(End)},
+                      WantsAnswer && End == All.size()};
+    this->Hooks.SendReliably(To, Kind::Table, encodeMessage(Part));
+  }
 }
 
 void Membership::takeNotices(HostId Sender, const NoticesMessage &Message) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -97,6 +97,7 @@
   std::optional<HostId> nextToProbe();
   bool waitForAnswer(std::uint64_t Sequence, Duration Patience);
   void sendProbe(HostId To, MembershipMessageKind Kind, std::uint64_t Sequence);
+  void sendTable(HostId To, bool WantsAnswer);
   void sendNotices(HostId To, bool WantsAnswer);
   void takeProbe(const Incarnation &Sender, const ProbeMessage &Message);
   void takeRumors(const std::vector<HostRumor> &Rumors);
--- a/Libraries/LibPeer/PeerNode.cpp
+++ b/Libraries/LibPeer/PeerNode.cpp
@@ -60,10 +60,13 @@
     return;
   const PeerMessage &Known = *Message.value();
   auto Taker = this->Handlers.find(Known.Kind);
-  if (Taker == this->Handlers.end())
+  if (Taker == this->Handlers.end()) {
     this->refuse(PeerError::UnknownKind);
-  else
-    Taker->second(Known.Sender, Known.Body);
+    return;
+  }
+  auto Taken = Taker->second(Known.Sender, Known.Body);
+  if (!Taken)
+    this->refuse(Taken.error());
 }
 
 void PeerNode::refuse(std::error_code Reason) {
--- a/Libraries/LibPeer/PeerNode.h
+++ b/Libraries/LibPeer/PeerNode.h
@@ -52,8 +52,9 @@
 /// one runtime.
 class PeerNode {
 public:
-  using Handler =
-      std::function<void(const Incarnation &Sender, std::string_view Body)>;
+  /// Takes a message; an error refuses it.
+  using Handler = std::function<Result<void>(const Incarnation &Sender,
+                                             std::string_view Body)>;
 
   PeerNode(Incarnation Self, KeyRing Keys, Runtime Tasks, PeerHooks Hooks,
            PeerNodeLimits Limits, std::uint64_t Seed);
--- a/Libraries/LibStandin/VirtualLink.cpp
+++ b/Libraries/LibStandin/VirtualLink.cpp
@@ -39,7 +39,8 @@
 }
 
 bool VirtualLink::isCut(HostId From, HostId To) const {
-  return this->Side.contains(From) != this->Side.contains(To) ||
+  return this->Paused.contains(From) ||
+         this->Side.contains(From) != this->Side.contains(To) ||
          this->Cuts.contains({From, To});
 }
 
@@ -78,7 +79,7 @@
     return;
   }
   auto Known = this->Hosts.find(Arrived.To);
-  if (Known == this->Hosts.end() || this->isCut(Arrived.From, Arrived.To))
+  if (Known == this->Hosts.end())
     return;
   Receive Take =
       Arrived.IsStream ? Known->second.Stream : Known->second.Datagram;
--- a/Libraries/LibStandin/VirtualLink.h
+++ b/Libraries/LibStandin/VirtualLink.h
@@ -43,8 +43,8 @@
   /// Takes a host away.
   void detach(HostId Host);
 
-  /// Keeps what comes for \p Host until it is resumed, as for a process that is
-  /// stopped.
+  /// Keeps what comes for \p Host until it is resumed, and lets it send
+  /// nothing, as for a process that is stopped.
   void pause(HostId Host);
   void resume(HostId Host);
 
--- a/Tests/LibPeer/PeerNodeTest.cpp
+++ b/Tests/LibPeer/PeerNodeTest.cpp
@@ -48,9 +48,12 @@
         [this](HostId, std::string Bytes) {
           this->Node.received(PeerTransport::Stream, std::move(Bytes));
         });
-    this->Node.handle(Kind, [this](const Incarnation &, std::string_view Body) {
-      this->Taken.emplace_back(Body);
-    });
+    this->Node.handle(
+        Kind,
+        [this](const Incarnation &, std::string_view Body) -> Result<void> {
+          this->Taken.emplace_back(Body);
+          return success();
+        });
     this->Node.start();
   }
 
