Join the hosts: membership, spread of the configuration, witnesses, request notes

Cause: a retry on another host knew nothing of the first attempt, and the answer was generated a second time on another engine. Change: each host keeps notes of which engine runs a keyed request, at two hosts chosen by rendezvous hashing in different failure domains; a retry asks them and resumes there. Settlement notes go to a witness in another domain. A successor on the same boot and port declares its earlier runs ended. Ruled out: asking every engine on every keyed request, which costs 157 calls at 5,500 targets and 35 models.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -80,6 +80,7 @@
         this->Hooks.List.Read(this->Tasks.Now() + this->Limits.ListInterval);
     if (Read && Read.value().Version >= this->List.Version) {
       this->List = std::move(Read).value();
+      this->HasList = true;
       for (const auto &Line : this->List.Members)
         if (Line.Role == MemberRole::EntryHost)
           this->Table.addListed(idOfName<HostId>(Line.Name),
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -87,6 +87,8 @@
   }
 
   const HostTable &table() const { return this->Table; }
+  /// Tells whether the platform's list was read at least once.
+  bool hasList() const { return this->HasList; }
 
 private:
   void probeLoop();
@@ -115,6 +117,7 @@
   TargetNotices Notices;
   RumorQueue Queue;
   MemberList List;
+  bool HasList = false;
   std::vector<HostId> CachedView;
   std::optional<std::uint64_t> CachedRound;
   std::vector<HostId> ProbeOrder;
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -52,7 +52,7 @@
   done
   lines+=("$(member history-1 service "${domains[0]}" "$history_port" '["history"]')")
   for ((i = 1; i <= host_count; i++)); do
-    lines+=("$(member "host-$i" entry_host "${domains[$((i % 3))]}" "$(caller_port $i)" '[]')")
+    lines+=("$(member "host-$i" entry_host "${domains[$((i % 3))]}" "$(peer_port $i)" '[]')")
   done
   local IFS=,
   echo "[${lines[*]}]"
@@ -74,7 +74,7 @@
 router_settings() {
   local i=$1 seeds=() j
   for ((j = 1; j <= host_count; j++)); do
-    [ "$j" = "$i" ] || seeds+=("{\"address\": \"127.0.0.1\", \"port\": $(peer_port $j)}")
+    [ "$j" = "$i" ] || seeds+=("{\"name\": \"host-$j\", \"address\": \"127.0.0.1\", \"port\": $(peer_port $j)}")
   done
   local IFS=,
   cat <<JSON
@@ -82,7 +82,7 @@
   "host": {"name": "host-$i", "failure_domain": "${domains[$((i % 3))]}"},
   "callers": {"address": "127.0.0.1", "port": $(caller_port $i)},
   "operators": {"address": "127.0.0.1", "port": $(operator_port $i)},
-  "peers": {"address": "127.0.0.1", "port": $(peer_port $i), "seeds": [${seeds[*]}], "key_files": ["$run_dir/peer.key"]},
+  "peers": {"address": "127.0.0.1", "port": $(peer_port $i), "seeds": [${seeds[*]}], "key_file": "$run_dir/peer.key"},
   "platform": {
     "log": {"address": "127.0.0.1", "port": $log_port},
     "membership": {"address": "127.0.0.1", "port": $membership_port}},
@@ -143,7 +143,7 @@
   host_count=$1
   rm -rf "$run_dir"
   mkdir -p "$run_dir"
-  (umask 077 && head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run_dir/peer.key")
+  (umask 077 && printf '{"signWith": 1, "keys": {"1": "%s"}}\n' "$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')" >"$run_dir/peer.key")
   start_platform
   write_ctl_settings
   wait_for_url "http://127.0.0.1:$log_port/healthz"
--- a/Services/Router/BudgetDesk.cpp
+++ b/Services/Router/BudgetDesk.cpp
@@ -28,11 +28,17 @@
                }),
            Seed),
       Holder(Self, this->Fold, Desk.Settings.Policy, Desk.holderHooks(Shard),
-             Seed) {}
+             Seed),
+      Witness(
+          Self, this->Fold, {},
+          [&Desk, Shard](StreamRecord Record) {
+            return Desk.Ledgers[Shard]->Link.Appender.submit(std::move(Record));
+          },
+          Seed) {}
 
 BudgetDesk::BudgetDesk(Incarnation Self, BudgetDeskSettings Settings,
                        BudgetDeskHooks Hooks, std::uint64_t Seed)
-    : Settings(Settings), Hooks(std::move(Hooks)) {
+    : Self(Self), Settings(Settings), Hooks(std::move(Hooks)), Dice(Seed) {
   for (std::uint32_t Shard = 0; Shard < Settings.Shards; ++Shard)
     this->Ledgers.push_back(
         std::make_unique<Ledger>(*this, Shard, Self, Seed + Shard));
@@ -42,7 +48,11 @@
                        RecordPosition At) {
   Ledger &Of = *this->Ledgers[Shard];
   const LedgerVerdict &Verdict = Of.Fold.apply(Record, At);
-  Of.Holder.onApplied(Record, Verdict, this->Hooks.Tasks.Now());
+  TimePoint Now = this->Hooks.Tasks.Now();
+  auto Body = decodeLedgerBody(Record);
+  if (Body)
+    Of.Witness.onApplied(Body.value(), Verdict, Now);
+  Of.Holder.onApplied(Record, Verdict, Now);
 }
 
 SliceHolderHooks BudgetDesk::holderHooks(std::uint32_t Shard) {
@@ -66,9 +76,12 @@
 void BudgetDesk::runPlans() {
   const Runtime &Tasks = this->Hooks.Tasks;
   while (!this->IsStopping) {
-    for (auto &Of : this->Ledgers)
-      if (Of->Link.Follower.hasCaughtUp())
-        Of->Holder.planGrants(Tasks.Now());
+    for (auto &Of : this->Ledgers) {
+      if (!Of->Link.Follower.hasCaughtUp())
+        continue;
+      Of->Holder.planGrants(Tasks.Now());
+      Of->Witness.plan(Tasks.Now());
+    }
     Tasks.sleepUntil(Tasks.Now() + this->Settings.PlanInterval);
   }
 }
@@ -130,6 +143,42 @@
     Of->Holder.onAcknowledged(Answer, this->Hooks.Tasks.Now());
 }
 
+Result<NoteAcknowledgement> BudgetDesk::onNote(const SettlementNote &Note) {
+  return this->ledgerOf(Note.Team).Witness.onNote(Note);
+}
+
+std::set<Incarnation> BudgetDesk::openPredecessors() const {
+  std::set<Incarnation> Found;
+  for (const auto &Of : this->Ledgers)
+    for (TeamId Account : Of->Fold.teams())
+      this->collectPredecessors(Of->Fold, Account, Found);
+  return Found;
+}
+
+void BudgetDesk::collectPredecessors(const BudgetFold &Fold, TeamId Account,
+                                     std::set<Incarnation> &Found) const {
+  auto View = Fold.view(Account);
+  if (!View)
+    return;
+  for (const SliceView &Slice : View.value().Slices) {
+    bool IsEarlierRun = Slice.Holder.Host == this->Self.Host &&
+                        Slice.Holder.Run != this->Self.Run;
+    if (IsEarlierRun && !Slice.IsEnded)
+      Found.insert(Slice.Holder);
+  }
+}
+
+void BudgetDesk::declareSucceeded(Incarnation Gone) {
+  IncarnationEnded Ended{Gone, EndEvidence::Successor, ""};
+  for (auto &Of : this->Ledgers) {
+    auto Queued = Of->Link.Appender.submit(
+        makeLedgerRecord(this->Dice.next128(), this->Self, Ended));
+    if (!Queued)
+      logEvent(LogLevel::Error, "end_of_predecessor_not_recorded",
+               {{"run", Gone.Run}, {"reason", Queued.error().message()}});
+  }
+}
+
 void BudgetDesk::warm(TeamId Account) {
   this->ledgerOf(Account).Holder.warm(Account);
 }
--- a/Services/Router/BudgetDesk.h
+++ b/Services/Router/BudgetDesk.h
@@ -5,10 +5,12 @@
 #ifndef BERGAMOTHOOK_SERVICES_ROUTER_BUDGETDESK_H
 #define BERGAMOTHOOK_SERVICES_ROUTER_BUDGETDESK_H
 
+#include "LibLedger/SettlementWitness.h"
 #include "LibLedger/SliceHolder.h"
 #include "StreamLink.h"
 
 #include <memory>
+#include <set>
 
 namespace bergamothook {
 
@@ -54,6 +56,17 @@
   void release(const HeldReservation &Held);
   void onAcknowledged(const NoteAcknowledgement &Answer);
 
+  /// Takes the note of a peer whose witness this host is.
+  Result<NoteAcknowledgement> onNote(const SettlementNote &Note);
+
+  /// The incarnations of this host that hold slices and are not known to have
+  /// ended.
+  std::set<Incarnation> openPredecessors() const;
+
+  /// Records that \p Gone will never run again. This host holds the exclusive
+  /// port of \p Gone on the same boot of the same machine.
+  void declareSucceeded(Incarnation Gone);
+
   /// Keeps tokens of \p Account in hand before the first request comes.
   void warm(TeamId Account);
 
@@ -80,16 +93,21 @@
     BudgetFold Fold;
     StreamLink Link;
     SliceHolder Holder;
+    SettlementWitness Witness;
   };
 
   void apply(std::uint32_t Shard, const StreamRecord &Record,
              RecordPosition At);
   SliceHolderHooks holderHooks(std::uint32_t Shard);
   Ledger &ledgerOf(TeamId Account) const;
+  void collectPredecessors(const BudgetFold &Fold, TeamId Account,
+                           std::set<Incarnation> &Found) const;
   void runPlans();
 
+  Incarnation Self;
   BudgetDeskSettings Settings;
   BudgetDeskHooks Hooks;
+  Random Dice;
   std::vector<std::unique_ptr<Ledger>> Ledgers;
   Event Changed;
   bool IsStopping = false;
--- a/Services/Router/ChatDesk.cpp
+++ b/Services/Router/ChatDesk.cpp
@@ -4,6 +4,7 @@
 #include "LibObserve/StructuredLog.h"
 #include "StreamProblem.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bergamothook {
@@ -60,6 +61,7 @@
   Made.Asked = std::move(Asked);
   Made.Arrived = this->Parts.Tasks.Now();
   BOOST_OUTCOME_TRYV(this->applyLimits(Made, Made.Arrived));
+  Made.IsKeyed = !Request.header("idempotency-key").empty();
   Made.Stream.Request = this->requestIdFor(Team->Team, Request);
   Made.Stream.Team = Team->Team;
   Made.Stream.Content = hash128(Made.Asked.Prompt, Model.Value);
@@ -124,6 +126,16 @@
 Result<StreamTarget>
 ChatDesk::chooseTarget(Job &Asked, const std::vector<TargetId> &Excluded,
                        TimePoint Now) {
+  // The engine of an earlier attempt goes on with its stream, also while it is
+  // leaving: that is no new work.
+  if (Asked.Earlier) {
+    TargetId Earlier = *Asked.Earlier;
+    Asked.Earlier.reset();
+    bool IsUsable = this->Parts.Watch.find(Earlier) &&
+                    std::ranges::find(Excluded, Earlier) == Excluded.end();
+    if (IsUsable)
+      return StreamTarget{Earlier, this->Parts.Watch.addressOf(Earlier)};
+  }
   RequestFeatures Features;
   Features.Request = Asked.Stream.Request;
   Features.Model = idOfName<ModelId>(Asked.Asked.Model);
@@ -170,6 +182,8 @@
   Asked.InFlight[Target] = Counted;
   this->Parts.Targets.dispatched(Target, Counted.PrefillTokens, Now);
   this->Parts.Admissions.sent(Asked.Admitted);
+  if (Asked.IsKeyed)
+    this->Parts.Peers.note(Asked.Stream.Request, Target);
 }
 
 void ChatDesk::endAttempt(Job &Asked, TargetId Target) {
@@ -293,6 +307,8 @@
     return sendProblem(Reply, Admitted.error());
   }
   this->Parts.Retries.firstAttempt();
+  if (Asked.IsKeyed)
+    Asked.Earlier = this->Parts.Peers.locate(Asked.Stream.Request);
   StreamOutcome End = runStream(Asked.Stream, this->hooksFor(Asked, Reply),
                                 this->Settings.Stream);
   if (End.Reason == LedgerError::AlreadyBilled)
@@ -304,6 +320,9 @@
 }
 
 std::optional<StreamTarget> ChatDesk::findHolder(const Job &Asked) {
+  if (Asked.Earlier && this->Parts.Watch.find(*Asked.Earlier))
+    return StreamTarget{*Asked.Earlier,
+                        this->Parts.Watch.addressOf(*Asked.Earlier)};
   std::size_t Probes = 0;
   ModelId Model = idOfName<ModelId>(Asked.Asked.Model);
   // Copied, since the table may change while a probe waits.
--- a/Services/Router/ChatDesk.h
+++ b/Services/Router/ChatDesk.h
@@ -16,6 +16,7 @@
 #include "LibRouting/OutlierDetector.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibRouting/TargetChooser.h"
+#include "PeerDesk.h"
 #include "SuspectDesk.h"
 #include "TargetWatch.h"
 
@@ -50,6 +51,7 @@
   TargetWatch &Watch;
   ExplanationRing &Explanations;
   SuspectDesk &Suspects;
+  PeerDesk &Peers;
 };
 
 /// The chat completions of one host. One task a request, written straight down
@@ -91,6 +93,10 @@
     Choice LastChoice;
     std::uint32_t Attempts = 0;
     std::vector<PrefixHash> Prefix;
+    /// Whether the caller named the request, so that it may be a retry.
+    bool IsKeyed = false;
+    /// The engine that an earlier attempt runs on, until it is tried.
+    std::optional<TargetId> Earlier;
     bool IsBegun = false;
     std::string Text;
   };
--- a/Services/Router/Main.cpp
+++ b/Services/Router/Main.cpp
@@ -99,9 +99,15 @@
 }
 
 int serve(const RouterSettings &Settings) {
+  auto Keys = readKeyFile(Settings.Peers.KeyFile);
+  if (!Keys) {
+    std::cerr << Settings.Peers.KeyFile << ": " << Keys.error().message()
+              << "\n";
+    return ExitSettings;
+  }
   sigset_t Stops = blockStopSignals();
   RealRuntime Threads;
-  Router Host(Settings, Threads);
+  Router Host(Settings, std::move(Keys.value()), Threads);
   auto Started = Host.start();
   if (!Started) {
     std::cerr << "could not start: " << Started.error().message() << "\n";
--- /dev/null
+++ b/Services/Router/PeerDesk.cpp
@@ -0,0 +1,289 @@
+#include "PeerDesk.h"
+
+#include "LibObserve/StructuredLog.h"
+#include "LibPeer/MessageCodec.h"
+#include "LibSettings/SettingsFile.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+std::uint16_t number(RequestMessageKind Kind) {
+  return static_cast<std::uint16_t>(Kind);
+}
+
+} // namespace
+
+Result<KeyRing> readKeyFile(const std::string &File) {
+  auto Text = readSecretFile(File);
+  if (!Text)
+    return PeerError::BadKeyFile;
+  return KeyRing::parse(Text.value());
+}
+
+PeerDesk::PeerDesk(PeerDeskSettings Given, KeyRing Keys, const Runtime &Tasks,
+                   MembershipHooks List, Metrics &Measured, std::uint64_t Seed)
+    : Settings(std::move(Given)), Tasks(Tasks), Measured(Measured),
+      Sockets(this->Settings.Listen, Tasks, this->socketHooks()),
+      Node(this->Settings.Self, std::move(Keys), Tasks, this->nodeHooks(), {},
+           Seed),
+      Members(this->selfRumor(), Tasks, this->membershipHooks(std::move(List)),
+              {}, Seed),
+      Notes({}) {
+  this->registerHandlers();
+  this->registerNoteHandlers();
+}
+
+HostRumor PeerDesk::selfRumor() const {
+  HostRumor Self;
+  Self.Host = this->Settings.Self.Host;
+  Self.Run = this->Settings.Self.Run;
+  auto Started = readWallClock().time_since_epoch().count();
+  Self.StartedMilliseconds = static_cast<std::uint64_t>(Started);
+  Self.Counter = Self.StartedMilliseconds;
+  Self.Domain = this->Settings.Domain;
+  Self.Address = this->Settings.Listen.Address;
+  Self.Port = this->Settings.Listen.Port;
+  return Self;
+}
+
+PeerSocketHooks PeerDesk::socketHooks() {
+  PeerSocketHooks Made;
+  Made.Receive = [this](PeerTransport Over, std::string Bytes) {
+    this->Node.received(Over, std::move(Bytes));
+  };
+  Made.Locate = [this](HostId Host) { return this->addressOf(Host); };
+  return Made;
+}
+
+PeerHooks PeerDesk::nodeHooks() {
+  PeerHooks Made;
+  Made.SendDatagram = [this](HostId To, const std::string &Bytes) {
+    this->Sockets.sendDatagram(To, Bytes);
+  };
+  Made.SendStream = [this](HostId To, std::string Bytes, TimePoint Deadline) {
+    return this->Sockets.sendStream(To, std::move(Bytes), Deadline);
+  };
+  Made.Report = [](std::error_code Reason, std::uint64_t Count) {
+    logEvent(LogLevel::Warning, "peer_messages_refused",
+             {{"reason", Reason.message()}, {"count", Count}});
+  };
+  return Made;
+}
+
+MembershipTaskHooks PeerDesk::membershipHooks(MembershipHooks List) {
+  MembershipTaskHooks Made;
+  Made.Send = [this](HostId To, MembershipMessageKind Kind,
+                     const std::string &Body) {
+    this->Node.send(To, static_cast<std::uint16_t>(Kind), Body);
+  };
+  Made.SendReliably = [this](HostId To, MembershipMessageKind Kind,
+                             std::string Body) {
+    // A full queue means that the peer does not read; the next round retries.
+    (void)this->Node.sendReliably(To, static_cast<std::uint16_t>(Kind),
+                                  std::move(Body));
+  };
+  Made.List = std::move(List);
+  Made.Changed = [] {};
+  Made.Replaced = [this] {
+    logEvent(LogLevel::Error, "replaced_by_later_run", {});
+    if (this->OnReplaced)
+      this->OnReplaced();
+  };
+  return Made;
+}
+
+std::optional<PeerAddress> PeerDesk::addressOf(HostId Host) const {
+  auto Known = this->Members.table().find(Host);
+  if (Known && Known->Port != 0)
+    return PeerAddress{Known->Address, Known->Port};
+  for (const Member &Listed : this->Members.members())
+    if (Listed.Role == MemberRole::EntryHost &&
+        idOfName<HostId>(Listed.Name) == Host)
+      return PeerAddress{Listed.Address, Listed.Port};
+  for (const PeerSeed &Seed : this->Settings.Seeds)
+    if (Seed.Host == Host)
+      return Seed.At;
+  return std::nullopt;
+}
+
+void PeerDesk::registerHandlers() {
+  for (auto Kind :
+       {MembershipMessageKind::Ping, MembershipMessageKind::Acknowledgement,
+        MembershipMessageKind::PingRequest, MembershipMessageKind::TableDigest,
+        MembershipMessageKind::Table, MembershipMessageKind::Notices})
+    this->Node.handle(
+        static_cast<std::uint16_t>(Kind),
+        [this, Kind](const Incarnation &Sender, std::string_view Body) {
+          return this->Members.received(Sender, Kind, Body);
+        });
+  this->Node.handle(
+      number(RequestMessageKind::SettlementNote),
+      [this](const Incarnation &Sender, std::string_view Body) -> Result<void> {
+        BOOST_OUTCOME_TRY(Note, decodeMessage<SettlementNote>(Body));
+        auto Answer = this->OnSettlementNote(Note);
+        if (Answer)
+          this->Node.send(Sender.Host,
+                          number(RequestMessageKind::Acknowledgement),
+                          encodeMessage(Answer.value()));
+        return success();
+      });
+  this->Node.handle(
+      number(RequestMessageKind::Acknowledgement),
+      [this](const Incarnation &, std::string_view Body) -> Result<void> {
+        BOOST_OUTCOME_TRY(Answer, decodeMessage<NoteAcknowledgement>(Body));
+        this->OnAcknowledgement(Answer);
+        return success();
+      });
+}
+
+void PeerDesk::registerNoteHandlers() {
+  this->Node.handle(
+      number(RequestMessageKind::Note),
+      [this](const Incarnation &, std::string_view Body) -> Result<void> {
+        BOOST_OUTCOME_TRY(Told, decodeMessage<RequestNote>(Body));
+        this->Notes.note(Told.Request, Told.Target, this->Tasks.Now());
+        return success();
+      });
+  this->Node.handle(
+      number(RequestMessageKind::Query),
+      [this](const Incarnation &Sender, std::string_view Body) -> Result<void> {
+        BOOST_OUTCOME_TRY(Query, decodeMessage<RequestQuery>(Body));
+        this->answerQuery(Sender.Host, Query);
+        return success();
+      });
+  this->Node.handle(
+      number(RequestMessageKind::Answer),
+      [this](const Incarnation &, std::string_view Body) -> Result<void> {
+        BOOST_OUTCOME_TRY(Answer, decodeMessage<RequestNoteAnswer>(Body));
+        auto Waiting = this->Answers.find(Answer.Number);
+        if (Waiting == this->Answers.end())
+          return success();
+        Waiting->second.push_back(Answer);
+        this->Answered.notify();
+        return success();
+      });
+}
+
+Result<void> PeerDesk::start() {
+  BOOST_OUTCOME_TRYV(this->Sockets.start());
+  this->Node.start();
+  this->Members.start();
+  this->Tasks.Spawn([this] { this->watchKeyFile(); });
+  return success();
+}
+
+void PeerDesk::stop() {
+  this->IsStopping = true;
+  this->Members.stop();
+  this->Node.stop();
+}
+
+void PeerDesk::watchKeyFile() {
+  while (!this->IsStopping) {
+    this->Tasks.sleepUntil(this->Tasks.Now() + this->Settings.KeyCheckInterval);
+    auto Keys = readKeyFile(this->Settings.KeyFile);
+    // A file that is being replaced may be unreadable; the keys in force stay.
+    if (Keys)
+      this->Node.setKeys(std::move(Keys.value()));
+  }
+}
+
+std::vector<NoteKeeper> PeerDesk::presentHosts() const {
+  std::vector<NoteKeeper> Hosts;
+  for (const HostRumor &Known : this->Members.table().present())
+    if (Known.State == HostState::Alive)
+      Hosts.push_back({Known.Host, Known.Domain});
+  Hosts.push_back({this->Settings.Self.Host, this->Settings.Domain});
+  return Hosts;
+}
+
+std::vector<HostId> PeerDesk::keepersOf(RequestId Request) const {
+  return chooseNoteKeepers(Request, this->presentHosts(),
+                           this->Settings.NoteKeepers);
+}
+
+void PeerDesk::note(RequestId Request, TargetId Target) {
+  this->Notes.note(Request, Target, this->Tasks.Now());
+  std::string Body = encodeMessage(RequestNote{Request, Target});
+  for (HostId Keeper : this->keepersOf(Request))
+    if (Keeper != this->Settings.Self.Host)
+      this->Node.send(Keeper, number(RequestMessageKind::Note), Body);
+}
+
+void PeerDesk::answerQuery(HostId Asking, const RequestQuery &Query) {
+  auto Known = this->Notes.find(Query.Request, this->Tasks.Now());
+  RequestNoteAnswer Answer{Query.Number, Known.has_value(),
+                           Known.value_or(TargetId{})};
+  this->Node.send(Asking, number(RequestMessageKind::Answer),
+                  encodeMessage(Answer));
+}
+
+std::optional<TargetId> PeerDesk::locate(RequestId Request) {
+  auto Known = this->Notes.find(Request, this->Tasks.Now());
+  if (Known)
+    return Known;
+  std::uint64_t Number = ++this->LastQuery;
+  std::string Body = encodeMessage(RequestQuery{Number, Request});
+  std::size_t Asked = 0;
+  for (HostId Keeper : this->keepersOf(Request)) {
+    if (Keeper == this->Settings.Self.Host)
+      continue;
+    this->Node.send(Keeper, number(RequestMessageKind::Query), Body);
+    ++Asked;
+  }
+  auto &Came = this->Answers[Number];
+  auto IsDecided = [&Came, Asked] {
+    return Came.size() >= Asked ||
+           std::ranges::any_of(Came, &RequestNoteAnswer::IsKnown);
+  };
+  this->Tasks.waitUntil(this->Answered,
+                        this->Tasks.Now() + this->Settings.LocateTimeout,
+                        IsDecided);
+  for (const RequestNoteAnswer &Answer : Came)
+    if (Answer.IsKnown)
+      Known = Answer.Target;
+  this->Answers.erase(Number);
+  return Known;
+}
+
+Incarnation PeerDesk::chooseWitness(Incarnation Present) const {
+  const HostTable &Table = this->Members.table();
+  auto Known = Table.find(Present.Host);
+  if (Known && Known->Run == Present.Run && Known->State == HostState::Alive)
+    return Present;
+  std::vector<HostRumor> Others;
+  for (const HostRumor &Other : Table.present())
+    if (Other.State == HostState::Alive && Other.Run != 0 &&
+        Other.Domain != this->Settings.Domain)
+      Others.push_back(Other);
+  if (Others.empty())
+    return this->Settings.Self;
+  // Hosts of one domain pick different witnesses, by their own identifier.
+  const HostRumor &Chosen =
+      Others[this->Settings.Self.Host.Value % Others.size()];
+  return {Chosen.Host, Chosen.Run};
+}
+
+void PeerDesk::sendSettlementNote(Incarnation Witness,
+                                  const SettlementNote &Note) {
+  this->Node.send(Witness.Host, number(RequestMessageKind::SettlementNote),
+                  encodeMessage(Note));
+}
+
+void PeerDesk::writeMetrics() {
+  const PeerTraffic &Traffic = this->Node.traffic();
+  this->Measured.set("peer_sent_bytes", static_cast<double>(Traffic.BytesSent));
+  this->Measured.set("peer_received_bytes",
+                     static_cast<double>(Traffic.BytesReceived));
+  this->Measured.set(
+      "peer_sent_messages",
+      static_cast<double>(Traffic.DatagramsSent + Traffic.StreamFramesSent));
+  this->Measured.set("fleet_hosts",
+                     static_cast<double>(this->Members.fleetSize()));
+}
+
+} // namespace bergamothook
--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -6,6 +6,7 @@
 #include "LibAdapter/HttpMembership.h"
 #include "LibAdapter/HttpService.h"
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 namespace bergamothook {
@@ -19,11 +20,28 @@
 constexpr Duration HandBackTimeout = std::chrono::seconds(10);
 const std::string OrderPrefix = "/v1/orders/";
 
+constexpr Duration JoinedListInterval = std::chrono::milliseconds(100);
+constexpr std::uint64_t BootBits = 0xffffffff00000000;
+
 std::uint64_t seedOf(Incarnation Self) { return Self.Host.Value ^ Self.Run; }
 
+/// Names this boot of this machine.
+std::string readBootId() {
+  std::ifstream In("/proc/sys/kernel/random/boot_id");
+  std::string Text;
+  std::getline(In, Text);
+  return Text;
+}
+
+TargetWatchSettings watchSettings() {
+  TargetWatchSettings Made;
+  Made.ListInterval = JoinedListInterval;
+  return Made;
+}
+
 } // namespace
 
-Router::Router(RouterSettings Given, RealRuntime &Threads)
+Router::Router(RouterSettings Given, KeyRing Keys, RealRuntime &Threads)
     : Settings(std::move(Given)), Threads(Threads), Tasks(Threads.hooks()),
       Self(this->makeSelf()), Seed(seedOf(this->Self)), Http(this->Tasks),
       Log(makeHttpLog(this->Http, this->Tasks, this->Settings.Log.Address,
@@ -33,11 +51,13 @@
       Prefixes(PrefixIndexBlocks), Outliers({}), Retries({}),
       Explanations(ExplanationsKept, CandidatesKept),
       Chooser(this->Targets, this->Prefixes, this->Outliers, {}, this->Seed),
-      Watch(this->Targets,
+      Peers(this->peerSettings(), std::move(Keys), this->Tasks,
             makeHttpMembership(this->Http, this->Settings.Membership.Address,
                                this->Settings.Membership.Port),
-            this->Engines, this->Tasks, {}),
-      Config(this->Log, this->Tasks, this->Seed),
+            this->Measured, this->Seed),
+      Watch(this->Targets, this->joinedList(), this->Engines, this->Tasks,
+            watchSettings()),
+      Config(this->Self, this->Log, this->Tasks, this->Peers, {}, this->Seed),
       Budgets(this->Self, this->budgetSettings(), this->budgetHooks(),
               this->Seed),
       OrderLink(OrderStream, this->Log, this->Tasks,
@@ -54,7 +74,8 @@
       Chats(this->chatSettings(),
             {this->Tasks, this->Engines, this->Measured, this->Budgets,
              this->Admissions, this->Targets, this->Chooser, this->Outliers,
-             this->Retries, this->Watch, this->Explanations, this->Suspects},
+             this->Retries, this->Watch, this->Explanations, this->Suspects,
+             this->Peers},
             this->Seed),
       OrderCalls({this->Tasks, this->Services, this->Measured, this->Orders,
                   this->Retries, this->Watch}),
@@ -66,10 +87,41 @@
       OperatorServer(this->limitsOf(this->Settings.Operators),
                      this->handlerFor(&Router::answerOperator)) {}
 
+/// The upper half names this boot of this machine and the port that only one
+/// process of it can hold, so that a later run can tell that an earlier one
+/// has ended. The lower half tells runs of one boot apart.
 Incarnation Router::makeSelf() const {
-  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  auto Run = std::chrono::duration_cast<std::chrono::nanoseconds>(SinceEpoch);
-  return {this->Settings.host(), static_cast<std::uint64_t>(Run.count())};
+  const Endpoint &At = this->Settings.Peers.At;
+  std::uint64_t Boot =
+      hash64(readBootId() + "/" + At.Address + "/" + std::to_string(At.Port));
+  auto Started =
+      static_cast<std::uint64_t>(readWallClock().time_since_epoch().count());
+  return {this->Settings.host(), (Boot & BootBits) | (Started & ~BootBits)};
+}
+
+PeerDeskSettings Router::peerSettings() const {
+  PeerDeskSettings Made;
+  Made.Self = this->Self;
+  Made.Domain = this->Settings.domain();
+  Made.Listen = {this->Settings.Peers.At.Address, this->Settings.Peers.At.Port};
+  for (const auto &[Name, At] : this->Settings.Peers.Seeds)
+    Made.Seeds.push_back({idOfName<HostId>(Name), {At.Address, At.Port}});
+  Made.KeyFile = this->Settings.Peers.KeyFile;
+  return Made;
+}
+
+/// The platform's list as the hosts joined it with what they know themselves.
+MembershipHooks Router::joinedList() {
+  MembershipHooks Made;
+  Made.Read = [this](TimePoint) -> Result<MemberList> {
+    MemberList Joined;
+    Joined.Version = ++this->ListReads;
+    Joined.Members = this->Peers.members().members();
+    if (!this->Peers.members().hasList())
+      return std::make_error_code(std::errc::resource_unavailable_try_again);
+    return Joined;
+  };
+  return Made;
 }
 
 BudgetDeskSettings Router::budgetSettings() const {
@@ -83,8 +135,12 @@
   BudgetDeskHooks Made;
   Made.Log = this->Log;
   Made.Tasks = this->Tasks;
-  Made.SendNote = [](Incarnation, const SettlementNote &) {};
-  Made.ChooseWitness = [this](Incarnation) { return this->Self; };
+  Made.SendNote = [this](Incarnation Witness, const SettlementNote &Note) {
+    this->Peers.sendSettlementNote(Witness, Note);
+  };
+  Made.ChooseWitness = [this](Incarnation Present) {
+    return this->Peers.chooseWitness(Present);
+  };
   return Made;
 }
 
@@ -133,6 +189,8 @@
 }
 
 Result<void> Router::start() {
+  // The port comes first: it proves that earlier runs of this host have ended.
+  BOOST_OUTCOME_TRYV(this->Peers.start());
   this->startTasks();
   BOOST_OUTCOME_TRYV(this->OperatorServer.start());
   BOOST_OUTCOME_TRYV(this->CallerServer.start());
@@ -147,7 +205,17 @@
   this->Config.OnChange = [this](const ConfigSnapshot &Present) {
     this->warmBudgets(Present);
   };
-  this->Tasks.Spawn([this] { this->Config.run(); });
+  this->Peers.OnSettlementNote = [this](const SettlementNote &Note) {
+    return this->Budgets.onNote(Note);
+  };
+  this->Peers.OnAcknowledgement = [this](const NoteAcknowledgement &Answer) {
+    this->Budgets.onAcknowledged(Answer);
+  };
+  this->Watch.OnLeaving = [this](TargetId Target) {
+    this->Peers.members().noteLeaving(Target);
+  };
+  this->Config.start();
+  this->Tasks.Spawn([this] { this->endPredecessors(); });
   this->Tasks.Spawn([this] { this->Watch.run(); });
   this->OrderLink.start();
   this->Suspects.start();
@@ -155,6 +223,22 @@
   this->Budgets.start();
 }
 
+void Router::endPredecessors() {
+  while (!this->Budgets.hasCaughtUp() ||
+         !this->OrderLink.Follower.hasCaughtUp())
+    this->Tasks.sleepUntil(this->Tasks.Now() + DrainCheckInterval);
+  for (Incarnation Gone : this->Budgets.openPredecessors()) {
+    bool IsSameBoot = (Gone.Run & BootBits) == (this->Self.Run & BootBits);
+    logEvent(LogLevel::Warning, "earlier_run_holds_slices",
+             {{"run", Gone.Run}, {"is_proved_ended", IsSameBoot}});
+    if (!IsSameBoot)
+      continue;
+    this->Budgets.declareSucceeded(Gone);
+    if (!this->Orders.declareEnded(Gone))
+      logEvent(LogLevel::Warning, "end_of_predecessor_not_recorded", {});
+  }
+}
+
 void Router::warmBudgets(const ConfigSnapshot &Present) {
   Present.tables().Teams.forEach(
       [this](TeamId, const std::shared_ptr<const EffectiveTeam> &Team) {
@@ -164,6 +248,7 @@
 
 void Router::stop() {
   this->IsStopping = true;
+  this->Peers.leave();
   logEvent(LogLevel::Info, "stopping", {{"active", this->active()}});
   TimePoint Start = this->Tasks.Now();
   this->Tasks.sleepUntil(Start + this->Settings.Limits.NotReadyBeforeDrain);
@@ -236,6 +321,7 @@
       static_cast<double>(this->Outliers.ejected(this->Tasks.Now())));
   this->Measured.set("configuration_revision",
                      static_cast<double>(this->Config.fold().revision().Value));
+  this->Peers.writeMetrics();
   Reply.sendWhole(200, "text/plain; version=0.0.4",
                   this->Measured.toPrometheusText());
 }
--- a/Services/Router/Router.h
+++ b/Services/Router/Router.h
@@ -20,7 +20,7 @@
 /// one task answers each.
 class Router {
 public:
-  Router(RouterSettings Settings, RealRuntime &Threads);
+  Router(RouterSettings Settings, KeyRing Keys, RealRuntime &Threads);
 
   /// Starts the tasks and the servers.
   Result<void> start();
@@ -34,6 +34,8 @@
 
 private:
   Incarnation makeSelf() const;
+  PeerDeskSettings peerSettings() const;
+  MembershipHooks joinedList();
   BudgetDeskSettings budgetSettings() const;
   BudgetDeskHooks budgetHooks();
   OrderDeskHooks orderHooks();
@@ -48,6 +50,7 @@
   void sendReadiness(HttpReply &Reply) const;
   void sendMetrics(HttpReply &Reply);
   void startTasks();
+  void endPredecessors();
   void warmBudgets(const ConfigSnapshot &Config);
   HostStatus status() const;
   std::string notReadyReason() const;
@@ -70,6 +73,7 @@
   RetryBudget Retries;
   ExplanationRing Explanations;
   TargetChooser Chooser;
+  PeerDesk Peers;
   TargetWatch Watch;
   ConfigWatch Config;
   BudgetDesk Budgets;
@@ -82,6 +86,7 @@
   OperatorApi OperatorCalls;
   HttpServer CallerServer;
   HttpServer OperatorServer;
+  std::uint64_t ListReads = 0;
   bool IsStopping = false;
   bool IsHurried = false;
 };
--- a/Services/Router/RouterSchema.h
+++ b/Services/Router/RouterSchema.h
@@ -20,6 +20,13 @@
       "properties": {
         "address": {"$ref": "#/definitions/address"},
         "port": {"$ref": "#/definitions/port"}}},
+    "seed": {
+      "type": "object", "additionalProperties": false,
+      "required": ["name", "address", "port"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "address": {"$ref": "#/definitions/address"},
+        "port": {"$ref": "#/definitions/port"}}},
     "listen": {
       "type": "object", "additionalProperties": false,
       "required": ["address", "port"],
@@ -46,14 +53,13 @@
     "operators": {"$ref": "#/definitions/listen"},
     "peers": {
       "type": "object", "additionalProperties": false,
-      "required": ["address", "port", "seeds", "key_files"],
+      "required": ["address", "port", "seeds", "key_file"],
       "properties": {
         "address": {"$ref": "#/definitions/address"},
         "port": {"$ref": "#/definitions/port"},
         "seeds": {"type": "array", "maxItems": 100,
-          "items": {"$ref": "#/definitions/endpoint"}},
-        "key_files": {"type": "array", "minItems": 1, "maxItems": 2,
-          "items": {"type": "string", "minLength": 1}}}},
+          "items": {"$ref": "#/definitions/seed"}},
+        "key_file": {"type": "string", "minLength": 1}}},
     "platform": {
       "type": "object", "additionalProperties": false,
       "required": ["log", "membership"],
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -34,8 +34,9 @@
   PeerSettings Read;
   Read.At = readEndpoint(Value);
   for (const json &Seed : Value["seeds"])
-    Read.Seeds.push_back(readEndpoint(Seed));
-  Read.KeyFiles = Value["key_files"].get<std::vector<std::string>>();
+    Read.Seeds.emplace_back(Seed["name"].get<std::string>(),
+                            readEndpoint(Seed));
+  Read.KeyFile = Value["key_file"].get<std::string>();
   return Read;
 }
 
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -31,9 +31,9 @@
 
 struct PeerSettings {
   Endpoint At;
-  std::vector<Endpoint> Seeds;
-  /// The first key signs; all of them are accepted.
-  std::vector<std::string> KeyFiles;
+  /// Hosts to join by while the platform's list can't be read, by name.
+  std::vector<std::pair<std::string, Endpoint>> Seeds;
+  std::string KeyFile;
 };
 
 struct LedgerSettings {
--- a/Services/Router/TargetWatch.cpp
+++ b/Services/Router/TargetWatch.cpp
@@ -81,7 +81,7 @@
     return;
   logEvent(LogLevel::Info, "target_leaving", {{"target", Known->Name}});
   if (this->OnLeaving)
-    this->OnLeaving(Known->Name);
+    this->OnLeaving(Target);
 }
 
 void TargetWatch::watchEngine(TargetId Target) {
--- a/Services/Router/TargetWatch.h
+++ b/Services/Router/TargetWatch.h
@@ -57,8 +57,8 @@
   /// The models that some target has loaded.
   std::set<std::string> models() const;
 
-  /// Called with the name of each target that turns out to be leaving.
-  std::function<void(const std::string &)> OnLeaving;
+  /// Called with each target that turns out to be leaving.
+  std::function<void(TargetId)> OnLeaving;
 
 private:
   void take(const MemberList &List);
