--- a/Libraries/LibLedger/BudgetFold.cpp
+++ b/Libraries/LibLedger/BudgetFold.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// The most tokens that a budget ever takes, so that no sum overflows.
-constexpr TokenCount MostTokens = TokenCount{1} << 60;
-
 /// The team whose budget a body touches; none for those that touch all.
 struct TeamOf {
   TeamId operator()(const IncarnationEnded &) const { return {}; }
@@ -104,7 +101,7 @@
                                     const Origin &From) {
   Budget *Owner = this->findBudget(Body.Team);
   if (!Owner || Owner->IsClosed || Body.Tokens < 0 || Body.Minimum < 0 ||
-      Body.UnwitnessedCap < 0)
+      Body.UnwitnessedCap < 0 || Body.UnwitnessedCap > MostTokens)
     return LedgerOutcome::Void;
   Index At = this->findSlice(*Owner, From.Writer);
   std::uint32_t Known = At == None ? 0 : this->Slices[At].Sequence;
--- a/Libraries/LibLedger/BudgetFold.h
+++ b/Libraries/LibLedger/BudgetFold.h
@@ -123,6 +123,9 @@
   LedgerEpoch epoch() const { return this->Epoch; }
   LedgerEpoch memoryEpochs() const { return this->MemoryEpochs; }
   RecordPosition position() const { return this->Position; }
+  /// Where a reader goes on after a restore. The records of that offset that
+  /// the state includes already are ignored.
+  Offset readFrom() const { return this->Position.At; }
   const BudgetFoldCounters &counters() const { return this->Counters; }
   std::vector<TeamId> teams() const;
   /// The teams of which \p Holder has a slice.
--- a/Libraries/LibLedger/BudgetSnapshot.cpp
+++ b/Libraries/LibLedger/BudgetSnapshot.cpp
@@ -25,6 +25,13 @@
   return Count;
 }
 
+/// Refuses terms that no budget can have, so that no sum overflows.
+void checkRange(std::initializer_list<TokenCount> Terms) {
+  for (TokenCount Term : Terms)
+    if (Term < 0 || Term > MostTokens)
+      throw cereal::Exception("term out of range");
+}
+
 template <typename Archive>
 void writeIds(Archive &Ar, const std::vector<Hash128> &Ids) {
   Ar(static_cast<std::uint32_t>(Ids.size()));
@@ -115,6 +122,7 @@
   Budget Owner;
   Ar(Owner.Team, Owner.ToppedUp, Owner.Settled, Owner.Unallocated,
      Owner.IsClosed);
+  checkRange({Owner.ToppedUp, Owner.Settled, Owner.Unallocated});
   std::uint32_t SliceCount = readCount(Ar, Size);
   Index Last = None;
   for (std::uint32_t Count = 0; Count < SliceCount; ++Count) {
@@ -124,6 +132,8 @@
     if (Present.Holder >= this->Holders.size() ||
         Present.Witness >= this->Holders.size())
       throw cereal::Exception("slice of an unknown holder");
+    checkRange({Present.Outstanding, Present.UnwitnessedCap, Present.Demand});
+    checkRange({Owner.Outstanding + Present.Outstanding});
     auto At = static_cast<Index>(this->Slices.size());
     Owner.Outstanding += Present.Outstanding;
     Owner.Demands += Present.Demand != 0;
--- a/Libraries/LibLedger/LedgerRecord.h
+++ b/Libraries/LibLedger/LedgerRecord.h
@@ -19,6 +19,9 @@
 /// A number of tokens. Signed, so that a term below zero can be seen.
 using TokenCount = std::int64_t;
 
+/// The most tokens that a budget ever takes, so that no sum overflows.
+constexpr TokenCount MostTokens = TokenCount{1} << 60;
+
 /// The number of marks that the stream has passed. It ages what the fold
 /// remembers, by the log's progress instead of by any clock.
 using LedgerEpoch = std::uint32_t;
--- a/Libraries/LibLedger/SliceHolderApply.cpp
+++ b/Libraries/LibLedger/SliceHolderApply.cpp
@@ -12,6 +12,8 @@
 
 void SliceHolder::onApplied(const LedgerBody &Body, Incarnation Writer,
                             const LedgerVerdict &Verdict, TimePoint Now) {
+  if (Verdict.Outcome == LedgerOutcome::Duplicate)
+    return;
   for (const auto &Grant : Verdict.Grants) {
     if (Grant.Holder != this->Self)
       continue;
@@ -40,9 +42,8 @@
     this->plan(Body.Team, Present, Now);
     return;
   }
-  bool IsAwaited = Present.OnWay == Operation::Grant &&
-                   Body.Sequence == Present.Sequence &&
-                   Verdict.Outcome != LedgerOutcome::Duplicate;
+  bool IsAwaited =
+      Present.OnWay == Operation::Grant && Body.Sequence == Present.Sequence;
   if (IsAwaited)
     this->finishGrant(Body.Team, Present, Verdict.Outcome, Body.Sequence);
 }
--- a/Libraries/LibStream/StreamAppender.cpp
+++ b/Libraries/LibStream/StreamAppender.cpp
@@ -20,7 +20,7 @@
   RecordId Id = Record.Id;
   if (!this->Records.emplace(Id, Pending{std::move(Record)}).second)
     return success();
-  this->Order.push_back(Id);
+  this->Unsent.push_back(Id);
   this->Submitted.notify();
   return success();
 }
@@ -64,41 +64,59 @@
   return this->Records.empty() || this->Tasks.Now() >= this->StopDeadline;
 }
 
-bool StreamAppender::hasDueRecord(TimePoint Now) const {
+bool StreamAppender::hasDueRecord(TimePoint Now) {
   return this->nextDue() <= Now;
 }
 
-TimePoint StreamAppender::nextDue() const {
-  TimePoint Earliest = TimePoint::max();
-  for (const auto &Id : this->Order) {
-    auto Known = this->Records.find(Id);
-    if (Known == this->Records.end())
-      continue;
-    Earliest = std::min(Earliest, Known->second.Due);
-    if (Earliest == TimePoint{})
-      break;
+void StreamAppender::dropConfirmed() {
+  while (!this->Unsent.empty() && !this->Records.contains(this->Unsent.front()))
+    this->Unsent.pop_front();
+  while (!this->InFlight.empty() &&
+         !this->Records.contains(this->InFlight.front().Id))
+    this->InFlight.pop_front();
+}
+
+TimePoint StreamAppender::nextDue() {
+  this->dropConfirmed();
+  if (!this->Unsent.empty())
+    return TimePoint{};
+  return this->InFlight.empty() ? TimePoint::max() : this->InFlight.front().Due;
+}
+
+void StreamAppender::takeOverdue(TimePoint Now) {
+  std::vector<RecordId> Overdue;
+  this->dropConfirmed();
+  while (!this->InFlight.empty() && this->InFlight.front().Due <= Now) {
+    Overdue.push_back(this->InFlight.front().Id);
+    this->InFlight.pop_front();
   }
-  return Earliest;
+  this->Unsent.insert(this->Unsent.begin(), Overdue.begin(), Overdue.end());
 }
 
 std::vector<StreamRecord> StreamAppender::takeBatch(TimePoint Now) {
   std::vector<StreamRecord> Batch;
   std::size_t Bytes = 0;
-  std::erase_if(this->Order,
-                [&](RecordId Id) { return !this->Records.contains(Id); });
-  for (const auto &Id : this->Order) {
-    Pending &Waiting = this->Records[Id];
-    if (Waiting.Due > Now)
-      continue;
-    Bytes += Waiting.Record.Body.size() + EnvelopeBytes;
-    if (!Batch.empty() && Bytes > this->Limits.MaxBatchBytes)
-      break;
-    Batch.push_back(Waiting.Record);
-    Waiting.Due = Now + this->Limits.ReadBackTimeout;
+  this->takeOverdue(Now);
+  while (!this->Unsent.empty()) {
+    auto Known = this->Records.find(this->Unsent.front());
+    if (Known != this->Records.end()) {
+      Bytes += Known->second.Record.Body.size() + EnvelopeBytes;
+      if (!Batch.empty() && Bytes > this->Limits.MaxBatchBytes)
+        break;
+      Batch.push_back(Known->second.Record);
+    }
+    this->Unsent.pop_front();
   }
   return Batch;
 }
 
+void StreamAppender::putBack(const std::vector<StreamRecord> &Batch) {
+  std::vector<RecordId> Ids;
+  for (const auto &Record : Batch)
+    Ids.push_back(Record.Id);
+  this->Unsent.insert(this->Unsent.begin(), Ids.begin(), Ids.end());
+}
+
 Duration StreamAppender::backOff() {
   constexpr std::uint32_t MostDoublings = 16;
   std::uint32_t Doublings =
@@ -116,19 +134,19 @@
   auto At = this->Log.Append(this->Stream, encodeBatch(Batch),
                              Now + this->Limits.AppendTimeout);
   ++this->Health.Appends;
+  // Without an effect the records are due again at once. With an answer lost
+  // they wait for the read-back first, and a second copy does no harm.
+  if (!At && provesNoEffect(At.error()))
+    this->putBack(Batch);
+  else
+    for (const auto &Record : Batch)
+      this->InFlight.push_back({Record.Id, Now + this->Limits.ReadBackTimeout});
   if (At) {
     this->Health.FailuresInARow = 0;
     return;
   }
   ++this->Health.Failures;
   ++this->Health.FailuresInARow;
-  // Without an effect the records are due again at once. With an answer lost
-  // they wait for the read-back first, and a second copy does no harm.
-  if (provesNoEffect(At.error()))
-    for (const auto &Record : Batch)
-      if (auto Known = this->Records.find(Record.Id);
-          Known != this->Records.end())
-        Known->second.Due = TimePoint{};
   TimePoint Until = this->Tasks.Now() + this->backOff();
   if (this->IsStopping)
     Until = std::min(Until, this->StopDeadline);
--- a/Libraries/LibStream/StreamAppender.h
+++ b/Libraries/LibStream/StreamAppender.h
@@ -67,14 +67,22 @@
 private:
   struct Pending {
     StreamRecord Record;
-    /// When to send the record again; records never sent are due at once.
-    TimePoint Due{};
     bool IsWatched = false;
   };
 
+  /// A record that was sent and not read back yet.
+  struct Sent {
+    RecordId Id;
+    /// When to send it again.
+    TimePoint Due;
+  };
+
   bool isFinished() const;
-  bool hasDueRecord(TimePoint Now) const;
-  TimePoint nextDue() const;
+  bool hasDueRecord(TimePoint Now);
+  TimePoint nextDue();
+  void dropConfirmed();
+  void takeOverdue(TimePoint Now);
+  void putBack(const std::vector<StreamRecord> &Batch);
   std::vector<StreamRecord> takeBatch(TimePoint Now);
   void sendBatch();
   Duration backOff();
@@ -84,8 +92,10 @@
   Runtime Tasks;
   StreamAppenderLimits Limits;
   Random Dice;
-  /// Records in the order of their submission. Confirmed ones leave lazily.
-  std::deque<RecordId> Order;
+  /// Records that are to be sent at once, in order, and those that wait for
+  /// their read-back, by the time they are due. Confirmed ones leave lazily.
+  std::deque<RecordId> Unsent;
+  std::deque<Sent> InFlight;
   std::unordered_map<RecordId, Pending> Records;
   std::unordered_map<RecordId, RecordPosition> Confirmed;
   Event Submitted;
