--- a/Libraries/LibStandin/BatchEngine.cpp
+++ b/Libraries/LibStandin/BatchEngine.cpp
@@ -51,7 +51,7 @@
 }
 
 Result<void> BatchEngine::checkOrder(const GenerationOrder &Order) const {
-  if (Order.ResumeAfterTokens > 0)
+  if (Order.ResumeAfterTokens > 0 || Order.MustResume)
     return TargetError::UnknownStream;
   if (Order.MaxTokens == 0)
     return TargetError::BadRequest;
@@ -266,9 +266,9 @@
 }
 
 EngineLoad BatchEngine::load(TimePoint Now) const {
-  EngineLoad Seen;
-  Seen.Engine = this->Limits.Name;
-  Seen.BatchLimit = this->Limits.BatchLimit;
+  // Before the first request the engine idles, as it does now.
+  EngineLoad Seen = this->Loads.empty() ? this->presentLoad()
+                                        : this->Loads.front().second;
   TimePoint Visible = Now - this->Limits.LoadLag;
   for (const auto &[At, Load] : this->Loads)
     if (At <= Visible)
