--- a/Libraries/LibAdapter/EngineWire.cpp
+++ b/Libraries/LibAdapter/EngineWire.cpp
@@ -1,5 +1,7 @@
 #include "LibAdapter/EngineWire.h"
 
+#include "LibAdapter/GuardedParse.h"
+
 #include <array>
 #include <charconv>
 
@@ -72,16 +74,6 @@
   return *Request;
 }
 
-/// Runs \p Parse, which may throw nlohmann's exceptions.
-template <typename T, typename Function>
-Result<T> guarded(const Function &Parse) {
-  try {
-    return Parse();
-  } catch (const nlohmann::json::exception &) {
-    return TargetError::BadAnswer;
-  }
-}
-
 } // namespace
 
 std::optional<RequestId> requestIdOfHex(std::string_view Hex) {
@@ -101,7 +93,8 @@
           {"prompt", Order.Prompt},
           {"max_tokens", Order.MaxTokens},
           {"priority", Order.Priority},
-          {"resume_after_tokens", Order.ResumeAfterTokens}};
+          {"resume_after_tokens", Order.ResumeAfterTokens},
+          {"must_resume", Order.MustResume}};
 }
 
 nlohmann::json toJson(const StreamChunk &Chunk) {
@@ -134,22 +127,24 @@
 }
 
 Result<GenerationOrder> generationOrderOfJson(const nlohmann::json &Json) {
-  return guarded<GenerationOrder>([&]() -> Result<GenerationOrder> {
-    GenerationOrder Order;
-    BOOST_OUTCOME_TRY(Request, requestOfJson(Json));
-    Order.Request = Request;
-    Order.Attempt = AttemptNumber{tokensAt(Json, "attempt")};
-    Order.Model = Json.at("model").get<std::string>();
-    Order.Prompt = Json.at("prompt").get<std::string>();
-    Order.MaxTokens = tokensAt(Json, "max_tokens");
-    Order.Priority = Json.value("priority", 0);
-    Order.ResumeAfterTokens = tokensAt(Json, "resume_after_tokens");
-    return Order;
-  });
+  return detail::guardedParse<GenerationOrder>(
+      [&]() -> Result<GenerationOrder> {
+        GenerationOrder Order;
+        BOOST_OUTCOME_TRY(Request, requestOfJson(Json));
+        Order.Request = Request;
+        Order.Attempt = AttemptNumber{tokensAt(Json, "attempt")};
+        Order.Model = Json.at("model").get<std::string>();
+        Order.Prompt = Json.at("prompt").get<std::string>();
+        Order.MaxTokens = tokensAt(Json, "max_tokens");
+        Order.Priority = Json.value("priority", 0);
+        Order.ResumeAfterTokens = tokensAt(Json, "resume_after_tokens");
+        Order.MustResume = Json.value("must_resume", false);
+        return Order;
+      });
 }
 
 Result<StreamChunk> streamChunkOfJson(const nlohmann::json &Json) {
-  return guarded<StreamChunk>([&]() -> Result<StreamChunk> {
+  return detail::guardedParse<StreamChunk>([&]() -> Result<StreamChunk> {
     StreamChunk Chunk;
     BOOST_OUTCOME_TRY(Request, requestOfJson(Json));
     Chunk.Request = Request;
@@ -169,7 +164,7 @@
 }
 
 Result<StreamStatus> streamStatusOfJson(const nlohmann::json &Json) {
-  return guarded<StreamStatus>([&]() -> Result<StreamStatus> {
+  return detail::guardedParse<StreamStatus>([&]() -> Result<StreamStatus> {
     StreamStatus Status;
     Status.IsRunning = Json.at("is_running").get<bool>();
     Status.Counted = usageOfJson(Json.at("usage"));
@@ -178,7 +173,7 @@
 }
 
 Result<EngineLoad> engineLoadOfJson(const nlohmann::json &Json) {
-  return guarded<EngineLoad>([&]() -> Result<EngineLoad> {
+  return detail::guardedParse<EngineLoad>([&]() -> Result<EngineLoad> {
     EngineLoad Load;
     Load.Engine = Json.at("engine").get<std::string>();
     Load.Running = tokensAt(Json, "running");
--- a/Libraries/LibAdapter/HttpEngine.cpp
+++ b/Libraries/LibAdapter/HttpEngine.cpp
@@ -1,5 +1,6 @@
 #include "LibAdapter/HttpEngine.h"
 
+#include "LibAdapter/EngineControlWire.h"
 #include "LibAdapter/EngineWire.h"
 #include "LibAdapter/ErrorMapping.h"
 
@@ -127,4 +128,37 @@
   return Hooks;
 }
 
+EngineControlHooks makeHttpEngineControl(HttpClient &Client) {
+  EngineControlHooks Hooks;
+  Hooks.Send = [&Client](const TargetAddress &Target, const EngineOrder &Order,
+                         TimePoint Deadline) -> Result<void> {
+    HttpCall Call = callTo(Target, "POST", EngineOrdersPath);
+    Call.Body = toJson(Order).dump();
+    BOOST_OUTCOME_TRY(callForJson(Client, std::move(Call), Deadline));
+    return success();
+  };
+  return Hooks;
+}
+
+CacheHooks makeHttpCaches(HttpClient &Client) {
+  CacheHooks Hooks;
+  Hooks.ReadEvents =
+      [&Client](const TargetAddress &Target, std::uint64_t After,
+                TimePoint Deadline) -> Result<std::vector<CacheEvent>> {
+    std::string Path =
+        std::string(EngineCacheEventsPath) + "?after=" + std::to_string(After);
+    BOOST_OUTCOME_TRY(
+        Json, callForJson(Client, callTo(Target, "GET", Path), Deadline));
+    return cacheEventsOfJson(Json);
+  };
+  Hooks.ReadSnapshot = [&Client](const TargetAddress &Target,
+                                 TimePoint Deadline) -> Result<CacheSnapshot> {
+    BOOST_OUTCOME_TRY(
+        Json,
+        callForJson(Client, callTo(Target, "GET", EngineCachePath), Deadline));
+    return cacheSnapshotOfJson(Json);
+  };
+  return Hooks;
+}
+
 } // namespace bergamothook
--- a/Libraries/LibStandin/Depends.cmake
+++ b/Libraries/LibStandin/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibBase LibPlatform LibRouting LibTarget LibTask)
+set(DEPENDS LibBase LibPlatform LibTarget LibTask)
--- a/Libraries/LibStandinServer/EngineStandin.cpp
+++ b/Libraries/LibStandinServer/EngineStandin.cpp
@@ -1,6 +1,8 @@
 #include "LibStandinServer/EngineStandin.h"
 
+#include "LibAdapter/EngineControlWire.h"
 #include "LibAdapter/EngineWire.h"
+#include "LibStandinServer/KvWire.h"
 
 #include <algorithm>
 
@@ -10,7 +12,6 @@
 
 constexpr Duration IdleInterval = std::chrono::milliseconds(200);
 constexpr Duration SilencePollInterval = std::chrono::milliseconds(100);
-constexpr std::uint64_t MaxEventsPerRead = 1000;
 
 const char *nameOf(RunOutcome Outcome) {
   switch (Outcome) {
@@ -24,33 +25,32 @@
     return "cancelled";
   case RunOutcome::Crashed:
     return "crashed";
+  case RunOutcome::Moved:
+    return "moved";
   }
   return "unknown";
 }
 
 } // namespace
 
-EngineStandin::EngineStandin(BatchEngineLimits Limits, std::uint64_t Seed,
+EngineStandin::EngineStandin(EngineModelSettings Settings, std::uint64_t Seed,
                              Runtime Tasks, std::function<void()> OnCrash)
-    : Engine(std::move(Limits), Seed), Tasks(std::move(Tasks)),
+    : Engine(std::move(Settings), Seed), Tasks(std::move(Tasks)),
       OnCrash(std::move(OnCrash)) {
   this->addFaults();
 }
 
 void EngineStandin::addFaults() {
-  this->Faults.addText("crash_marker", this->Engine.Faults.CrashMarker);
-  this->Faults.addNumber("slow_factor", this->Engine.Faults.SlowFactor);
-  this->Faults.addFlag("is_leaving", this->Engine.Faults.IsLeaving);
-  this->Faults.addTime("cache_event_lag_ms", this->Engine.Cache.Faults.Lag);
-  this->Faults.addNumber("cache_event_lost_share",
-                         this->Engine.Cache.Faults.LostShare);
+  this->Faults.addText("crash_marker", this->Engine.CrashMarker);
+  this->Faults.addNumber("slow_factor", this->SlowFactor);
+  this->Faults.addFlag("is_leaving", this->IsLeaving);
   this->Faults.addAction("silence_open_streams",
                          [this] { ++this->SilenceEpoch; });
   this->Faults.addCount("silent_next", this->SilentNext);
   this->Faults.addCount("cut_next", this->CutNext);
   this->Faults.addCount("fate_after_tokens", this->FateAfterTokens);
   this->Faults.addAction("crash", [this] {
-    this->Engine.crash();
+    this->Engine.crash(this->Tasks.Now());
     this->WakeUp.notify();
   });
 }
@@ -58,18 +58,30 @@
 void EngineStandin::run() {
   while (!this->IsStopping) {
     std::uint64_t Seen = this->WakeUp.generation();
+    this->applyFaults();
     this->Engine.advance(this->Tasks.Now());
     this->Progress.notify();
-    if (this->Engine.takeCrash()) {
-      this->Tasks.Spawn(this->OnCrash);
-      continue;
+    if (this->Engine.Model.isDown() && !this->IsRestarting) {
+      this->IsRestarting = true;
+      this->Tasks.Spawn([this] { this->restart(); });
     }
     TimePoint Idle = this->Tasks.Now() + IdleInterval;
-    TimePoint Next = this->Engine.nextStepEnd().value_or(Idle);
+    TimePoint Next = this->Engine.Model.nextEvent().value_or(Idle);
     this->Tasks.WaitOn(this->WakeUp, Seen, std::min(Idle, Next));
   }
 }
 
+void EngineStandin::restart() {
+  this->OnCrash();
+  this->Engine.Model.restart();
+  this->IsRestarting = false;
+}
+
+void EngineStandin::applyFaults() {
+  this->Engine.Model.setSlowdown(this->SlowFactor);
+  this->Engine.Model.setLeaving(this->IsLeaving);
+}
+
 void EngineStandin::stop() {
   this->IsStopping = true;
   this->WakeUp.notify();
@@ -78,6 +90,7 @@
 void EngineStandin::serve(const HttpRequest &Request, HttpReply Reply) {
   if (answerCommon(Request, Reply, this->Faults))
     return;
+  this->applyFaults();
   if (Request.Path == "/ledger")
     answerJson(Reply, 200, this->ledgerJson());
   else
@@ -92,11 +105,19 @@
   else if (Path.rfind(StreamPrefix, 0) == 0)
     this->serveStream(Request, Path.substr(StreamPrefix.size()), Reply);
   else if (Path == EngineLoadPath)
-    answerJson(Reply, 200, toJson(this->Engine.load(this->Tasks.Now())));
-  else if (Path.rfind("/engine/cache", 0) == 0)
-    this->serveCache(Request, Reply);
-  else if (Path == "/engine/models" && Request.Method == "POST")
-    this->orderModel(Request, Reply);
+    this->serveLoad(Reply);
+  else if (Path == EngineCacheEventsPath)
+    answerJson(Reply, 200,
+               toJson(this->Engine.Model.cache().events(
+                   numberParameter(Request, "after", 0), this->Tasks.Now())));
+  else if (Path == EngineCachePath)
+    answerJson(Reply, 200, toJson(this->Engine.Model.cache().snapshot()));
+  else if (Path == EngineOrdersPath && Request.Method == "POST")
+    this->serveOrder(Request, Reply);
+  else if (Path == KvExportPath && Request.Method == "POST")
+    this->exportKv(Request, Reply);
+  else if (Path == KvImportPath && Request.Method == "POST")
+    this->importKv(Request, Reply);
   else
     answerJson(Reply, 404, {{"error", "no such path"}});
 }
@@ -181,7 +202,7 @@
   }
   auto Status = Request.Method == "DELETE"
                     ? this->Engine.cancel(*Id, this->Tasks.Now())
-                    : this->Engine.probe(*Id);
+                    : this->Engine.Model.probe(*Id);
   this->Progress.notify();
   if (!Status)
     answerNotRun(Reply, Status.error());
@@ -189,73 +210,62 @@
     answerJson(Reply, 200, toJson(Status.value()));
 }
 
-void EngineStandin::serveCache(const HttpRequest &Request, HttpReply &Reply) {
-  if (Request.Path == "/engine/cache/events") {
-    answerJson(Reply, 200, this->eventsJson(Request));
-    return;
-  }
-  if (Request.Path == "/engine/cache") {
-    answerJson(Reply, 200,
-               {{"last_sequence", this->Engine.Cache.lastSequence()},
-                {"blocks", this->Engine.Cache.blocks()}});
-    return;
-  }
+void EngineStandin::serveLoad(HttpReply &Reply) {
+  auto Load = this->Engine.Model.load(this->Tasks.Now());
+  if (!Load)
+    answerNotRun(Reply, Load.error());
+  else
+    answerJson(Reply, 200, toJson(Load.value()));
+}
+
+void EngineStandin::serveOrder(const HttpRequest &Request, HttpReply &Reply) {
   auto Body = parseBody(Request, Reply);
   if (!Body)
     return;
-  if (Request.Path == "/engine/cache/import") {
-    this->importBlocks(*Body, Reply);
-    return;
-  }
-  bool IsExport = Request.Path == "/engine/cache/export" && Body->is_object() &&
-                  Body->contains("model") && (*Body)["model"].is_string() &&
-                  Body->contains("prompt") && (*Body)["prompt"].is_string();
-  if (!IsExport) {
-    answerNotRun(Reply, TargetError::BadRequest);
+  auto Order = engineOrderOfJson(*Body);
+  if (!Order) {
+    answerNotRun(Reply, Order.error());
     return;
   }
-  auto Blocks = this->Engine.exportCache((*Body)["model"].get<std::string>(),
-                                         (*Body)["prompt"].get<std::string>());
-  answerJson(Reply, 200, {{"blocks", Blocks}});
+  auto Done = this->Engine.Model.control(Order.value(), this->Tasks.Now());
+  this->WakeUp.notify();
+  if (!Done)
+    answerNotRun(Reply, Done.error());
+  else
+    answerJson(Reply, 200, {{"done", true}});
 }
 
-void EngineStandin::importBlocks(const nlohmann::json &Body, HttpReply &Reply) {
-  try {
-    auto Blocks = Body.at("blocks").get<std::vector<PrefixHash>>();
-    this->Engine.importCache(Blocks, this->Tasks.Now());
-    answerJson(Reply, 200, {{"imported", Blocks.size()}});
-  } catch (const nlohmann::json::exception &) {
+void EngineStandin::exportKv(const HttpRequest &Request, HttpReply &Reply) {
+  auto Body = parseBody(Request, Reply);
+  if (!Body)
+    return;
+  auto Id = requestIdOfHex(Body->is_object() ? Body->value("request", "") : "");
+  if (!Id) {
     answerNotRun(Reply, TargetError::BadRequest);
+    return;
   }
+  auto Moved = this->Engine.exportKv(*Id, this->Tasks.Now());
+  this->Progress.notify();
+  if (!Moved)
+    answerNotRun(Reply, Moved.error());
+  else
+    answerJson(Reply, 200, toJson(Moved.value()));
 }
 
-void EngineStandin::orderModel(const HttpRequest &Request, HttpReply &Reply) {
+void EngineStandin::importKv(const HttpRequest &Request, HttpReply &Reply) {
   auto Body = parseBody(Request, Reply);
   if (!Body)
     return;
-  try {
-    auto Done = this->Engine.orderModel(
-        Body->at("model").get<std::string>(), Body->at("is_loaded").get<bool>(),
-        Body->value("fencing_number", std::uint64_t{0}));
-    if (!Done)
-      answerNotRun(Reply, Done.error());
-    else
-      answerJson(Reply, 200, {{"done", true}});
-  } catch (const nlohmann::json::exception &) {
-    answerNotRun(Reply, TargetError::BadRequest);
+  auto Moved = kvCacheOfJson(*Body);
+  if (!Moved) {
+    answerNotRun(Reply, Moved.error());
+    return;
   }
-}
-
-nlohmann::json EngineStandin::eventsJson(const HttpRequest &Request) const {
-  auto Events = nlohmann::json::array();
-  std::uint64_t Most = std::min(
-      MaxEventsPerRead, numberParameter(Request, "max", MaxEventsPerRead));
-  for (const CacheEvent &Event : this->Engine.Cache.eventsAfter(
-           numberParameter(Request, "after", 0), this->Tasks.Now(), Most))
-    Events.push_back({{"sequence", Event.Sequence},
-                      {"block", Event.Block},
-                      {"is_stored", Event.IsStored}});
-  return {{"events", Events}};
+  auto Taken = this->Engine.Model.importKv(Moved.value());
+  if (!Taken)
+    answerNotRun(Reply, Taken.error());
+  else
+    answerJson(Reply, 200, {{"done", true}});
 }
 
 nlohmann::json EngineStandin::ledgerJson() const {
@@ -266,6 +276,7 @@
                     {"prompt_tokens", Run.Counted.PromptTokens},
                     {"cached_prompt_tokens", Run.Counted.CachedPromptTokens},
                     {"generated_tokens", Run.Counted.GeneratedTokens},
+                    {"first_token", Run.FirstToken},
                     {"opens", Run.Opens},
                     {"outcome", nameOf(Run.Outcome)}});
   return {{"runs", Runs}};
--- a/Libraries/LibStandinServer/EngineStandin.h
+++ b/Libraries/LibStandinServer/EngineStandin.h
@@ -6,16 +6,16 @@
 ///     DELETE /engine/streams/ID              ends it
 ///     GET    /engine/load
 ///     GET    /engine/cache                   the whole prefix cache
-///     GET    /engine/cache/events?after=&max=
-///     POST   /engine/cache/export            {"model", "prompt"} -> {"blocks"}
-///     POST   /engine/cache/import            {"blocks"}
-///     POST   /engine/models     {"model", "is_loaded", "fencing_number"}
+///     GET    /engine/cache/events?after=     late, and with gaps
+///     POST   /engine/orders                  loads, unloads, changes the role
+///     POST   /engine/kv/export               {"request"} -> a cache
+///     POST   /engine/kv/import               a cache
 ///     GET    /ledger                         every generation that ran
 
 #ifndef BERGAMOTHOOK_LIBSTANDINSERVER_ENGINESTANDIN_H
 #define BERGAMOTHOOK_LIBSTANDINSERVER_ENGINESTANDIN_H
 
-#include "LibStandin/BatchEngine.h"
+#include "LibStandin/RecordedEngine.h"
 #include "LibStandinServer/Answers.h"
 #include "LibTask/Runtime.h"
 
@@ -23,8 +23,9 @@
 
 class EngineStandin {
 public:
-  /// \p OnCrash is called in a task of its own when the engine crashes.
-  EngineStandin(BatchEngineLimits Limits, std::uint64_t Seed, Runtime Tasks,
+  /// \p OnCrash is called in a task of its own when the engine crashes; when
+  /// it returns, the engine starts again.
+  EngineStandin(EngineModelSettings Settings, std::uint64_t Seed, Runtime Tasks,
                 std::function<void()> OnCrash);
   EngineStandin(const EngineStandin &) = delete;
   EngineStandin &operator=(const EngineStandin &) = delete;
@@ -35,7 +36,7 @@
 
   void serve(const HttpRequest &Request, HttpReply Reply);
 
-  BatchEngine Engine;
+  RecordedEngine Engine;
   FaultTable Faults;
 
 private:
@@ -55,10 +56,12 @@
   StreamFate drawFate();
   void serveStream(const HttpRequest &Request, const std::string &Hex,
                    HttpReply &Reply);
-  void serveCache(const HttpRequest &Request, HttpReply &Reply);
-  void importBlocks(const nlohmann::json &Body, HttpReply &Reply);
-  void orderModel(const HttpRequest &Request, HttpReply &Reply);
-  nlohmann::json eventsJson(const HttpRequest &Request) const;
+  void serveLoad(HttpReply &Reply);
+  void serveOrder(const HttpRequest &Request, HttpReply &Reply);
+  void exportKv(const HttpRequest &Request, HttpReply &Reply);
+  void importKv(const HttpRequest &Request, HttpReply &Reply);
+  void applyFaults();
+  void restart();
   nlohmann::json ledgerJson() const;
 
   Runtime Tasks;
@@ -66,6 +69,9 @@
   Event Progress;
   Event WakeUp;
   bool IsStopping = false;
+  bool IsRestarting = false;
+  bool IsLeaving = false;
+  double SlowFactor = 1;
   std::uint64_t SilenceEpoch = 0;
   std::uint32_t SilentNext = 0;
   std::uint32_t CutNext = 0;
--- /dev/null
+++ b/Libraries/LibStandinServer/KvWire.h
@@ -0,0 +1,24 @@
+/// \file
+/// The wire format of key-value caches that move between engines: JSON.
+
+#ifndef BERGAMOTHOOK_LIBSTANDINSERVER_KVWIRE_H
+#define BERGAMOTHOOK_LIBSTANDINSERVER_KVWIRE_H
+
+#include "LibBase/Result.h"
+#include "LibStandin/EngineModelTypes.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+inline constexpr const char *KvExportPath = "/engine/kv/export";
+inline constexpr const char *KvImportPath = "/engine/kv/import";
+
+nlohmann::json toJson(const KvCache &Moved);
+
+/// TargetError::BadAnswer where the JSON is not of the format.
+Result<KvCache> kvCacheOfJson(const nlohmann::json &Json);
+
+} // namespace bergamothook
+
+#endif
--- a/Services/Standin/StandinSettings.cpp
+++ b/Services/Standin/StandinSettings.cpp
@@ -48,13 +48,17 @@
         "models": {"type": "array", "items": {"type": "string"}},
         "step_base_us": {"type": "number", "minimum": 1},
         "step_per_sequence_us": {"type": "number", "minimum": 0},
-        "prefill_per_token_us": {"type": "number", "minimum": 0},
+        "prefill_tokens_per_second": {"type": "number", "minimum": 1},
         "prefill_tokens_per_step": {"type": "integer", "minimum": 1},
         "batch_limit": {"type": "integer", "minimum": 1},
-        "queue_limit": {"type": "integer", "minimum": 0},
+        "waiting_limit": {"type": "integer", "minimum": 0},
         "cache_blocks": {"type": "integer", "minimum": 1},
         "load_lag_ms": {"type": "number", "minimum": 0},
-        "finished_retention_seconds": {"type": "number", "minimum": 0},
+        "keep_finished_seconds": {"type": "number", "minimum": 0},
+        "cache_event_delay_ms": {"type": "number", "minimum": 0},
+        "cache_event_loss": {"type": "number", "minimum": 0, "maximum": 1},
+        "load_time_ms": {"type": "number", "minimum": 0},
+        "max_models": {"type": "integer", "minimum": 1},
         "restart_after_ms": {"type": "number", "minimum": 0},
         "checks_fence": {"type": "boolean"}
       }
@@ -94,19 +98,22 @@
 }
 
 void readEngine(const json &From, StandinSettings &Settings) {
-  BatchEngineLimits &Engine = Settings.Engine;
+  EngineModelSettings &Engine = Settings.Engine;
   readValue(From, "name", Engine.Name);
   readValue(From, "models", Engine.Models);
   readTime<Microseconds>(From, "step_base_us", Engine.StepBase);
   readTime<Microseconds>(From, "step_per_sequence_us", Engine.StepPerSequence);
-  readTime<Microseconds>(From, "prefill_per_token_us", Engine.PrefillPerToken);
+  readValue(From, "prefill_tokens_per_second", Engine.PrefillTokensPerSecond);
   readValue(From, "prefill_tokens_per_step", Engine.PrefillTokensPerStep);
   readValue(From, "batch_limit", Engine.BatchLimit);
-  readValue(From, "queue_limit", Engine.QueueLimit);
+  readValue(From, "waiting_limit", Engine.WaitingLimit);
   readValue(From, "cache_blocks", Engine.CacheBlocks);
   readTime<Milliseconds>(From, "load_lag_ms", Engine.LoadLag);
-  readTime<Seconds>(From, "finished_retention_seconds",
-                    Engine.FinishedRetention);
+  readTime<Milliseconds>(From, "cache_event_delay_ms", Engine.CacheEventDelay);
+  readValue(From, "cache_event_loss", Engine.CacheEventLoss);
+  readTime<Milliseconds>(From, "load_time_ms", Engine.LoadTime);
+  readValue(From, "max_models", Engine.MaxModels);
+  readTime<Seconds>(From, "keep_finished_seconds", Engine.KeepFinished);
   readTime<Milliseconds>(From, "restart_after_ms", Settings.RestartAfter);
   readValue(From, "checks_fence", Engine.ChecksFence);
 }
--- a/Services/Standin/StandinSettings.h
+++ b/Services/Standin/StandinSettings.h
@@ -7,7 +7,7 @@
 #include "LibHttp/HttpServerLimits.h"
 #include "LibPlatform/MembershipHooks.h"
 #include "LibSettings/SettingsFile.h"
-#include "LibStandin/BatchEngine.h"
+#include "LibStandin/EngineModelTypes.h"
 #include "LibStandin/MemoryLog.h"
 
 namespace bergamothook {
@@ -16,7 +16,7 @@
   HttpServerLimits Listen;
   std::uint64_t Seed = 1;
   LogLimits Log;
-  BatchEngineLimits Engine;
+  EngineModelSettings Engine;
   /// How long an engine that crashed stays away.
   Duration RestartAfter = std::chrono::seconds(2);
   std::vector<Member> Members;
