Add LibReplay: the fault matrix and random schedules over the real decisions

Cause: the outcomes were only tested by hand. Change: fake engines and order runners with ledgers of their own, hosts that die, pause, stop and are cut off, callers that retry elsewhere; a table of every fault at every step with its allowed outcomes; seeded random schedules. A claim names the caller's attempt, so that an early attempt that wakes late does not run an order whose later attempt was answered as not run.

--- a/Libraries/LibOutcome/OrderDesk.cpp
+++ b/Libraries/LibOutcome/OrderDesk.cpp
@@ -59,6 +59,8 @@
   Hash128 BodyHash = bodyHashOf(Request);
   if (this->present(Id, BodyHash) || this->Running.contains(Id))
     return this->waitForEnd(Id, BodyHash, Request.Deadline);
+  if (this->Fold.isSuperseded(Id, Request.CallerAttempt))
+    return this->notRun(OutcomeError::Superseded, Duration::zero());
   if (auto Ticket = ticketOfKey(Request.Key))
     return this->runTicketed(Request, Id, *Ticket);
   if (auto Refusal = this->refuseKey(Request, Id))
@@ -380,6 +382,7 @@
   Claim.WrittenAt = this->wallMilliseconds();
   Claim.KeyDate = dateOf(Request.Key);
   Claim.IsTicketed = IsTicketed;
+  Claim.CallerAttempt = Request.CallerAttempt;
   return makeOrderRecord(this->Dice.next128(), this->Self,
                          OrderRecordKind::Claim, Claim);
 }
--- a/Libraries/LibOutcome/OrderFold.cpp
+++ b/Libraries/LibOutcome/OrderFold.cpp
@@ -102,6 +102,13 @@
   return KeyVerdict::Claimable;
 }
 
+bool OrderFold::isSuperseded(RequestId Request,
+                             std::uint32_t CallerAttempt) const {
+  const OrderEntry *Entry = this->find(Request);
+  return Entry != nullptr && Entry->State == OrderState::Released &&
+         CallerAttempt != 0 && CallerAttempt < Entry->CallerAttempt;
+}
+
 bool OrderFold::isWinner(RequestId Request, RecordId Claim) const {
   const OrderEntry *Entry = this->find(Request);
   return Entry != nullptr && Entry->Claim == Claim &&
@@ -144,6 +151,7 @@
   Entry.ClaimedAt = this->LogTime;
   Entry.KeyDate = Claim.KeyDate;
   Entry.IsTicketed = Claim.IsTicketed;
+  Entry.CallerAttempt = Claim.CallerAttempt;
   Entry.Released = Released;
   if (IsNew)
     this->ByAge.emplace(ageOf(Entry), Claim.Request);
@@ -155,7 +163,8 @@
     return this->verdictOf(Claim.Request, Claim.KeyDate) ==
            KeyVerdict::Claimable;
   return Entry->State == OrderState::Released &&
-         Entry->BodyHash == Claim.BodyHash;
+         Entry->BodyHash == Claim.BodyHash &&
+         !this->isSuperseded(Claim.Request, Claim.CallerAttempt);
 }
 
 OrderEntry *OrderFold::findClaim(RequestId Request, RecordId Claim,
--- a/Libraries/LibOutcome/OrderFold.h
+++ b/Libraries/LibOutcome/OrderFold.h
@@ -43,6 +43,8 @@
   std::int64_t ClaimedAt = 0;
   std::int64_t KeyDate = 0;
   bool IsTicketed = false;
+  /// The caller's attempt that the claim was made for; 0 where it is unknown.
+  std::uint32_t CallerAttempt = 0;
   /// The number of claims that were released before this one.
   std::uint32_t Released = 0;
   bool HasClaimantEnded = false;
@@ -56,9 +58,10 @@
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->State, this->Claim, this->Claimant, this->Position.At,
        this->Position.Index, this->Team, this->BodyHash, this->Target,
-       this->ClaimedAt, this->KeyDate, this->IsTicketed, this->Released,
-       this->HasClaimantEnded, this->Status, this->IsResultWhole,
-       this->ContentType, this->Body, this->Operator, this->Note);
+       this->ClaimedAt, this->KeyDate, this->IsTicketed, this->CallerAttempt,
+       this->Released, this->HasClaimantEnded, this->Status,
+       this->IsResultWhole, this->ContentType, this->Body, this->Operator,
+       this->Note);
   }
 };
 
@@ -94,6 +97,11 @@
   /// claimed: it is not known, and it can't have been forgotten.
   KeyVerdict verdictOf(RequestId Request, std::int64_t KeyDate) const;
 
+  /// Tells whether \p Request was released for a later attempt of the caller
+  /// than \p CallerAttempt. The caller was told "not run" then, so the earlier
+  /// attempt must not run any more.
+  bool isSuperseded(RequestId Request, std::uint32_t CallerAttempt) const;
+
   /// Tells whether the claim \p Claim gives its writer the right to dispatch.
   bool isWinner(RequestId Request, RecordId Claim) const;
 
--- a/Libraries/LibOutcome/OrderRecord.h
+++ b/Libraries/LibOutcome/OrderRecord.h
@@ -41,10 +41,12 @@
   std::int64_t KeyDate = 0;
   /// Set for a ticketed order: it may have been dispatched before this record.
   bool IsTicketed = false;
+  /// The number of the caller's attempt; 0 where the caller does not say.
+  std::uint32_t CallerAttempt = 0;
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Request, this->Team, this->BodyHash, this->Target, this->WrittenAt,
-       this->KeyDate, this->IsTicketed);
+       this->KeyDate, this->IsTicketed, this->CallerAttempt);
   }
 };
 
--- a/Libraries/LibOutcome/OutcomeError.cpp
+++ b/Libraries/LibOutcome/OutcomeError.cpp
@@ -42,6 +42,8 @@
     return "the order ran, but its answer was too long to keep";
   case OutcomeError::MalformedRecord:
     return "the body of the record is malformed";
+  case OutcomeError::Superseded:
+    return "a later attempt was answered already";
   case OutcomeError::Draining:
     return "the host is stopping";
   }
--- a/Libraries/LibOutcome/OutcomeError.h
+++ b/Libraries/LibOutcome/OutcomeError.h
@@ -43,6 +43,9 @@
   ResultNotKept,
   /// The body of a record can't be read.
   MalformedRecord,
+  /// A later attempt of the caller was answered as not run, so this earlier one
+  /// must not run any more.
+  Superseded,
   /// The host is stopping and takes no new requests.
   Draining,
 };
--- /dev/null
+++ b/Libraries/LibReplay/ReplayHost.cpp
@@ -0,0 +1,302 @@
+#include "LibReplay/ReplayHost.h"
+
+#include "LibReplay/PlainPolicy.h"
+
+#include <algorithm>
+
+namespace bergamothook {
+
+namespace {
+
+constexpr std::uint64_t RunnerIdBase = 1000;
+constexpr Duration UnreachableDelay = std::chrono::milliseconds(20);
+constexpr Duration StopAppendTime = std::chrono::seconds(10);
+constexpr WallTime ReplayEpoch{std::chrono::milliseconds(1'780'000'000'000)};
+
+} // namespace
+
+TargetAddress addressOf(std::uint64_t Number) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(Number + 1)};
+}
+
+TargetId engineId(std::size_t Number) { return TargetId{Number + 1}; }
+
+TargetId runnerId(std::size_t Number) {
+  return TargetId{RunnerIdBase + Number + 1};
+}
+
+ReplayPlatform::ReplayPlatform(Runtime Base, std::uint64_t Seed)
+    : Base(std::move(Base)), Log({}, Seed) {
+  this->Log.Faults.Latency = std::chrono::milliseconds(2);
+}
+
+ReplayHost::ReplayHost(std::size_t Index, ReplayPlatform &Platform,
+                       ReplayPolicy Policy, std::uint64_t Seed)
+    : Self{HostId{Index + 1}, 1}, Platform(Platform), Policy(Policy),
+      Gate(Platform.Base), Tasks(this->Gate.hooks()), Dice(Seed),
+      Records(OrderStream, this->logHooks(), this->Tasks, {}, Seed),
+      Desk(this->Self, this->Records, {}, {}, this->deskHooks(), Seed),
+      Reader(OrderStream, Offset{0}, this->logHooks(), this->Tasks,
+             this->followerHooks(), {}, Seed),
+      Poison(this->Self.Host, {}), Draining({}) {
+  this->Tasks.Spawn([this] { this->Records.run(); });
+  this->Tasks.Spawn([this] { this->Reader.run(); });
+}
+
+LogHooks ReplayHost::logHooks() {
+  LogHooks Hooks;
+  Hooks.Append = [this](const std::string &Stream, std::string Payload,
+                        TimePoint) {
+    return this->append(Stream, std::move(Payload));
+  };
+  Hooks.Read = [this](const std::string &Stream, Offset From,
+                      std::size_t MaxEntries, Duration Wait) {
+    return this->read(Stream, From, MaxEntries, Wait);
+  };
+  return Hooks;
+}
+
+void ReplayHost::reachClaims(const std::string &Payload) {
+  auto Batch = decodeBatch(Payload);
+  if (!Batch)
+    return;
+  for (const auto &Record : Batch.value()) {
+    if (Record.Kind != static_cast<std::uint16_t>(OrderRecordKind::Claim))
+      continue;
+    if (auto Claim = readOrderRecord<OrderClaim>(Record))
+      this->Platform.Reach(Step::Claim, Claim.value().Request, this->Gate);
+  }
+}
+
+Result<Offset> ReplayHost::append(const std::string &Stream,
+                                  std::string Payload) {
+  this->Gate.pass();
+  this->reachClaims(Payload);
+  this->Gate.pass();
+  AppendLoss Loss = std::exchange(this->NextLoss, AppendLoss::None);
+  this->Tasks.sleepUntil(this->Tasks.Now() + this->Platform.Log.Faults.Latency);
+  if (this->Gate.isCut())
+    return LogError::Unreachable;
+  if (Loss == AppendLoss::BeforeEffect)
+    return LogError::AnswerLost;
+  auto At =
+      this->Platform.Log.append(Stream, std::move(Payload), this->Tasks.Now());
+  this->Platform.LogChanged.notify();
+  if (At && Loss == AppendLoss::AfterEffect)
+    return LogError::AnswerLost;
+  return At;
+}
+
+Result<LogPage> ReplayHost::read(const std::string &Stream, Offset From,
+                                 std::size_t MaxEntries, Duration Wait) {
+  this->Gate.pass();
+  this->Tasks.sleepUntil(this->Tasks.Now() + this->Platform.Log.Faults.Latency);
+  TimePoint Deadline = this->Tasks.Now() + Wait;
+  Result<LogPage> Page = LogError::Unreachable;
+  this->Tasks.waitUntil(this->Platform.LogChanged, Deadline, [&] {
+    Page = LogError::Unreachable;
+    if (!this->Gate.isCut())
+      Page =
+          this->Platform.Log.read(Stream, From, MaxEntries, this->Tasks.Now());
+    return !Page || !Page.value().Entries.empty();
+  });
+  if (!Page)
+    this->Tasks.sleepUntil(this->Tasks.Now() + UnreachableDelay);
+  return Page;
+}
+
+StreamFollowerHooks ReplayHost::followerHooks() {
+  StreamFollowerHooks Hooks;
+  Hooks.Apply = [this](const StreamRecord &Record, RecordPosition Position) {
+    this->Desk.apply(Record, Position);
+  };
+  Hooks.Skip = [](const LogEntry &, std::error_code) {};
+  Hooks.Recover = []() -> Result<Offset> { return LogError::BelowRetention; };
+  return Hooks;
+}
+
+Result<TargetId> ReplayHost::choose(RequestId Request, std::size_t Count,
+                                    std::uint64_t First,
+                                    const std::vector<TargetId> &Excluded) {
+  this->Platform.Reach(Step::Choose, Request, this->Gate);
+  this->Gate.pass();
+  for (std::size_t Turn = 0; Turn < Count; ++Turn) {
+    TargetId Id{First + (Request.Low + Turn) % Count};
+    if (std::find(Excluded.begin(), Excluded.end(), Id) != Excluded.end())
+      continue;
+    this->Platform.LastTarget[Request] = Id;
+    return Id;
+  }
+  return OutcomeError::NoTarget;
+}
+
+OrderDeskHooks ReplayHost::deskHooks() {
+  OrderDeskHooks Hooks;
+  Hooks.Tasks = this->Tasks;
+  Hooks.WallNow = [this] {
+    return ReplayEpoch + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             this->Platform.Base.Now().time_since_epoch());
+  };
+  Hooks.ChooseTarget = [this](const OrderRequest &Request,
+                              const std::vector<TargetId> &Excluded,
+                              TimePoint) -> Result<OrderTarget> {
+    BOOST_OUTCOME_TRY(Id, this->choose(requestIdOf(Request.Team, Request.Key),
+                                       this->Platform.Runners.size(),
+                                       runnerId(0).Value, Excluded));
+    return OrderTarget{Id, addressOf(Id.Value - runnerId(0).Value)};
+  };
+  Hooks.Service.Call = [this](const TargetAddress &At, const ServiceCall &Call,
+                              TimePoint Deadline) {
+    return this->Platform.Runners[At.Port - 1].call(this->Gate, Call, Deadline);
+  };
+  return Hooks;
+}
+
+EngineHooks ReplayHost::engineHooks() {
+  EngineHooks Hooks;
+  Hooks.Open = [this](const TargetAddress &At, const GenerationOrder &Order,
+                      TimePoint Deadline) {
+    return this->Platform.Engines[At.Port - 1].open(this->Gate, Order,
+                                                    Deadline);
+  };
+  Hooks.Cancel = [this](const TargetAddress &At, RequestId Request, TimePoint) {
+    return this->Platform.Engines[At.Port - 1].cancel(this->Gate, Request);
+  };
+  Hooks.Probe = [this](const TargetAddress &At, RequestId Request, TimePoint) {
+    return this->Platform.Engines[At.Port - 1].probe(this->Gate, Request);
+  };
+  return Hooks;
+}
+
+Result<StreamTarget> ReplayHost::chooseEngine(const StreamRequest &Request,
+                                              std::vector<TargetId> Excluded,
+                                              TimePoint Now) {
+  std::vector<TargetId> Avoided =
+      this->Poison.targetsToAvoid(Request.Content, Now);
+  Avoided.insert(Avoided.end(), Excluded.begin(), Excluded.end());
+  auto Id = this->choose(Request.Request, this->Platform.Engines.size(),
+                         engineId(0).Value, Avoided);
+  if (!Id)
+    return Id.error();
+  return StreamTarget{Id.value(), addressOf(Id.value().Value - 1)};
+}
+
+StreamHooks
+ReplayHost::streamHooks(CallerAttempt &Attempt,
+                        std::function<bool(const StreamChunk &)> Emit) {
+  StreamHooks Hooks;
+  Hooks.Tasks = this->Tasks;
+  Hooks.Engine = this->engineHooks();
+  Hooks.ChooseTarget = [this](const StreamRequest &Request,
+                              const std::vector<TargetId> &Excluded,
+                              TimePoint Now) {
+    return this->chooseEngine(Request, Excluded, Now);
+  };
+  Hooks.Reserve = [this, &Attempt](const StreamRequest &Request,
+                                   TimePoint) -> Result<void> {
+    this->Platform.Reach(Step::Reserve, Request.Request, this->Gate);
+    this->Gate.pass();
+    ++Attempt.Reserved;
+    return success();
+  };
+  Hooks.Settle = [this, &Attempt](const StreamRequest &Request, const Usage &) {
+    this->Platform.Reach(Step::Settle, Request.Request, this->Gate);
+    this->Gate.pass();
+    ++Attempt.Settled;
+  };
+  Hooks.Report = [](TargetId, std::error_code, TimePoint) {};
+  Hooks.MayRetry = [](TimePoint) { return true; };
+  Hooks.Emit = [&Attempt, Emit = std::move(Emit)](const StreamChunk &Piece) {
+    return !Attempt.IsAbandoned && Emit(Piece);
+  };
+  Hooks.Admit = [this](Hash128 Content, TimePoint Now) {
+    return this->Poison.admit(Content, Now);
+  };
+  Hooks.Started = [this](Hash128 Content, TargetId Target) {
+    this->Poison.started(Content, Target);
+  };
+  Hooks.Ended = [this](Hash128 Content, TargetId Target) {
+    this->Poison.ended(Content, Target);
+  };
+  Hooks.Crashed = [this](Hash128 Content, TargetId Target, TimePoint Now) {
+    auto Report =
+        this->Poison.crashed(Content, Target, this->Dice.next128(), Now);
+    if (Report)
+      this->Platform.Gossip(this->Self.Host, *Report);
+  };
+  Hooks.Cleared = [this](Hash128 Content) { this->Poison.cleared(Content); };
+  return Hooks;
+}
+
+void ReplayHost::answer(CallerAttempt &Attempt, RequestId Request) {
+  this->Platform.Reach(Step::Answer, Request, this->Gate);
+  this->Gate.pass();
+  Attempt.HasAnswer = true;
+  Attempt.Changed.notify();
+}
+
+void ReplayHost::serveOrder(OrderRequest Request, CallerAttempt &Attempt) {
+  this->Tasks.Spawn([this, Request = std::move(Request), &Attempt] {
+    RequestId Id = requestIdOf(Request.Team, Request.Key);
+    this->Platform.Reach(Step::Admit, Id, this->Gate);
+    this->Gate.pass();
+    bool IsEntered = this->Draining.enter(this->Tasks.Now());
+    OrderAnswer Given =
+        this->Policy == ReplayPolicy::Project
+            ? this->Desk.run(Request)
+            : runPlainOrder(Request, this->deskHooks(), this->Policy);
+    Attempt.Verdict = Given.Verdict;
+    Attempt.Reason = Given.Reason;
+    Attempt.Body = Given.Answer.Body;
+    Attempt.IsRetrySafe = Given.IsRetrySafe;
+    Attempt.RetryAfter = Given.RetryAfter;
+    this->answer(Attempt, Id);
+    if (IsEntered)
+      this->Draining.leave();
+  });
+}
+
+void ReplayHost::serveStream(StreamRequest Request, CallerAttempt &Attempt,
+                             std::function<bool(const StreamChunk &)> Emit) {
+  this->Tasks.Spawn([this, Request = std::move(Request), &Attempt,
+                     Emit = std::move(Emit)]() mutable {
+    this->Platform.Reach(Step::Admit, Request.Request, this->Gate);
+    this->Gate.pass();
+    bool IsEntered = this->Draining.enter(this->Tasks.Now());
+    StreamOutcome Ending;
+    if (!IsEntered) {
+      Ending.Verdict = Outcome::NotRun;
+      Ending.Reason = OutcomeError::Draining;
+    } else {
+      StreamHooks Hooks = this->streamHooks(Attempt, std::move(Emit));
+      Ending = this->Policy == ReplayPolicy::Project
+                   ? runStream(Request, Hooks, {})
+                   : runPlainStream(Request, Hooks, this->Policy);
+    }
+    Attempt.Verdict = Ending.Verdict;
+    Attempt.Reason = Ending.Reason;
+    Attempt.IsRetrySafe = Ending.Reason != OutcomeError::Quarantined;
+    Attempt.RetryAfter = Ending.RetryAfter;
+    this->answer(Attempt, Request.Request);
+    if (IsEntered)
+      this->Draining.leave();
+  });
+}
+
+void ReplayHost::stop() {
+  if (this->HasStopped)
+    return;
+  this->HasStopped = true;
+  this->Draining.signal(this->Tasks.Now());
+  this->Tasks.Spawn([this] {
+    this->CutAtStop = this->Draining.waitUntilEmpty(this->Tasks);
+    TimePoint Limit = this->Tasks.Now() + StopAppendTime;
+    this->Desk.drain(Limit);
+    this->Records.stop(Limit);
+    while (this->Records.health().Queued > 0 && this->Tasks.Now() < Limit)
+      this->Tasks.sleepUntil(this->Tasks.Now() + UnreachableDelay);
+    this->Gate.kill();
+  });
+}
+
+} // namespace bergamothook
