--- a/Libraries/LibReplay/Depends.cmake
+++ b/Libraries/LibReplay/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibBase LibTask LibPlatform LibStream LibTarget LibStandin LibOutcome nlohmann_json::nlohmann_json)
+set(DEPENDS LibBase LibTask LibPlatform LibStream LibTarget LibStandin LibOutcome LibRouting nlohmann_json::nlohmann_json)
--- a/Libraries/LibReplay/ReplayChecks.cpp
+++ b/Libraries/LibReplay/ReplayChecks.cpp
@@ -43,6 +43,8 @@
     this->checkExpected(At);
   }
   this->checkAttempts();
+  this->Report.Streams = this->Platform.Streams;
+  this->Report.EngineAttempts = this->Platform.EngineAttempts;
   for (const auto &Host : this->Hosts)
     if (Host.CutAtStop > 0)
       this->Report.Violations.emplace_back("a planned stop cut a request");
--- a/Libraries/LibReplay/ReplayHost.cpp
+++ b/Libraries/LibReplay/ReplayHost.cpp
@@ -38,7 +38,10 @@
       Desk(this->Self, this->Records, {}, {}, this->deskHooks(), Seed),
       Reader(OrderStream, Offset{0}, this->logHooks(), this->Tasks,
              this->followerHooks(), {}, Seed),
-      Poison(this->Self.Host, {}), Draining({}) {
+      Poison(this->Self.Host, {}), Draining({}), Retries(RetryBudgetSettings{}),
+      Outliers(OutlierSettings{}) {
+  for (std::size_t Slot = 0; Slot < Platform.Engines.size(); ++Slot)
+    this->Outliers.add(Slot, this->Tasks.Now());
   this->Tasks.Spawn([this] { this->Records.run(); });
   this->Tasks.Spawn([this] { this->Reader.run(); });
 }
@@ -156,6 +159,7 @@
   EngineHooks Hooks;
   Hooks.Open = [this](const TargetAddress &At, const GenerationOrder &Order,
                       TimePoint Deadline) {
+    ++this->Platform.EngineAttempts;
     return this->Platform.Engines[At.Port - 1].open(this->Gate, Order,
                                                     Deadline);
   };
@@ -174,8 +178,15 @@
   std::vector<TargetId> Avoided =
       this->Poison.targetsToAvoid(Request.Content, Now);
   Avoided.insert(Avoided.end(), Excluded.begin(), Excluded.end());
+  for (std::size_t Slot = 0; Slot < this->Platform.Engines.size(); ++Slot)
+    if (this->Outliers.isEjected(Slot, Now))
+      Avoided.push_back(engineId(Slot));
   auto Id = this->choose(Request.Request, this->Platform.Engines.size(),
                          engineId(0).Value, Avoided);
+  // With every engine avoided, a doubtful one is better than none.
+  if (!Id)
+    Id = this->choose(Request.Request, this->Platform.Engines.size(),
+                      engineId(0).Value, Excluded);
   if (!Id)
     return Id.error();
   return StreamTarget{Id.value(), addressOf(Id.value().Value - 1)};
@@ -197,6 +208,8 @@
     this->Platform.Reach(Step::Reserve, Request.Request, this->Gate);
     this->Gate.pass();
     ++Attempt.Reserved;
+    ++this->Platform.Streams;
+    this->Retries.firstAttempt();
     return success();
   };
   Hooks.Settle = [this, &Attempt](const StreamRequest &Request, const Usage &) {
@@ -204,8 +217,9 @@
     this->Gate.pass();
     ++Attempt.Settled;
   };
-  Hooks.Report = [](TargetId, std::error_code, TimePoint) {};
-  Hooks.MayRetry = [](TimePoint) { return true; };
+  Hooks.Report = [this](TargetId Target, std::error_code Failure,
+                        TimePoint Now) { this->report(Target, Failure, Now); };
+  Hooks.MayRetry = [this](TimePoint) { return this->Retries.tryRetry(); };
   Hooks.Emit = [&Attempt, Emit = std::move(Emit)](const StreamChunk &Piece) {
     return !Attempt.IsAbandoned && Emit(Piece);
   };
@@ -228,6 +242,15 @@
   return Hooks;
 }
 
+void ReplayHost::report(TargetId Target, std::error_code Failure,
+                        TimePoint Now) {
+  std::size_t Slot = Target.Value - engineId(0).Value;
+  if (Failure)
+    this->Outliers.failed(Slot, Now);
+  else
+    this->Outliers.succeeded(Slot);
+}
+
 void ReplayHost::answer(CallerAttempt &Attempt, RequestId Request) {
   this->Platform.Reach(Step::Answer, Request, this->Gate);
   this->Gate.pass();
--- a/Libraries/LibReplay/ReplayHost.h
+++ b/Libraries/LibReplay/ReplayHost.h
@@ -10,6 +10,8 @@
 #include "LibOutcome/StreamTask.h"
 #include "LibReplay/FakeEngine.h"
 #include "LibReplay/FakeRunner.h"
+#include "LibRouting/OutlierDetector.h"
+#include "LibRouting/RetryBudget.h"
 #include "LibStandin/MemoryLog.h"
 #include "LibStream/StreamFollower.h"
 
@@ -29,6 +31,10 @@
   StepHook Reach;
   /// The target that each request was sent to last.
   std::map<RequestId, TargetId> LastTarget;
+  /// The number of streams admitted by hosts, and of attempts made for them at
+  /// engines.
+  std::uint32_t Streams = 0;
+  std::uint32_t EngineAttempts = 0;
   /// Hands a crash report to the other hosts.
   std::function<void(HostId From, const CrashReport &)> Gossip;
 };
@@ -79,6 +85,8 @@
   StreamFollower Reader;
   PoisonRegistry Poison;
   DrainState Draining;
+  RetryBudget Retries;
+  OutlierDetector Outliers;
   AppendLoss NextLoss = AppendLoss::None;
   bool HasStopped = false;
   /// The attempts cut when the bound of the stop passed.
@@ -101,6 +109,7 @@
   Result<StreamTarget> chooseEngine(const StreamRequest &Request,
                                     std::vector<TargetId> Excluded,
                                     TimePoint Now);
+  void report(TargetId Target, std::error_code Failure, TimePoint Now);
   void answer(CallerAttempt &Attempt, RequestId Request);
 };
 
--- a/Libraries/LibReplay/Scenario.h
+++ b/Libraries/LibReplay/Scenario.h
@@ -143,6 +143,9 @@
   std::uint32_t DoubledOrders = 0;
   std::uint32_t FalseNotRun = 0;
   std::uint32_t CutAnswers = 0;
+  /// The streams that hosts admitted, and the attempts made at engines.
+  std::uint32_t Streams = 0;
+  std::uint32_t EngineAttempts = 0;
   /// The number of faults whose step was reached.
   std::uint32_t FaultsStruck = 0;
 };
