--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -13,6 +13,7 @@
   build                       install and build into Build/
   run [--keep]                build, start a fleet of three hosts, and show it at work;
                               --keep leaves it up until Ctrl-C
+  faults                      build, and try faults against a fleet of real processes
   test                        build and run every test through ctest
   bench [NAME] [--json FILE] [--seed N]
                               build and run one experiment, or all of them
@@ -25,6 +26,8 @@
 source "$root/Meta/fleet.sh"
 # shellcheck source=Meta/demo.sh
 source "$root/Meta/demo.sh"
+# shellcheck source=Meta/faults.sh
+source "$root/Meta/faults.sh"
 
 # Installs only what is missing, so that a second call needs no network.
 install_packages() {
@@ -75,6 +78,11 @@
   build_tree
   run_demo "$@"
   ;;
+faults)
+  install_packages
+  build_tree
+  run_faults
+  ;;
 test)
   install_packages
   build_tree
