Fold every record between an operator's read and the verdict on a change

Cause: apply read the configuration, and then followed the stream from its end at that later moment; changes that landed between the two were missed, and the tool judged its change by a fold with a hole: two racing operators were both told "accepted as revision 2" where the hosts accepted one of them. Change: the tool follows from the offset that its fold has come up to. The check of an engine's crash compares with the run that finished the answer, since the crashed run has only a part of it; it is as strict. Ruled out: a difference between hosts: all three held the same revision.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -78,13 +78,14 @@
   sed -n 's/^data: {/{/p' "$run_dir/$1.sse" | jq -rs '.[0].id // empty | sub("^chatcmpl-"; "")'
 }
 
-# Counts the answers that hold exactly the text which the engine generated, by
-# the engines' own ledgers, which the first argument gives.
+# Counts the answers that hold exactly the text which the engine that finished
+# them had generated, by the engines' own ledgers, which the first argument
+# gives. An engine that crashed has a part only.
 count_whole_answers() {
   local ledgers=$1 label whole=0 expected
   shift
   for label in "$@"; do
-    expected=$(jq -r --arg r "$(request_of "$label")" '[.[] | select(.request == $r)][0].answer // empty' <<<"$ledgers")
+    expected=$(jq -r --arg r "$(request_of "$label")" '[.[] | select(.request == $r)] | max_by(.generated_tokens).answer // empty' <<<"$ledgers")
     [ -n "$expected" ] && [ "$(answer_text "$label")" = "$expected" ] && whole=$((whole + 1))
   done
   echo "$whole"
--- a/Utilities/Ctl/ApplyCommand.cpp
+++ b/Utilities/Ctl/ApplyCommand.cpp
@@ -25,7 +25,7 @@
   Context.Err << toString(Problem) << "\n";
 }
 
-CommandStatus publish(CommandContext &Context, ConfigFold &Fold,
+CommandStatus publish(CommandContext &Context, ConfigFold &Fold, Offset Next,
                       ConfigChange Change) {
   auto Preview = Fold.preview(Change);
   if (!Preview) {
@@ -34,7 +34,7 @@
   }
   std::optional<ConfigVerdict> Verdict;
   auto At = publishRecord(
-      Context, ConfigStream, recordOfChange(Change, writerOf(Context)),
+      Context, ConfigStream, recordOfChange(Change, writerOf(Context)), Next,
       [&](const StreamRecord &Record, RecordPosition Position) {
         auto Known = Fold.apply(Record, Position);
         if (Record.Id == Change.Id && !Verdict)
@@ -85,7 +85,7 @@
   Change.Author = Context.Operator;
   Change.Time = readWallClock();
   Change.Edits = std::move(Edits.value());
-  return publish(Context, Fold, std::move(Change));
+  return publish(Context, Fold, Read.value(), std::move(Change));
 }
 
 const CommandRegistration ApplyCommand(
--- a/Utilities/Ctl/Depends.cmake
+++ b/Utilities/Ctl/Depends.cmake
@@ -1,1 +1,2 @@
-set(DEPENDS LibAdapter LibConfig LibHttp LibLedger LibOutcome LibPlatform LibSettings LibStream LibTask)
+set(DEPENDS LibAdapter LibConfig LibHttp LibLedger LibOutcome LibPlatform
+        LibSettings LibStream LibTask)
--- a/Utilities/Ctl/Publishing.cpp
+++ b/Utilities/Ctl/Publishing.cpp
@@ -36,9 +36,8 @@
 
 Result<RecordPosition>
 publishRecord(CommandContext &Context, const std::string &Stream,
-              StreamRecord Record,
+              StreamRecord Record, Offset From,
               std::function<void(const StreamRecord &, RecordPosition)> Seen) {
-  BOOST_OUTCOME_TRY(End, endOf(Context, Stream));
   StreamAppenderLimits Limits;
   Limits.BatchInterval = Duration::zero();
   // The tasks may outlast this call, so that they own what they use.
@@ -46,14 +45,13 @@
       Stream, Context.Log, Context.Tasks, Limits, randomNumber());
   StreamFollowerHooks Hooks;
   Hooks.Apply = [Appender, Seen](const StreamRecord &Read, RecordPosition At) {
-    if (Seen)
-      Seen(Read, At);
+    Seen(Read, At);
     Appender->confirm(Read.Id, At);
   };
   Hooks.Skip = [](const LogEntry &, std::error_code) {};
-  Hooks.Recover = [End]() -> Result<Offset> { return End; };
+  Hooks.Recover = []() -> Result<Offset> { return LogError::BelowRetention; };
   auto Follower = std::make_shared<StreamFollower>(
-      Stream, End, Context.Log, Context.Tasks, Hooks, StreamFollowerLimits{},
+      Stream, From, Context.Log, Context.Tasks, Hooks, StreamFollowerLimits{},
       randomNumber());
   Context.Tasks.Spawn([Appender] { Appender->run(); });
   Context.Tasks.Spawn([Follower] { Follower->run(); });
@@ -64,6 +62,14 @@
   return Position;
 }
 
+Result<RecordPosition> publishRecord(CommandContext &Context,
+                                     const std::string &Stream,
+                                     StreamRecord Record) {
+  BOOST_OUTCOME_TRY(End, endOf(Context, Stream));
+  return publishRecord(Context, Stream, std::move(Record), End,
+                       [](const StreamRecord &, RecordPosition) {});
+}
+
 Result<Offset> readStream(
     CommandContext &Context, const std::string &Stream, Offset From,
     const std::function<void(const StreamRecord &, RecordPosition)> &Seen) {
