--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -16,7 +16,8 @@
   faults                      build, and try faults against a fleet of real processes
   test                        build and run every test through ctest
   bench [NAME] [--json FILE] [--seed N]
-                              build and run one experiment, or all of them
+                              build and run one experiment, or all of them; "scale"
+                              starts 3 to 100 real routers
   check                       check format and lint
   sanitize                    build and test with the sanitizers in BuildSanitize/
 TEXT
@@ -28,6 +29,8 @@
 source "$root/Meta/demo.sh"
 # shellcheck source=Meta/faults.sh
 source "$root/Meta/faults.sh"
+# shellcheck source=Meta/scale.sh
+source "$root/Meta/scale.sh"
 
 # Installs only what is missing, so that a second call needs no network.
 install_packages() {
@@ -91,7 +94,11 @@
 bench)
   install_packages
   build_tree
-  "$build/bin/bergamothook-bench" "$@"
+  if [ "${1:-}" = scale ]; then
+    run_scale "${@:2}"
+  else
+    "$build/bin/bergamothook-bench" "$@"
+  fi
   ;;
 check)
   install_packages
--- /dev/null
+++ b/Meta/scale.sh
@@ -0,0 +1,59 @@
+# Measures what control costs each router by the number of routers, with real
+# processes on the loopback interface. Sourced by bergamothook.sh.
+
+scale_seconds=${BERGAMOTHOOK_SCALE_SECONDS:-15}
+clock_ticks=$(getconf CLK_TCK)
+
+# Processor time of a process so far, in seconds.
+cpu_seconds() { awk -v t="$clock_ticks" '{print ($14 + $15) / t}' "/proc/$1/stat"; }
+resident_kib() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+
+# The value of a metric of a host, or 0.
+metric_of() {
+  curl -sf --max-time 5 "http://127.0.0.1:$(operator_port "$1")/metrics" | awk -v n="bergamothook_$2" '$1 == n {print $2; found = 1} END {if (!found) print 0}'
+}
+
+emit_row() {
+  printf '%-12s %-20s %-36s %12s %s\n' scale "$1" "$2" "$3" "$4"
+  [ -z "$scale_json" ] || printf '{"experiment": "scale", "design": "%s", "metric": "%s", "value": %s, "unit": "%s", "seed": 1}\n' "$1" "$2" "$3" "$4" >>"$scale_json"
+}
+
+# Takes one sample of every router into a file: CPU, sent bytes, received bytes.
+sample_hosts() {
+  local i
+  for ((i = 1; i <= host_count; i++)); do
+    echo "$(cpu_seconds "$(cat "$run_dir/host-$i.pid")") $(metric_of $i peer_sent_bytes) $(metric_of $i peer_received_bytes) $(resident_kib "$(cat "$run_dir/host-$i.pid")")"
+  done >"$run_dir/sample-$1"
+}
+
+measure_scale() {
+  local design="$1 hosts"
+  start_fleet "$1" >/dev/null
+  sleep 5
+  local started ended
+  sample_hosts before
+  started=$(date +%s.%N)
+  sleep "$scale_seconds"
+  sample_hosts after
+  ended=$(date +%s.%N)
+  paste "$run_dir/sample-before" "$run_dir/sample-after" | awk -v span="$(awk "BEGIN{print $ended - $started}")" '
+    {cpu += $5 - $1; sent += $6 - $2; received += $7 - $3; memory += $8}
+    END {printf "%.4f %.1f %.1f %.1f\n", 100 * cpu / NR / span, sent / NR / span, received / NR / span, memory / NR / 1024}' >"$run_dir/scale"
+  local cpu sent received memory
+  read -r cpu sent received memory <"$run_dir/scale"
+  emit_row "$design" "idle processor share a host" "$cpu" "% of a core"
+  emit_row "$design" "control bytes sent a host" "$sent" B/s
+  emit_row "$design" "control bytes received a host" "$received" B/s
+  emit_row "$design" "resident memory a host" "$memory" MiB
+  stop_fleet
+  pids=()
+}
+
+run_scale() {
+  trap stop_fleet EXIT
+  trap 'exit 130' INT TERM
+  scale_json=""
+  [ "${1:-}" = --json ] && scale_json=$2
+  local hosts
+  for hosts in ${BERGAMOTHOOK_SCALE_HOSTS:-3 9 30 100}; do measure_scale "$hosts"; done
+}
