--- a/Libraries/LibConfig/ConfigFoldCodec.cpp
+++ b/Libraries/LibConfig/ConfigFoldCodec.cpp
@@ -106,11 +106,12 @@
 ConfigResult<ConfigFold> ConfigFold::decode(std::string_view Bytes) {
   ConfigProblem Refusal{
       ConfigError::Malformed, {}, "", "", "a state of this release"};
-  json State = json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
-  if (!State.is_object() || State.value("format", json()) != StateFormat)
-    return Refusal;
   ConfigFold Fold;
   try {
+    // Absurd lengths throw even where the parser is told not to.
+    json State = json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
+    if (!State.is_object() || State.value("format", json()) != StateFormat)
+      return Refusal;
     Fold.Tables.At = Revision{State.at("revision")};
     Fold.Digest = readId(State.at("digest"));
     for (const auto &Entry : State.at("objects"))
--- a/Libraries/LibConfig/ConfigSpread.cpp
+++ b/Libraries/LibConfig/ConfigSpread.cpp
@@ -63,10 +63,11 @@
   while (!this->IsStopping) {
     this->IsReadWanted = false;
     auto New = this->Reader.readToEnd();
-    if (New) {
+    if (New)
       this->becomeReady();
-      this->advanced();
-    }
+    // Even a read that failed may have moved on before, and a publisher may
+    // have read what it appended just before the log was lost.
+    this->advanced();
     TimePoint Wake =
         this->Tasks.Now() + this->Dice.jitter(this->readInterval());
     if (!this->IsReady)
