--- a/Libraries/LibPeer/PeerSockets.h
+++ b/Libraries/LibPeer/PeerSockets.h
@@ -1,57 +1,61 @@
 /// \file
-/// The sockets of the protocol between hosts, on a thread of their own.
+/// The sockets of the protocol between hosts: one UDP socket, one TCP listener,
+/// and one kept TCP connection to each peer that was sent to.
 
 #ifndef BERGAMOTHOOK_LIBPEER_PEERSOCKETS_H
 #define BERGAMOTHOOK_LIBPEER_PEERSOCKETS_H
 
-#include "LibPeer/PeerFrame.h"
-#include "LibTask/Runtime.h"
+#include "LibPeer/PeerNode.h"
 
 #include <memory>
+#include <optional>
 
 namespace bergamothook {
 
-/// An IP address in numbers, and a port. UDP and TCP use the same port.
+namespace detail {
+class PeerSocketLoop;
+} // namespace detail
+
+/// An IP number and a port; UDP and TCP use the same one.
 struct PeerAddress {
   std::string Address;
   std::uint16_t Port = 0;
+};
 
-  auto operator<=>(const PeerAddress &) const = default;
+struct PeerSocketHooks {
+  /// Takes what came in. Called on the thread of the sockets.
+  std::function<void(PeerTransport, std::string Bytes)> Receive;
+  /// Tells where a host listens. Called from tasks of the runtime.
+  std::function<std::optional<PeerAddress>(HostId)> Locate;
 };
 
-/// Sends and receives frames. A frame on TCP follows its length in four bytes.
-/// A connection that sends a length out of range is closed, since its bytes
-/// can't be told apart any more.
+/// Moves frames on one thread of its own. It is told nothing of their content.
 class PeerSockets {
 public:
-  /// Takes each frame that came in, on the thread of the sockets.
-  using Receive = std::function<void(PeerTransport, std::string Bytes)>;
-
-  PeerSockets(Runtime Tasks, Receive Take);
+  PeerSockets(PeerAddress Listen, Runtime Tasks, PeerSocketHooks Hooks);
   ~PeerSockets();
-
   PeerSockets(const PeerSockets &) = delete;
   PeerSockets &operator=(const PeerSockets &) = delete;
 
-  /// Starts to listen at \p Here. PeerError::Unreachable if it can't. The port
-  /// 0 takes any that is free for both protocols.
-  Result<void> listen(const PeerAddress &Here);
+  /// Takes the port, which no other process of this machine has then.
+  /// PeerError::Unreachable if it is taken.
+  Result<void> start();
+  void stop();
 
-  /// The port that is listened at.
-  std::uint16_t port() const;
+  /// Sends a datagram that may be lost. Does not block.
+  void sendDatagram(HostId To, const std::string &Bytes);
 
-  /// Sends a datagram. Any thread may call it.
-  void sendDatagram(const PeerAddress &To, std::string Bytes);
+  /// Sends a frame over the connection to a peer. Blocks the calling task.
+  Result<void> sendStream(HostId To, std::string Bytes, TimePoint Deadline);
 
-  /// Sends a frame on the connection to \p To, opening it if need be. Blocks
-  /// the calling task until the frame is handed to the system.
-  Result<void> sendStream(const PeerAddress &To, std::string Bytes,
-                          TimePoint Deadline);
+  /// The port that was taken, after start().
+  std::uint16_t port() const;
 
 private:
-  struct Io;
-  std::shared_ptr<Io> Sockets;
+  PeerAddress Listen;
   Runtime Tasks;
+  PeerSocketHooks Hooks;
+  std::shared_ptr<detail::PeerSocketLoop> Loop;
 };
 
 } // namespace bergamothook
