--- a/Libraries/LibFleet/FleetNode.h
+++ b/Libraries/LibFleet/FleetNode.h
@@ -60,6 +60,7 @@
 
   PeerNode &peers() { return this->Peers; }
   Membership &members() { return this->Members; }
+  const Membership &members() const { return this->Members; }
   ConfigSpread &spread() { return this->Spread; }
   const ConfigReplica &replica() const { return this->Replica; }
 
--- a/Services/Router/BudgetDesk.cpp
+++ b/Services/Router/BudgetDesk.cpp
@@ -26,7 +26,7 @@
                [&Desk, Shard](const StreamRecord &Record, RecordPosition At) {
                  Desk.apply(Shard, Record, At);
                }),
-           Seed),
+           Desk.snapshotHooks(Shard), Seed),
       Holder(Self, this->Fold, Desk.Settings.Policy, Desk.holderHooks(Shard),
              Seed),
       Witness(
@@ -55,6 +55,20 @@
   Of.Holder.onApplied(Record, Verdict, Now);
 }
 
+StreamSnapshotHooks BudgetDesk::snapshotHooks(std::uint32_t Shard) {
+  StreamSnapshotHooks Made;
+  Made.Encode = [this, Shard] { return this->Ledgers[Shard]->Fold.snapshot(); };
+  Made.Restore = [this, Shard](std::string_view Content) -> Result<void> {
+    Ledger &Of = *this->Ledgers[Shard];
+    BOOST_OUTCOME_TRYV(Of.Fold.restore(Content));
+    TimePoint Now = this->Hooks.Tasks.Now();
+    Of.Holder.onRestored(Now);
+    Of.Witness.onRestored(Now);
+    return success();
+  };
+  return Made;
+}
+
 SliceHolderHooks BudgetDesk::holderHooks(std::uint32_t Shard) {
   SliceHolderHooks Made;
   Made.Append = [this, Shard](StreamRecord Record) {
--- a/Services/Router/BudgetDesk.h
+++ b/Services/Router/BudgetDesk.h
@@ -98,6 +98,7 @@
 
   void apply(std::uint32_t Shard, const StreamRecord &Record,
              RecordPosition At);
+  StreamSnapshotHooks snapshotHooks(std::uint32_t Shard);
   SliceHolderHooks holderHooks(std::uint32_t Shard);
   Ledger &ledgerOf(TeamId Account) const;
   void collectPredecessors(const BudgetFold &Fold, TeamId Account,
--- a/Services/Router/Depends.cmake
+++ b/Services/Router/Depends.cmake
@@ -1,2 +1,2 @@
-set(DEPENDS LibAdapter LibApi LibConfig LibHttp LibLedger LibMembership LibObserve LibOutcome LibPeer
+set(DEPENDS LibAdapter LibApi LibConfig LibFleet LibHttp LibLedger LibMembership LibObserve LibOutcome LibPeer
         LibPlatform LibRouting LibSettings LibStream LibTarget LibTask)
--- a/Services/Router/PeerDesk.cpp
+++ b/Services/Router/PeerDesk.cpp
@@ -25,15 +25,14 @@
 }
 
 PeerDesk::PeerDesk(PeerDeskSettings Given, KeyRing Keys, const Runtime &Tasks,
-                   MembershipHooks List, Metrics &Measured, std::uint64_t Seed)
+                   LogHooks Log, MembershipHooks List, Metrics &Measured,
+                   std::uint64_t Seed)
     : Settings(std::move(Given)), Tasks(Tasks), Measured(Measured),
       Sockets(this->Settings.Listen, Tasks, this->socketHooks()),
-      Node(this->Settings.Self, std::move(Keys), Tasks, this->nodeHooks(), {},
-           Seed),
-      Members(this->selfRumor(), Tasks, this->membershipHooks(std::move(List)),
-              {}, Seed),
+      Fleet(this->selfRumor(), std::move(Keys), Tasks,
+            this->fleetHooks(std::move(Log), std::move(List)), {}, Seed),
       Notes({}) {
-  this->registerHandlers();
+  this->registerSettlementHandlers();
   this->registerNoteHandlers();
 }
 
@@ -53,7 +52,7 @@
 PeerSocketHooks PeerDesk::socketHooks() {
   PeerSocketHooks Made;
   Made.Receive = [this](PeerTransport Over, std::string Bytes) {
-    this->Node.received(Over, std::move(Bytes));
+    this->Fleet.peers().received(Over, std::move(Bytes));
   };
   Made.Locate = [this](HostId Host) { return this->addressOf(Host); };
   return Made;
@@ -74,20 +73,19 @@
   return Made;
 }
 
-MembershipTaskHooks PeerDesk::membershipHooks(MembershipHooks List) {
-  MembershipTaskHooks Made;
-  Made.Send = [this](HostId To, MembershipMessageKind Kind,
-                     const std::string &Body) {
-    this->Node.send(To, static_cast<std::uint16_t>(Kind), Body);
+FleetNodeHooks PeerDesk::fleetHooks(LogHooks Log, MembershipHooks List) {
+  FleetNodeHooks Made;
+  Made.Peers = this->nodeHooks();
+  Made.Log = std::move(Log);
+  Made.List = std::move(List);
+  Made.OnVerdict = [this](RecordId Change, const ConfigVerdict &Verdict) {
+    this->takeVerdict(Change, Verdict);
   };
-  Made.SendReliably = [this](HostId To, MembershipMessageKind Kind,
-                             std::string Body) {
-    // A full queue means that the peer does not read; the next round retries.
-    (void)this->Node.sendReliably(To, static_cast<std::uint16_t>(Kind),
-                                  std::move(Body));
+  Made.ConfigChanged = [this] {
+    if (this->OnConfiguration)
+      this->OnConfiguration(this->Fleet.snapshot());
   };
-  Made.List = std::move(List);
-  Made.Changed = [] {};
+  Made.MembersChanged = [] {};
   Made.Replaced = [this] {
     logEvent(LogLevel::Error, "replaced_by_later_run", {});
     if (this->OnReplaced)
@@ -96,11 +94,18 @@
   return Made;
 }
 
+void PeerDesk::takeVerdict(RecordId Change, const ConfigVerdict &Verdict) {
+  logEvent(LogLevel::Info, "configuration_change",
+           {{"change", toHex(Change)},
+            {"is_accepted", Verdict.IsAccepted},
+            {"revision", Verdict.At.Value}});
+}
+
 std::optional<PeerAddress> PeerDesk::addressOf(HostId Host) const {
-  auto Known = this->Members.table().find(Host);
+  auto Known = this->Fleet.members().table().find(Host);
   if (Known && Known->Port != 0)
     return PeerAddress{Known->Address, Known->Port};
-  for (const Member &Listed : this->Members.members())
+  for (const Member &Listed : this->Fleet.members().members())
     if (Listed.Role == MemberRole::EntryHost &&
         idOfName<HostId>(Listed.Name) == Host)
       return PeerAddress{Listed.Address, Listed.Port};
@@ -110,28 +115,19 @@
   return std::nullopt;
 }
 
-void PeerDesk::registerHandlers() {
-  for (auto Kind :
-       {MembershipMessageKind::Ping, MembershipMessageKind::Acknowledgement,
-        MembershipMessageKind::PingRequest, MembershipMessageKind::TableDigest,
-        MembershipMessageKind::Table, MembershipMessageKind::Notices})
-    this->Node.handle(
-        static_cast<std::uint16_t>(Kind),
-        [this, Kind](const Incarnation &Sender, std::string_view Body) {
-          return this->Members.received(Sender, Kind, Body);
-        });
-  this->Node.handle(
+void PeerDesk::registerSettlementHandlers() {
+  this->Fleet.peers().handle(
       number(RequestMessageKind::SettlementNote),
       [this](const Incarnation &Sender, std::string_view Body) -> Result<void> {
         BOOST_OUTCOME_TRY(Note, decodeMessage<SettlementNote>(Body));
         auto Answer = this->OnSettlementNote(Note);
         if (Answer)
-          this->Node.send(Sender.Host,
-                          number(RequestMessageKind::Acknowledgement),
-                          encodeMessage(Answer.value()));
+          this->Fleet.peers().send(Sender.Host,
+                                   number(RequestMessageKind::Acknowledgement),
+                                   encodeMessage(Answer.value()));
         return success();
       });
-  this->Node.handle(
+  this->Fleet.peers().handle(
       number(RequestMessageKind::Acknowledgement),
       [this](const Incarnation &, std::string_view Body) -> Result<void> {
         BOOST_OUTCOME_TRY(Answer, decodeMessage<NoteAcknowledgement>(Body));
@@ -141,21 +137,21 @@
 }
 
 void PeerDesk::registerNoteHandlers() {
-  this->Node.handle(
+  this->Fleet.peers().handle(
       number(RequestMessageKind::Note),
       [this](const Incarnation &, std::string_view Body) -> Result<void> {
         BOOST_OUTCOME_TRY(Told, decodeMessage<RequestNote>(Body));
         this->Notes.note(Told.Request, Told.Target, this->Tasks.Now());
         return success();
       });
-  this->Node.handle(
+  this->Fleet.peers().handle(
       number(RequestMessageKind::Query),
       [this](const Incarnation &Sender, std::string_view Body) -> Result<void> {
         BOOST_OUTCOME_TRY(Query, decodeMessage<RequestQuery>(Body));
         this->answerQuery(Sender.Host, Query);
         return success();
       });
-  this->Node.handle(
+  this->Fleet.peers().handle(
       number(RequestMessageKind::Answer),
       [this](const Incarnation &, std::string_view Body) -> Result<void> {
         BOOST_OUTCOME_TRY(Answer, decodeMessage<RequestNoteAnswer>(Body));
@@ -170,16 +166,14 @@
 
 Result<void> PeerDesk::start() {
   BOOST_OUTCOME_TRYV(this->Sockets.start());
-  this->Node.start();
-  this->Members.start();
+  this->Fleet.start();
   this->Tasks.Spawn([this] { this->watchKeyFile(); });
   return success();
 }
 
 void PeerDesk::stop() {
   this->IsStopping = true;
-  this->Members.stop();
-  this->Node.stop();
+  this->Fleet.stop();
 }
 
 void PeerDesk::watchKeyFile() {
@@ -188,13 +182,13 @@
     auto Keys = readKeyFile(this->Settings.KeyFile);
     // A file that is being replaced may be unreadable; the keys in force stay.
     if (Keys)
-      this->Node.setKeys(std::move(Keys.value()));
+      this->Fleet.peers().setKeys(std::move(Keys.value()));
   }
 }
 
 std::vector<NoteKeeper> PeerDesk::presentHosts() const {
   std::vector<NoteKeeper> Hosts;
-  for (const HostRumor &Known : this->Members.table().present())
+  for (const HostRumor &Known : this->Fleet.members().table().present())
     if (Known.State == HostState::Alive)
       Hosts.push_back({Known.Host, Known.Domain});
   Hosts.push_back({this->Settings.Self.Host, this->Settings.Domain});
@@ -211,15 +205,15 @@
   std::string Body = encodeMessage(RequestNote{Request, Target});
   for (HostId Keeper : this->keepersOf(Request))
     if (Keeper != this->Settings.Self.Host)
-      this->Node.send(Keeper, number(RequestMessageKind::Note), Body);
+      this->Fleet.peers().send(Keeper, number(RequestMessageKind::Note), Body);
 }
 
 void PeerDesk::answerQuery(HostId Asking, const RequestQuery &Query) {
   auto Known = this->Notes.find(Query.Request, this->Tasks.Now());
   RequestNoteAnswer Answer{Query.Number, Known.has_value(),
                            Known.value_or(TargetId{})};
-  this->Node.send(Asking, number(RequestMessageKind::Answer),
-                  encodeMessage(Answer));
+  this->Fleet.peers().send(Asking, number(RequestMessageKind::Answer),
+                           encodeMessage(Answer));
 }
 
 std::optional<TargetId> PeerDesk::locate(RequestId Request) {
@@ -232,7 +226,7 @@
   for (HostId Keeper : this->keepersOf(Request)) {
     if (Keeper == this->Settings.Self.Host)
       continue;
-    this->Node.send(Keeper, number(RequestMessageKind::Query), Body);
+    this->Fleet.peers().send(Keeper, number(RequestMessageKind::Query), Body);
     ++Asked;
   }
   auto &Came = this->Answers[Number];
@@ -251,7 +245,7 @@
 }
 
 Incarnation PeerDesk::chooseWitness(Incarnation Present) const {
-  const HostTable &Table = this->Members.table();
+  const HostTable &Table = this->Fleet.members().table();
   auto Known = Table.find(Present.Host);
   if (Known && Known->Run == Present.Run && Known->State == HostState::Alive)
     return Present;
@@ -270,12 +264,13 @@
 
 void PeerDesk::sendSettlementNote(Incarnation Witness,
                                   const SettlementNote &Note) {
-  this->Node.send(Witness.Host, number(RequestMessageKind::SettlementNote),
-                  encodeMessage(Note));
+  this->Fleet.peers().send(Witness.Host,
+                           number(RequestMessageKind::SettlementNote),
+                           encodeMessage(Note));
 }
 
 void PeerDesk::writeMetrics() {
-  const PeerTraffic &Traffic = this->Node.traffic();
+  const PeerTraffic &Traffic = this->Fleet.peers().traffic();
   this->Measured.set("peer_sent_bytes", static_cast<double>(Traffic.BytesSent));
   this->Measured.set("peer_received_bytes",
                      static_cast<double>(Traffic.BytesReceived));
@@ -283,7 +278,7 @@
       "peer_sent_messages",
       static_cast<double>(Traffic.DatagramsSent + Traffic.StreamFramesSent));
   this->Measured.set("fleet_hosts",
-                     static_cast<double>(this->Members.fleetSize()));
+                     static_cast<double>(this->Fleet.members().fleetSize()));
 }
 
 } // namespace bergamothook
--- a/Services/Router/PeerDesk.h
+++ b/Services/Router/PeerDesk.h
@@ -1,12 +1,12 @@
 /// \file
-/// This host's place among the others: who is there, and what hosts tell one
-/// another about requests and settlements.
+/// This host's place among the others: its sockets, its node of the fleet, and
+/// what hosts tell one another about requests and settlements.
 
 #ifndef BERGAMOTHOOK_SERVICES_ROUTER_PEERDESK_H
 #define BERGAMOTHOOK_SERVICES_ROUTER_PEERDESK_H
 
+#include "LibFleet/FleetNode.h"
 #include "LibLedger/SettlementNote.h"
-#include "LibMembership/Membership.h"
 #include "LibObserve/Metrics.h"
 #include "LibOutcome/RequestNotes.h"
 #include "LibPeer/PeerSockets.h"
@@ -36,16 +36,17 @@
 class PeerDesk {
 public:
   PeerDesk(PeerDeskSettings Settings, KeyRing Keys, const Runtime &Tasks,
-           MembershipHooks List, Metrics &Measured, std::uint64_t Seed);
+           LogHooks Log, MembershipHooks List, Metrics &Measured,
+           std::uint64_t Seed);
 
   /// Takes the port and starts the tasks.
   Result<void> start();
-  void leave() { this->Members.leave(); }
+  void leave() { this->Fleet.members().leave(); }
   void stop();
 
-  /// Sends small messages that may be lost, and such that must arrive.
-  PeerNode &node() { return this->Node; }
-  Membership &members() { return this->Members; }
+  /// The host's membership and configuration.
+  FleetNode &fleet() { return this->Fleet; }
+  const FleetNode &fleet() const { return this->Fleet; }
 
   /// Tells the keepers of \p Request which target runs it.
   void note(RequestId Request, TargetId Target);
@@ -65,6 +66,9 @@
       OnSettlementNote;
   std::function<void(const NoteAcknowledgement &)> OnAcknowledgement;
 
+  /// Called after each accepted change of the configuration.
+  std::function<void(const ConfigSnapshot &)> OnConfiguration;
+
   /// Called when a later run has taken this host's place.
   std::function<void()> OnReplaced;
 
@@ -74,11 +78,12 @@
   HostRumor selfRumor() const;
   PeerSocketHooks socketHooks();
   PeerHooks nodeHooks();
-  MembershipTaskHooks membershipHooks(MembershipHooks List);
+  FleetNodeHooks fleetHooks(LogHooks Log, MembershipHooks List);
+  void takeVerdict(RecordId Change, const ConfigVerdict &Verdict);
   std::optional<PeerAddress> addressOf(HostId Host) const;
   std::vector<NoteKeeper> presentHosts() const;
   std::vector<HostId> keepersOf(RequestId Request) const;
-  void registerHandlers();
+  void registerSettlementHandlers();
   void registerNoteHandlers();
   void answerQuery(HostId Asking, const RequestQuery &Query);
   void watchKeyFile();
@@ -87,8 +92,7 @@
   Runtime Tasks;
   Metrics &Measured;
   PeerSockets Sockets;
-  PeerNode Node;
-  Membership Members;
+  FleetNode Fleet;
   RequestNotes Notes;
   std::uint64_t LastQuery = 0;
   /// What the keepers answered to the queries that still wait.
--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -51,13 +51,12 @@
       Prefixes(PrefixIndexBlocks), Outliers({}), Retries({}),
       Explanations(ExplanationsKept, CandidatesKept),
       Chooser(this->Targets, this->Prefixes, this->Outliers, {}, this->Seed),
-      Peers(this->peerSettings(), std::move(Keys), this->Tasks,
+      Peers(this->peerSettings(), std::move(Keys), this->Tasks, this->Log,
             makeHttpMembership(this->Http, this->Settings.Membership.Address,
                                this->Settings.Membership.Port),
             this->Measured, this->Seed),
       Watch(this->Targets, this->joinedList(), this->Engines, this->Tasks,
             watchSettings()),
-      Config(this->Self, this->Log, this->Tasks, this->Peers, {}, this->Seed),
       Budgets(this->Self, this->budgetSettings(), this->budgetHooks(),
               this->Seed),
       OrderLink(OrderStream, this->Log, this->Tasks,
@@ -66,7 +65,7 @@
                     [this](const StreamRecord &Record, RecordPosition At) {
                       this->Orders.apply(Record, At);
                     }),
-                this->Seed),
+                this->orderSnapshots(), this->Seed),
       Orders(this->Self, this->OrderLink.Appender, {}, {}, this->orderHooks(),
              this->Seed),
       Suspects(this->Self, this->Log, this->Tasks, this->Seed),
@@ -116,8 +115,8 @@
   Made.Read = [this](TimePoint) -> Result<MemberList> {
     MemberList Joined;
     Joined.Version = ++this->ListReads;
-    Joined.Members = this->Peers.members().members();
-    if (!this->Peers.members().hasList())
+    Joined.Members = this->Peers.fleet().members().members();
+    if (!this->Peers.fleet().members().hasList())
       return std::make_error_code(std::errc::resource_unavailable_try_again);
     return Joined;
   };
@@ -158,6 +157,15 @@
   return Made;
 }
 
+StreamSnapshotHooks Router::orderSnapshots() {
+  StreamSnapshotHooks Made;
+  Made.Encode = [this] { return this->Orders.fold().snapshot(); };
+  Made.Restore = [this](std::string_view Content) {
+    return this->Orders.fold().restore(Content);
+  };
+  return Made;
+}
+
 ChatDeskSettings Router::chatSettings() const {
   ChatDeskSettings Made;
   Made.Domain = this->Settings.domain();
@@ -189,6 +197,7 @@
 }
 
 Result<void> Router::start() {
+  this->bindPeers();
   // The port comes first: it proves that earlier runs of this host have ended.
   BOOST_OUTCOME_TRYV(this->Peers.start());
   this->startTasks();
@@ -201,8 +210,8 @@
   return success();
 }
 
-void Router::startTasks() {
-  this->Config.OnChange = [this](const ConfigSnapshot &Present) {
+void Router::bindPeers() {
+  this->Peers.OnConfiguration = [this](const ConfigSnapshot &Present) {
     this->warmBudgets(Present);
   };
   this->Peers.OnSettlementNote = [this](const SettlementNote &Note) {
@@ -211,10 +220,15 @@
   this->Peers.OnAcknowledgement = [this](const NoteAcknowledgement &Answer) {
     this->Budgets.onAcknowledged(Answer);
   };
+  // A later run has this host's slices and port; what this run still has in
+  // progress ends, and nothing new begins.
+  this->Peers.OnReplaced = [this] { this->IsStopping = true; };
   this->Watch.OnLeaving = [this](TargetId Target) {
-    this->Peers.members().noteLeaving(Target);
+    this->Peers.fleet().members().noteLeaving(Target);
   };
-  this->Config.start();
+}
+
+void Router::startTasks() {
   this->Tasks.Spawn([this] { this->endPredecessors(); });
   this->Tasks.Spawn([this] { this->Watch.run(); });
   this->OrderLink.start();
@@ -275,7 +289,7 @@
 std::string Router::notReadyReason() const {
   if (this->IsStopping)
     return "stopping";
-  if (!this->Config.isReady())
+  if (!this->Peers.fleet().isReady())
     return "configuration";
   if (!this->Budgets.hasCaughtUp())
     return "ledger";
@@ -319,8 +333,9 @@
   this->Measured.set(
       "targets_ejected",
       static_cast<double>(this->Outliers.ejected(this->Tasks.Now())));
-  this->Measured.set("configuration_revision",
-                     static_cast<double>(this->Config.fold().revision().Value));
+  this->Measured.set(
+      "configuration_revision",
+      static_cast<double>(this->Peers.fleet().fold().revision().Value));
   this->Peers.writeMetrics();
   Reply.sendWhole(200, "text/plain; version=0.0.4",
                   this->Measured.toPrometheusText());
@@ -333,7 +348,7 @@
     return this->sendReadiness(Reply);
   if (Request.Path == "/metrics")
     return this->sendMetrics(Reply);
-  this->OperatorCalls.answer(this->Config.snapshot(), Request,
+  this->OperatorCalls.answer(this->Peers.fleet().snapshot(), Request,
                              std::move(Reply));
 }
 
@@ -348,7 +363,7 @@
     return sendProblem(Reply, {ApiFailure::NotReady, "waiting for " + Reason,
                                std::chrono::seconds(1)});
   // The request keeps this revision to its end.
-  ConfigSnapshot Present = this->Config.snapshot();
+  ConfigSnapshot Present = this->Peers.fleet().snapshot();
   this->routeCaller(Present, Request, Reply);
 }
 
--- a/Services/Router/Router.h
+++ b/Services/Router/Router.h
@@ -5,7 +5,6 @@
 #define BERGAMOTHOOK_SERVICES_ROUTER_ROUTER_H
 
 #include "ChatDesk.h"
-#include "ConfigWatch.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 #include "LibTask/RealRuntime.h"
@@ -39,6 +38,7 @@
   BudgetDeskSettings budgetSettings() const;
   BudgetDeskHooks budgetHooks();
   OrderDeskHooks orderHooks();
+  StreamSnapshotHooks orderSnapshots();
   ChatDeskSettings chatSettings() const;
   HttpServerLimits limitsOf(const ListenSettings &Listen) const;
   HttpServer::Handler handlerFor(void (Router::*Answer)(const HttpRequest &,
@@ -49,6 +49,7 @@
                    HttpReply &Reply);
   void sendReadiness(HttpReply &Reply) const;
   void sendMetrics(HttpReply &Reply);
+  void bindPeers();
   void startTasks();
   void endPredecessors();
   void warmBudgets(const ConfigSnapshot &Config);
@@ -75,7 +76,6 @@
   TargetChooser Chooser;
   PeerDesk Peers;
   TargetWatch Watch;
-  ConfigWatch Config;
   BudgetDesk Budgets;
   StreamLink OrderLink;
   OrderDesk Orders;
--- a/Services/Router/StreamLink.cpp
+++ b/Services/Router/StreamLink.cpp
@@ -8,11 +8,19 @@
 
 StreamLink::StreamLink(const std::string &Stream, const LogHooks &Log,
                        const Runtime &Tasks, StreamFollowerHooks Hooks,
-                       std::uint64_t Seed)
+                       StreamSnapshotHooks Snapshots, std::uint64_t Seed)
     : Appender(Stream, Log, Tasks, {}, Seed),
       Follower(Stream, Offset{0}, Log, Tasks, this->confirming(Hooks), {},
                Seed),
-      Tasks(Tasks) {}
+      Tasks(Tasks), Snapshots(std::move(Snapshots)),
+      Store(Stream, Log, Tasks, {}, Seed),
+      Keeper(
+          this->Store,
+          [this] {
+            return StreamSnapshot{this->Follower.next(),
+                                  this->Snapshots.Encode()};
+          },
+          Tasks, {}, Seed) {}
 
 StreamFollowerHooks StreamLink::confirming(StreamFollowerHooks Hooks) {
   auto Apply = Hooks.Apply;
@@ -20,17 +28,32 @@
     Apply(Record, At);
     this->Appender.confirm(Record.Id, At);
   };
+  Hooks.Recover = [this] { return this->recover(); };
   return Hooks;
 }
 
+/// Loads the newest snapshot, where it is ahead of what was read.
+Result<Offset> StreamLink::recover() {
+  if (!this->Snapshots.Restore)
+    return LogError::BelowRetention;
+  BOOST_OUTCOME_TRY(Newest, this->Store.newest());
+  if (!Newest || Newest->Covered <= this->Follower.next())
+    return LogError::BelowRetention;
+  BOOST_OUTCOME_TRYV(this->Snapshots.Restore(Newest->Content));
+  return Newest->Covered;
+}
+
 void StreamLink::start() {
   this->Tasks.Spawn([this] { this->Appender.run(); });
   this->Tasks.Spawn([this] { this->Follower.run(); });
+  if (this->Snapshots.Encode)
+    this->Tasks.Spawn([this] { this->Keeper.run(); });
 }
 
 void StreamLink::stop(TimePoint Deadline) {
   this->Appender.stop(Deadline);
   this->Follower.stop();
+  this->Keeper.stop();
 }
 
 StreamFollowerHooks followerHooksFor(
@@ -44,7 +67,6 @@
               {"offset", Entry.At.Value},
               {"reason", Reason.message()}});
   };
-  Made.Recover = []() -> Result<Offset> { return LogError::BelowRetention; };
   return Made;
 }
 
--- a/Services/Router/StreamLink.h
+++ b/Services/Router/StreamLink.h
@@ -5,17 +5,25 @@
 #ifndef BERGAMOTHOOK_SERVICES_ROUTER_STREAMLINK_H
 #define BERGAMOTHOOK_SERVICES_ROUTER_STREAMLINK_H
 
+#include "LibStream/SnapshotKeeper.h"
 #include "LibStream/StreamAppender.h"
 #include "LibStream/StreamFollower.h"
 
 namespace bergamothook {
 
+/// How the fold of a stream is written and loaded. Without hooks the stream has
+/// no snapshots.
+struct StreamSnapshotHooks {
+  std::function<std::string()> Encode;
+  std::function<Result<void>(std::string_view Content)> Restore;
+};
+
 /// Each record that is read is confirmed to the writer before it is handed on.
 class StreamLink {
 public:
   StreamLink(const std::string &Stream, const LogHooks &Log,
              const Runtime &Tasks, StreamFollowerHooks Hooks,
-             std::uint64_t Seed);
+             StreamSnapshotHooks Snapshots, std::uint64_t Seed);
 
   /// Starts both tasks.
   void start();
@@ -28,8 +36,12 @@
 
 private:
   StreamFollowerHooks confirming(StreamFollowerHooks Hooks);
+  Result<Offset> recover();
 
   Runtime Tasks;
+  StreamSnapshotHooks Snapshots;
+  SnapshotStore Store;
+  SnapshotKeeper Keeper;
 };
 
 /// Logs payloads that are no batch, and reports a hole as it is.
--- a/Services/Router/SuspectDesk.cpp
+++ b/Services/Router/SuspectDesk.cpp
@@ -14,7 +14,7 @@
                             [this](const StreamRecord &Record, RecordPosition) {
                               this->apply(Record);
                             }),
-           Seed) {}
+           {}, Seed) {}
 
 void SuspectDesk::apply(const StreamRecord &Record) {
   auto Applied = applySuspectRecord(this->Registry, Record, this->Tasks.Now());
