--- a/Libraries/LibOutcome/StreamRun.cpp
+++ b/Libraries/LibOutcome/StreamRun.cpp
@@ -1,5 +1,7 @@
 #include "LibOutcome/StreamRun.h"
 
+#include "LibOutcome/HedgeRace.h"
+
 #include <algorithm>
 
 namespace bergamothook::detail {
@@ -7,7 +9,8 @@
 StreamRun::StreamRun(const StreamRequest &Request, const StreamHooks &Hooks,
                      const StreamSettings &Settings)
     : Request(Request), Hooks(Hooks), Settings(Settings),
-      Pieces(Request.Request, Request.DeliveredTokens) {}
+      Pieces(Request.Request, Request.DeliveredTokens),
+      WasSent(Request.DeliveredTokens > 0) {}
 
 StreamOutcome StreamRun::run() {
   this->Ending.DeliveredTokens = this->Request.DeliveredTokens;
@@ -71,8 +74,7 @@
                         this->TokensBefore};
   if (this->Hooks.Started)
     this->Hooks.Started(this->Request.Content, this->Current->Id);
-  auto Stream = this->Hooks.Engine.Open(this->Current->Address, Order,
-                                        this->limit(Settings.OpenTimeout));
+  auto Stream = this->open(Order);
   auto Read =
       Stream ? this->readStream(Stream.value()) : Result<void>(Stream.error());
   if (!Read)
@@ -81,6 +83,56 @@
     this->Hooks.Ended(this->Request.Content, this->Current->Id);
 }
 
+Result<EngineStream> StreamRun::open(const GenerationOrder &Order) {
+  if (this->Request.MayHedge && this->Request.MayRepeat &&
+      this->Ending.Attempts == 1)
+    return this->openHedged(Order);
+  return this->Hooks.Engine.Open(this->Current->Address, Order,
+                                 this->limit(this->Settings.OpenTimeout));
+}
+
+std::optional<StreamTarget> StreamRun::takeHedgeTarget() {
+  std::vector<TargetId> Taken = this->Excluded;
+  Taken.push_back(this->Current->Id);
+  auto Chosen = this->Hooks.ChooseTarget(this->Request, Taken, this->now());
+  if (!Chosen || !this->Hooks.MayRetry(this->now()))
+    return std::nullopt;
+  return Chosen.value();
+}
+
+Result<EngineStream> StreamRun::openHedged(const GenerationOrder &Order) {
+  TimePoint Deadline = this->limit(this->Settings.FirstChunkTimeout);
+  StreamTarget First = *this->Current;
+  HedgeRace Race(this->Hooks, this->Settings);
+  Race.launch(First, Order, Deadline);
+  std::optional<StreamTarget> Second;
+  if (!Race.wait(this->limit(this->Settings.HedgeDelay)))
+    Second = this->takeHedgeTarget();
+  if (Second) {
+    GenerationOrder Hedge = Order;
+    Hedge.Attempt = AttemptNumber{++this->Ending.Attempts};
+    if (this->Hooks.Started)
+      this->Hooks.Started(this->Request.Content, Second->Id);
+    Race.launch(*Second, Hedge, Deadline);
+  }
+  Race.wait(Deadline);
+  HedgeResult Winner = Race.finish();
+  // The loser, if any, is cancelled by its own task.
+  bool HasSecondWon = Second && Winner.Target.Id == Second->Id;
+  if (Second && this->Hooks.Ended)
+    this->Hooks.Ended(this->Request.Content,
+                      HasSecondWon ? First.Id : Second->Id);
+  this->Current = Winner.Target;
+  // Bytes were sent to an engine unless the failure proves otherwise, and a
+  // second engine may have run what the first refused.
+  if (!Winner.Failure || Second || !provesNotRun(Winner.Failure))
+    this->WasSent = true;
+  if (Winner.Failure)
+    return Winner.Failure;
+  this->Pieces.startAttempt(Winner.Attempt);
+  return Winner.Stream;
+}
+
 Result<void> StreamRun::readStream(const EngineStream &Stream) {
   this->WasSent = true;
   bool IsFirst = true;
--- a/Libraries/LibOutcome/StreamRun.h
+++ b/Libraries/LibOutcome/StreamRun.h
@@ -24,6 +24,9 @@
   void runAttempts();
   void runAttempt();
   std::optional<StreamTarget> takeTarget(TimePoint Now);
+  Result<EngineStream> open(const GenerationOrder &Order);
+  Result<EngineStream> openHedged(const GenerationOrder &Order);
+  std::optional<StreamTarget> takeHedgeTarget();
   Result<void> readStream(const EngineStream &Stream);
   void deliver();
   void handleFailure(std::error_code Failure);
@@ -52,7 +55,7 @@
   bool IsResuming = false;
   bool HasEnded = false;
   /// Set once bytes of the request may have reached an engine.
-  bool WasSent = false;
+  bool WasSent;
   std::uint32_t IdleResumes = 0;
   std::uint32_t Retries = 0;
   /// The tokens delivered when the attempt under way began.
