Count a content as in flight only while an attempt is under way

Change: the pause before the next attempt comes after the attempt's end. Conclusion: one partition no longer quarantines a legitimate content.

--- a/Libraries/LibOutcome/StreamRun.cpp
+++ b/Libraries/LibOutcome/StreamRun.cpp
@@ -81,6 +81,9 @@
     this->handleFailure(Read.error());
   if (this->Hooks.Ended)
     this->Hooks.Ended(this->Request.Content, this->Current->Id);
+  // Only now, since a content that waits is in flight nowhere.
+  this->Hooks.Tasks.sleepUntil(this->limit(this->Pause));
+  this->Pause = Duration::zero();
 }
 
 Result<EngineStream> StreamRun::open(const GenerationOrder &Order) {
@@ -253,11 +256,10 @@
     return;
   }
   constexpr std::uint32_t MostDoublings = 8;
-  Duration Pause =
+  this->Pause =
       std::min(this->Settings.LongestBackOff,
                this->Settings.FirstBackOff *
                    (1U << std::min(this->Retries - 1, MostDoublings)));
-  this->Hooks.Tasks.sleepUntil(this->limit(Pause));
 }
 
 void StreamRun::finish(Outcome Verdict, std::error_code Reason) {
--- a/Libraries/LibOutcome/StreamRun.h
+++ b/Libraries/LibOutcome/StreamRun.h
@@ -58,6 +58,8 @@
   bool WasSent;
   std::uint32_t IdleResumes = 0;
   std::uint32_t Retries = 0;
+  /// How long to wait before the next attempt.
+  Duration Pause{};
   /// The tokens delivered when the attempt under way began.
   std::uint32_t TokensBefore = 0;
 };
--- a/Tests/LibReplay/ScenarioTest.cpp
+++ b/Tests/LibReplay/ScenarioTest.cpp
@@ -91,3 +91,18 @@
       CHECK(Report.Requests[At].IsWhole);
   }
 }
+
+TEST_CASE("a host that is cut off blames no content for it") {
+  Scenario Played;
+  for (std::size_t At = 0; At < 6; ++At) {
+    Played.Requests.push_back(streamNamed("good" + std::to_string(At)));
+    Played.Requests.back().Body = "good " + std::to_string(At);
+    Played.Requests.back().At = Milliseconds(At * 40);
+  }
+  ScenarioFault Cut;
+  Cut.Kind = FaultKind::Partition;
+  Cut.AtTime = Milliseconds(300);
+  Played.Faults = {Cut};
+  ScenarioReport Report = runScenario(Played);
+  CHECK(Report.CutAnswers == 0);
+}
