--- a/Libraries/LibRouting/PrefixIndex.cpp
+++ b/Libraries/LibRouting/PrefixIndex.cpp
@@ -50,6 +50,10 @@
   From.HasGap = false;
 }
 
+std::uint64_t PrefixIndex::lastSequence(TargetTable::Slot Place) const {
+  return Place < this->Sources.size() ? this->Sources[Place].LastSequence : 0;
+}
+
 std::vector<TargetTable::Slot> PrefixIndex::gaps() const {
   std::vector<TargetTable::Slot> Places;
   for (std::size_t I = 0; I < this->Sources.size(); ++I)
--- a/Libraries/LibRouting/PrefixIndex.h
+++ b/Libraries/LibRouting/PrefixIndex.h
@@ -54,6 +54,9 @@
   void resynchronise(TargetTable::Slot Place, std::uint64_t Sequence,
                      std::span<const PrefixHash> Blocks);
 
+  /// Gives the number of the latest event taken of a target, 0 without any.
+  std::uint64_t lastSequence(TargetTable::Slot Place) const;
+
   /// Gives the targets whose events have a gap.
   std::vector<TargetTable::Slot> gaps() const;
 
