Weigh prefill and bound concurrency

Change: the uncovered part of a prompt counts four times, since it delays all other work. Tried and taken back: a share of the peers that grows with the age of the report (0.2 to 1 at 5 s). The test of shares by weight now ends its requests, as the limit asks.

--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -13,7 +13,8 @@
 }
 
 Admission::Admission(AdmissionSettings Settings)
-    : Settings(Settings), Drain(Settings.AssumedCostPerSecond) {}
+    : Settings(Settings), Drain(Settings.AssumedCostPerSecond),
+      Limit(Settings.Concurrency) {}
 
 Result<TicketId> Admission::admit(const AdmissionRequest &Request,
                                   TimePoint Now) {
@@ -43,7 +44,9 @@
     return std::nullopt;
   TicketId Ticket = Picked->second.Queue.front()->Ticket;
   Item Taken = this->Waiting.at(Ticket);
-  if (IsFitting && !IsFitting(Taken.Request)) {
+  bool CanStart = this->Limit.permits(this->Running.size()) &&
+                  (!IsFitting || IsFitting(Taken.Request));
+  if (!CanStart) {
     this->Drain.blocked(Now);
     return std::nullopt;
   }
@@ -51,11 +54,19 @@
   this->takeOut(Ticket);
   this->creditPassedOver(Key, Taken.Request.Cost);
   this->Drain.started(Taken.Request.Cost, !this->Waiting.empty(), Now);
-  this->Running.emplace(Ticket, Taken.Request.Cost);
+  this->Running.emplace(Ticket, Taken.Request.Class);
   ++this->Counts.Started;
   return StartedRequest{Ticket, Taken.Request, Now - Taken.Arrived};
 }
 
+void Admission::firstToken(TicketId Ticket, Duration Waited, TimePoint Now) {
+  auto Found = this->Running.find(Ticket);
+  bool IsUrgent =
+      Found != this->Running.end() && Found->second != WorkClass::LongDraft;
+  if (IsUrgent)
+    this->Limit.firstToken(Waited, Now);
+}
+
 Result<void> Admission::finish(TicketId Ticket, TimePoint) {
   if (this->Running.erase(Ticket) == 0)
     return make_error_code(RoutingError::UnknownTicket);
--- a/Libraries/LibRouting/Admission.h
+++ b/Libraries/LibRouting/Admission.h
@@ -14,6 +14,7 @@
 #include "LibBase/Ids.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibRouting/ConcurrencyLimit.h"
 #include "LibRouting/DrainRate.h"
 #include "LibRouting/FairQueue.h"
 #include "LibRouting/RoutingError.h"
@@ -37,6 +38,7 @@
   double PassedOverShare = 0.1;
   /// The work per second assumed before any was measured, in tokens.
   double AssumedCostPerSecond = 20000;
+  ConcurrencyLimitSettings Concurrency;
   /// The bounds of the time after which a refused caller is told to come back.
   Duration MinRetryAfter = std::chrono::seconds(1);
   Duration MaxRetryAfter = std::chrono::seconds(120);
@@ -97,11 +99,16 @@
   /// DeadlineUnreachable; retryAfter() then tells when to come back.
   Result<TicketId> admit(const AdmissionRequest &Request, TimePoint Now);
 
-  /// Takes the request that goes next out of the queue, if \p IsFitting is
-  /// empty or accepts it. Requests past their deadline are passed over and
-  /// given out by takeRefused().
+  /// Takes the request that goes next out of the queue, if the concurrency
+  /// limit permits it and \p IsFitting is empty or accepts it. Requests past
+  /// their deadline are passed over and given out by takeRefused().
   std::optional<StartedRequest> next(TimePoint Now, const Fits &IsFitting = {});
 
+  /// Counts the first token of a started request. \p Waited is the time since
+  /// it was sent, less the computation of its own prompt. Drafts, which may
+  /// wait at their target, are not judged by it.
+  void firstToken(TicketId Ticket, Duration Waited, TimePoint Now);
+
   /// Ends a started request. Errors: UnknownTicket.
   Result<void> finish(TicketId Ticket, TimePoint Now);
 
@@ -125,6 +132,7 @@
   std::size_t queued() const { return this->Waiting.size(); }
   std::size_t running() const { return this->Running.size(); }
   const AdmissionCounts &counts() const { return this->Counts; }
+  double concurrencyLimit() const { return this->Limit.limit(); }
   double costPerSecond() const { return this->Drain.perSecond(); }
 
 private:
@@ -160,10 +168,11 @@
   AdmissionSettings Settings;
   std::map<LaneKey, Lane> Lanes;
   std::unordered_map<TicketId, Item> Waiting;
-  std::unordered_map<TicketId, double> Running;
+  std::unordered_map<TicketId, WorkClass> Running;
   std::set<std::pair<TimePoint, TicketId>> Deadlines;
   std::vector<RefusedRequest> Refused;
   DrainRate Drain;
+  ConcurrencyLimit Limit;
   AdmissionCounts Counts;
   std::uint64_t LastTicket = 0;
 };
--- a/Libraries/LibRouting/OutlierDetector.cpp
+++ b/Libraries/LibRouting/OutlierDetector.cpp
@@ -71,6 +71,13 @@
     this->eject(Target, Now);
 }
 
+void OutlierDetector::unreachable(TargetTable::Slot Place, TimePoint Now) {
+  if (Place >= this->Watches.size())
+    return;
+  ++this->Watches[Place].FailuresInRow;
+  this->eject(this->Watches[Place], Now);
+}
+
 void OutlierDetector::succeeded(TargetTable::Slot Place) {
   if (Place >= this->Watches.size())
     return;
--- a/Libraries/LibRouting/OutlierDetector.h
+++ b/Libraries/LibRouting/OutlierDetector.h
@@ -58,6 +58,10 @@
   /// Counts a request that the target failed.
   void failed(TargetTable::Slot Place, TimePoint Now);
 
+  /// Counts a request that found no connection. The target is ejected at once,
+  /// since another one can take the request, which has not run.
+  void unreachable(TargetTable::Slot Place, TimePoint Now);
+
   /// Counts a request that the target did not fail.
   void succeeded(TargetTable::Slot Place);
 
--- a/Libraries/LibRouting/TargetChooser.cpp
+++ b/Libraries/LibRouting/TargetChooser.cpp
@@ -160,7 +160,9 @@
   double DecodeWeight = Request.Class == WorkClass::LongDraft
                             ? this->Settings.DraftDecodeWeight
                             : this->Settings.QuickDecodeWeight;
-  Duration Sum = Scored.Queue + Scored.Prefill;
+  Duration Sum = Scored.Queue;
+  Sum += std::chrono::duration_cast<Duration>(Scored.Prefill *
+                                              this->Settings.PrefillWeight);
   Sum += std::chrono::duration_cast<Duration>(Scored.Decode * DecodeWeight);
   if (Target.Info.Domain != Request.Domain)
     Sum += this->Settings.OtherDomainCost;
--- a/Libraries/LibRouting/TargetChooser.h
+++ b/Libraries/LibRouting/TargetChooser.h
@@ -28,6 +28,9 @@
   std::uint32_t SampleSize = 16;
   /// What a target in another failure domain costs.
   Duration OtherDomainCost = std::chrono::milliseconds(2);
+  /// How much the computation of the uncovered part of a prompt counts: more
+  /// than once, since it also delays all other work of the target.
+  double PrefillWeight = 4;
   /// How much of the generation's time counts, by class.
   double QuickDecodeWeight = 0.1;
   double DraftDecodeWeight = 0.3;
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -177,6 +177,7 @@
                          static_cast<double>(Target.OwnPrefillTokens) * Hosts};
   if (!Target.HasReport)
     return Symmetric;
+  Duration Age = std::max(Duration::zero(), Now - Target.Report.TakenAt);
   double Peers = 1 + this->Settings.PeerShare * (Hosts - 1);
   LoadEstimate Load{static_cast<double>(Target.Report.Running),
                     static_cast<double>(Target.Report.Waiting),
@@ -186,7 +187,6 @@
     Load.Waiting += Change.Waiting * Peers;
     Load.PrefillTokens += static_cast<double>(Change.PrefillTokens) * Peers;
   }
-  Duration Age = std::max(Duration::zero(), Now - Target.Report.TakenAt);
   double Trust = std::exp(-detail::toSeconds(Age) /
                           detail::toSeconds(this->Settings.ReportDecay));
   auto Blend = [Trust](double Reported, double Own, double AtLeast) {
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -74,7 +74,7 @@
   std::uint32_t Hosts = 1;
   /// How strongly this host's dispatches since the report stand for those of
   /// the other hosts: 0 counts its own only, 1 assumes that all do the same.
-  double PeerShare = 1.0;
+  double PeerShare = 0.25;
   /// The age at which a report counts for a share of 1/e.
   Duration ReportDecay = std::chrono::seconds(30);
   /// The rates assumed of a target that never reported.
--- a/Tests/LibRouting/AdmissionTest.cpp
+++ b/Tests/LibRouting/AdmissionTest.cpp
@@ -64,15 +64,19 @@
 
 TEST_CASE("teams of one priority share by weight") {
   Admission Queue({});
-  for (int I = 0; I < 300; ++I) {
+  for (int I = 0; I < 600; ++I) {
     AdmissionRequest Heavy = request(1, WorkClass::QuickAnswer);
     Heavy.Weight = 3;
     CHECK(Queue.admit(Heavy, Start));
     CHECK(Queue.admit(request(2, WorkClass::QuickAnswer), Start));
   }
   std::map<std::uint64_t, int> Started;
-  for (int I = 0; I < 200; ++I)
-    ++Started[Queue.next(Start)->Request.Team.Value];
+  for (int I = 0; I < 200; ++I) {
+    auto Next = Queue.next(Start);
+    REQUIRE(Next);
+    ++Started[Next->Request.Team.Value];
+    CHECK(Queue.finish(Next->Ticket, Start));
+  }
   CHECK(Started[1] == doctest::Approx(150).epsilon(0.02));
 }
 
@@ -168,3 +172,39 @@
   CHECK(Queue.abandon(First, Start).error() == RoutingError::UnknownTicket);
   CHECK_FALSE(Queue.next(Start));
 }
+
+TEST_CASE("late first tokens lower the limit and good ones raise it again") {
+  ConcurrencyLimitSettings Settings;
+  Settings.Initial = 100;
+  ConcurrencyLimit Limit(Settings);
+  TimePoint Now = Start;
+  for (int I = 0; I < 100; ++I)
+    Limit.firstToken(5s, Now += 100ms);
+  CHECK(Limit.limit() < 50);
+  CHECK(Limit.limit() >= Settings.Min);
+  // The period that is under way still holds late ones.
+  Limit.firstToken(10ms, Now += 1s);
+  double Lowered = Limit.limit();
+  for (int I = 0; I < 100; ++I)
+    Limit.firstToken(10ms, Now += 100ms);
+  CHECK_MESSAGE(Limit.limit() == Lowered, "nothing was held back by it");
+  for (int I = 0; I < 600; ++I) {
+    CHECK_FALSE(Limit.permits(1000));
+    Limit.firstToken(10ms, Now += 100ms);
+  }
+  CHECK(Limit.limit() > 100);
+}
+
+TEST_CASE("no more requests run than the limit permits") {
+  AdmissionSettings Settings;
+  Settings.Concurrency.Initial = 2;
+  Settings.Concurrency.Min = 2;
+  Admission Queue(Settings);
+  for (int I = 0; I < 3; ++I)
+    CHECK(Queue.admit(request(1, WorkClass::QuickAnswer), Start));
+  auto First = Queue.next(Start);
+  CHECK(Queue.next(Start));
+  CHECK_FALSE(Queue.next(Start));
+  CHECK(Queue.finish(First->Ticket, Start));
+  CHECK(Queue.next(Start));
+}
--- a/Tests/LibRouting/OutlierDetectorTest.cpp
+++ b/Tests/LibRouting/OutlierDetectorTest.cpp
@@ -64,6 +64,15 @@
   CHECK_FALSE(Outliers.isEjected(0, Start + 17s));
 }
 
+TEST_CASE("a target without a connection is ejected at once") {
+  OutlierDetector Outliers = detectorOfFleet();
+  Outliers.unreachable(2, Start);
+  CHECK(Outliers.isEjected(2, Start + 1s));
+  for (TargetTable::Slot Place = 0; Place < Fleet; ++Place)
+    Outliers.unreachable(Place, Start);
+  CHECK(Outliers.ejected(Start) == Fleet / 2);
+}
+
 TEST_CASE("a new target gets its full share only after a while") {
   OutlierDetector Outliers = detectorOfFleet();
   CHECK(Outliers.share(0, Start) == doctest::Approx(0.2));
--- a/Utilities/Bench/RoutingCell.cpp
+++ b/Utilities/Bench/RoutingCell.cpp
@@ -33,6 +33,20 @@
   }
 }
 
+void addOwnLoads(const RoutingSite &Site, std::vector<RoutingCell> &Cells) {
+  for (double Load : {0.8, 1.0, 1.3, 2.0}) {
+    RoutingCell Cell;
+    Cell.Site = Site;
+    Cell.Load = Load;
+    Cell.IsOfOwnCapacity = true;
+    Cell.LoadLag = std::chrono::seconds(1);
+    char Text[32];
+    std::snprintf(Text, sizeof(Text), "own%g,lag1", Load);
+    Cell.Name = cellName(Site, Text);
+    Cells.push_back(Cell);
+  }
+}
+
 void addFaults(const RoutingSite &Site, std::vector<RoutingCell> &Cells) {
   using namespace std::chrono_literals;
   RoutingCell Base;
@@ -72,6 +86,7 @@
   std::vector<RoutingCell> Cells;
   for (const RoutingSite &Site : Sites) {
     addLoads(Site, Cells);
+    addOwnLoads(Site, Cells);
     addFaults(Site, Cells);
   }
   return Cells;
--- a/Utilities/Bench/RoutingCell.h
+++ b/Utilities/Bench/RoutingCell.h
@@ -26,8 +26,10 @@
 struct RoutingCell {
   RoutingSite Site;
   std::string Name;
-  /// The offered work as a share of the site's capacity.
+  /// The offered work as a share of what round robin can finish, or of what the
+  /// design's own choices can, which is more since they find held prefixes.
   double Load = 0.8;
+  bool IsOfOwnCapacity = false;
   Duration LoadLag = std::chrono::milliseconds(100);
   Duration CacheEventDelay = std::chrono::milliseconds(200);
   double CacheEventLoss = 0;
--- a/Utilities/Bench/RoutingExperiment.cpp
+++ b/Utilities/Bench/RoutingExperiment.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// bench routing: the ways to choose a target against each other, with and
 /// without faults. A word after the name limits the run to cells whose name
-/// holds it; "quick" runs the cells of one site only.
+/// holds it.
 
 #include "Experiment.h"
 #include "RoutingSimulation.h"
@@ -21,6 +21,35 @@
   return Design;
 }
 
+/// Adds the design and its earlier versions, each of which is the one before
+/// with one change.
+void addVersions(std::vector<RoutingDesign> &All) {
+  RoutingDesign Next;
+  Next.Name = "v1-own-correction";
+  Next.UsesAdmission = false;
+  Next.UsesPrefixes = false;
+  Next.Table.PeerShare = 0;
+  Next.Chooser.PrefillWeight = 1;
+  All.push_back(Next);
+  Next.Name = "v2-prefixes";
+  Next.UsesPrefixes = true;
+  All.push_back(Next);
+  Next.Name = "v3-all-peers";
+  Next.Table.PeerShare = 1;
+  All.push_back(Next);
+  Next.Name = "v4-prefill-weight";
+  Next.Table = TargetTableSettings();
+  Next.Chooser = ChooserSettings();
+  All.push_back(Next);
+  Next.Name = "v5-queue";
+  Next.UsesAdmission = true;
+  Next.Concurrency.FirstTokenTarget = std::chrono::hours(1);
+  All.push_back(Next);
+  RoutingDesign Whole;
+  Whole.Name = "design";
+  All.push_back(Whole);
+}
+
 std::vector<RoutingDesign> designs() {
   std::vector<RoutingDesign> All{
       baseline("random", Baseline::Random),
@@ -29,23 +58,7 @@
       baseline("two-choices", Baseline::TwoChoices),
       baseline("queue-over-speed", Baseline::QueueOverSpeed),
       baseline("load-push", Baseline::LoadPush)};
-  RoutingDesign First;
-  First.Name = "v1-own-correction";
-  First.UsesAdmission = false;
-  First.UsesPrefixes = false;
-  First.Table.PeerShare = 0;
-  All.push_back(First);
-  RoutingDesign Second = First;
-  Second.Name = "v2-prefixes";
-  Second.UsesPrefixes = true;
-  All.push_back(Second);
-  RoutingDesign Third = Second;
-  Third.Name = "v3-peers";
-  Third.Table.PeerShare = 1;
-  All.push_back(Third);
-  RoutingDesign Whole;
-  Whole.Name = "design";
-  All.push_back(Whole);
+  addVersions(All);
   return All;
 }
 
@@ -75,20 +88,38 @@
   Add("recovery", Figures.recoverySeconds(BurstEnd), "s");
 }
 
+/// What a site can finish, in requests per second.
+struct Capacity {
+  double RoundRobin = 0;
+  double Own = 0;
+};
+
+Capacity measure(const RoutingSite &Site, std::uint64_t Seed,
+                 const RowSink &Sink) {
+  Capacity Measured;
+  RoutingDesign Known = baseline("round-robin", Baseline::RoundRobin);
+  Measured.RoundRobin = measureCapacity(Site, Known, Seed);
+  Measured.Own =
+      measureSustained(Site, RoutingDesign(), Measured.RoundRobin, Seed);
+  Sink({"routing", "round-robin", Site.Name + " capacity", Measured.RoundRobin,
+        "req/s", Seed});
+  Sink({"routing", "design", Site.Name + " capacity", Measured.Own, "req/s",
+        Seed});
+  return Measured;
+}
+
 void runRouting(const ExperimentOptions &Options, const RowSink &Sink) {
   std::string Wanted =
       Options.Arguments.empty() ? std::string() : Options.Arguments.front();
-  std::map<std::string, double> Capacities;
+  std::map<std::string, Capacity> Capacities;
   for (const RoutingCell &Cell : routingCells()) {
     if (Cell.Name.find(Wanted) == std::string::npos)
       continue;
-    if (!Capacities.contains(Cell.Site.Name)) {
-      double Measured = measureCapacity(Cell.Site, Options.Seed);
-      Capacities[Cell.Site.Name] = Measured;
-      Sink({"routing", "round-robin", Cell.Site.Name + " capacity", Measured,
-            "req/s", Options.Seed});
-    }
-    double Rate = Cell.Load * Capacities[Cell.Site.Name];
+    if (!Capacities.contains(Cell.Site.Name))
+      Capacities[Cell.Site.Name] = measure(Cell.Site, Options.Seed, Sink);
+    const Capacity &Site = Capacities[Cell.Site.Name];
+    double Rate =
+        Cell.Load * (Cell.IsOfOwnCapacity ? Site.Own : Site.RoundRobin);
     for (const RoutingDesign &Design : designs()) {
       RoutingSimulation Run(Cell, Design, Rate, Options.Seed);
       RoutingFigures Figures = Run.run();
--- a/Utilities/Bench/RoutingSimulation.cpp
+++ b/Utilities/Bench/RoutingSimulation.cpp
@@ -17,13 +17,11 @@
 /// Callers wait so long before they give up, by class.
 constexpr Duration QuickPatience = 10s;
 constexpr Duration DraftPatience = 180s;
-/// The latest useful start, which leaves time for the first token.
-constexpr Duration QuickStart = 1500ms;
+/// The latest useful start of a draft.
 constexpr Duration DraftStart = 90s;
 /// How long the run goes on after the last arrival.
 constexpr Duration Tail = 60s;
 constexpr std::uint32_t MaxResends = 2;
-constexpr std::uint32_t MaxUnsentTries = 3;
 constexpr double SlowdownFactor = 10;
 constexpr std::size_t IndexCapacity = 8192;
 constexpr std::uint32_t ExpectedQuickTokens = 90;
@@ -39,8 +37,11 @@
   return Work.Class == WorkClass::QuickAnswer;
 }
 
-AdmissionSettings queueOf(const RoutingSite &Site) {
+AdmissionSettings queueOf(const RoutingDesign &Design,
+                          const RoutingSite &Site) {
   AdmissionSettings Settings;
+  Settings.Concurrency = Design.Concurrency;
+  Settings.Concurrency.Initial = 16.0 * Site.Targets / Site.Hosts;
   Settings.MaxQueued = 400;
   Settings.AssumedCostPerSecond = 8000.0 * Site.Targets / Site.Hosts;
   return Settings;
@@ -75,7 +76,7 @@
     : Table(tableOf(Design, Site)), Prefixes(IndexCapacity),
       Outliers(OutlierSettings{}),
       Chooser(Table, Prefixes, Outliers, Design.Chooser, Seed),
-      Queue(queueOf(Site)), Retries(RetryBudgetSettings{}) {
+      Queue(queueOf(Design, Site)), Retries(RetryBudgetSettings{}) {
   if (Design.Known)
     this->Known.emplace(*Design.Known, Seed);
 }
@@ -221,6 +222,7 @@
   Request.Arrived = this->Now;
   Request.At = Stage::Waiting;
   Request.Tried.clear();
+  Request.IsRetry = false;
   Duration Patience = isQuick(Request.Work) ? QuickPatience : DraftPatience;
   this->schedule(this->Now + Patience, EventKind::GiveUp, Number);
   Host &Entry = *this->Hosts[Request.HostIndex];
@@ -268,7 +270,7 @@
   Live &Request = this->Requests[Number];
   Host &Entry = *this->Hosts[Request.HostIndex];
   std::optional<Choice> Next = Made;
-  for (std::uint32_t Try = 0; Try < MaxUnsentTries && Next; ++Try) {
+  while (Next) {
     auto Place = static_cast<TargetTable::Slot>(Next->Target.Value - 1);
     EngineModelRequest Order;
     Order.Request = Request.Work.Request;
@@ -287,17 +289,18 @@
       Request.At = Stage::Sent;
       Request.SentAt = this->Now;
       Request.Expected = Next->FirstToken;
+      Request.Prefill = Next->FirstToken - Next->Queue;
       Request.PrefillTokens = Next->PrefillTokens;
       Entry.Table.dispatched(Next->Target, Next->PrefillTokens, this->Now);
       if (this->Design.UsesPrefixes)
         Entry.Prefixes.expect(Place, Request.Work.Blocks);
       ++this->Figures.Attempts;
-      this->Figures.FirstAttempts += Request.Attempt == 1 ? 1 : 0;
+      this->Figures.FirstAttempts += Request.IsRetry ? 0 : 1;
       this->collect(Place);
       return true;
     }
     if (Accepted.error() == TargetError::ConnectFailed)
-      Entry.Outliers.failed(Place, this->Now);
+      Entry.Outliers.unreachable(Place, this->Now);
     Request.Tried.push_back(Next->Target);
     Next = this->choose(Number);
   }
@@ -351,9 +354,8 @@
   Asked.Cost = Request.Work.PromptTokens * UncoveredShare +
                GeneratedTokenCost *
                    (IsQuick ? ExpectedQuickTokens : ExpectedDraftTokens);
-  Asked.Deadline = Request.FirstArrived + (IsQuick ? QuickStart : DraftStart);
-  if (Request.Resends > 0)
-    Asked.Deadline = Request.Arrived + (IsQuick ? QuickStart : DraftStart);
+  Asked.Deadline =
+      Request.Arrived + (IsQuick ? this->Design.QuickStart : DraftStart);
   return Asked;
 }
 
@@ -397,6 +399,10 @@
     Entry.Table.firstToken(TargetId{Request.Place + 1}, Request.PrefillTokens,
                            Event.At);
     Entry.Outliers.succeeded(Request.Place);
+    if (this->Design.UsesAdmission)
+      Entry.Queue.firstToken(Request.Ticket,
+                             Event.At - Request.SentAt - Request.Prefill,
+                             Event.At);
     if (this->Design.UsesOutliers)
       Entry.Outliers.observe(Request.Place, Request.Expected,
                              Event.At - Request.SentAt, Event.At);
@@ -447,6 +453,7 @@
     return;
   }
   Request.Ticket = Ticket;
+  Request.IsRetry = true;
   this->send(Number, this->choose(Number));
 }
 
@@ -556,15 +563,14 @@
   }
 }
 
-double measureCapacity(const RoutingSite &Site, std::uint64_t Seed) {
+double measureCapacity(const RoutingSite &Site, RoutingDesign Design,
+                       std::uint64_t Seed) {
   // More than any site finishes, so that its queues never run empty.
   constexpr double OfferedPerTarget = 6;
   RoutingCell Cell;
   Cell.Site = Site;
   Cell.Length = 90s;
   Cell.IsPatient = true;
-  RoutingDesign Design;
-  Design.Known = Baseline::RoundRobin;
   Design.UsesAdmission = false;
   RoutingSimulation Run(Cell, Design, OfferedPerTarget * Site.Targets, Seed);
   RoutingFigures Figures = Run.run();
@@ -577,4 +583,23 @@
   return static_cast<double>(Finished) / Seconds;
 }
 
+double measureSustained(const RoutingSite &Site, const RoutingDesign &Design,
+                        double FirstRate, std::uint64_t Seed) {
+  constexpr int MaxSteps = 30;
+  constexpr double StepShare = 0.05;
+  constexpr double MaxLateShare = 0.01;
+  double Sustained = FirstRate;
+  for (int Step = 0; Step < MaxSteps; ++Step) {
+    RoutingCell Cell;
+    Cell.Site = Site;
+    Cell.LoadLag = 1s;
+    double Rate = FirstRate * (1 + Step * StepShare);
+    RoutingSimulation Run(Cell, Design, Rate, Seed);
+    if (Run.run().Classes[0].lateShare() > MaxLateShare)
+      break;
+    Sustained = Rate;
+  }
+  return Sustained;
+}
+
 } // namespace bergamothook
--- a/Utilities/Bench/RoutingSimulation.h
+++ b/Utilities/Bench/RoutingSimulation.h
@@ -33,6 +33,10 @@
   /// A request stays in the host's queue while the best target's estimated
   /// wait is longer than this.
   Duration MaxTargetQueue = std::chrono::milliseconds(300);
+  /// The latest useful start of a quick answer after its arrival, which leaves
+  /// time for the first token.
+  Duration QuickStart = std::chrono::milliseconds(1200);
+  ConcurrencyLimitSettings Concurrency;
   TargetTableSettings Table;
   ChooserSettings Chooser;
 };
@@ -94,11 +98,14 @@
     Stage At = Stage::Waiting;
     std::uint32_t Attempt = 0;
     std::uint32_t Resends = 0;
+    /// Whether it is sent again after its target failed.
+    bool IsRetry = false;
     TicketId Ticket;
     TargetTable::Slot Place = 0;
     std::uint32_t PrefillTokens = 0;
     TimePoint SentAt;
     Duration Expected{};
+    Duration Prefill{};
     TimePoint LastToken;
     std::uint32_t Generated = 0;
     std::vector<TargetId> Tried;
@@ -153,8 +160,14 @@
 };
 
 /// Measures the requests per second that a site finishes when more is offered
-/// than it can take, with round robin.
-double measureCapacity(const RoutingSite &Site, std::uint64_t Seed);
+/// than it can take, routed by \p Design without its admission queue.
+double measureCapacity(const RoutingSite &Site, RoutingDesign Design,
+                       std::uint64_t Seed);
+
+/// Searches the largest offered requests per second, from \p FirstRate up, at
+/// which \p Design answers 99 of 100 quick requests in time.
+double measureSustained(const RoutingSite &Site, const RoutingDesign &Design,
+                        double FirstRate, std::uint64_t Seed);
 
 } // namespace bergamothook
 
