--- a/Libraries/LibRouting/RequestFeatures.h
+++ b/Libraries/LibRouting/RequestFeatures.h
@@ -5,7 +5,7 @@
 #define BERGAMOTHOOK_LIBROUTING_REQUESTFEATURES_H
 
 #include "LibBase/Ids.h"
-#include "LibRouting/WorkClass.h"
+#include "LibBase/WorkClass.h"
 #include "LibTarget/PrefixBlocks.h"
 
 #include <span>
--- a/Tests/LibRouting/AdmissionTest.cpp
+++ b/Tests/LibRouting/AdmissionTest.cpp
@@ -64,7 +64,7 @@
 
 TEST_CASE("teams of one priority share by weight") {
   Admission Queue({});
-  for (int I = 0; I < 600; ++I) {
+  for (int I = 0; I < 300; ++I) {
     AdmissionRequest Heavy = request(1, WorkClass::QuickAnswer);
     Heavy.Weight = 3;
     CHECK(Queue.admit(Heavy, Start));
--- a/Utilities/Bench/RoutingFigures.h
+++ b/Utilities/Bench/RoutingFigures.h
@@ -5,7 +5,7 @@
 #define BERGAMOTHOOK_UTILITIES_BENCH_ROUTINGFIGURES_H
 
 #include "LibBase/Time.h"
-#include "LibRouting/WorkClass.h"
+#include "LibBase/WorkClass.h"
 
 #include <array>
 #include <cstdint>
--- a/Utilities/Bench/RoutingWorkload.h
+++ b/Utilities/Bench/RoutingWorkload.h
@@ -7,7 +7,7 @@
 
 #include "LibBase/Ids.h"
 #include "LibBase/Random.h"
-#include "LibRouting/WorkClass.h"
+#include "LibBase/WorkClass.h"
 #include "LibTarget/PrefixBlocks.h"
 
 #include <vector>
