--- a/Libraries/LibRouting/ConcurrencyLimit.h
+++ b/Libraries/LibRouting/ConcurrencyLimit.h
@@ -17,7 +17,7 @@
 namespace bergamothook {
 
 struct ConcurrencyLimitSettings {
-  double Initial = 64;
+  double Initial = 256;
   double Min = 4;
   double Max = 4096;
   /// The wanted time from sending to the first token of urgent work, without
