Tell the outlier detector of targets, and admission of first tokens

Cause: the router never told the detector which targets it watches, so that none was ever ejected, and the bound on requests let in at a time never moved. Change: targets are added and removed with the list; a refused connection ejects at once; the deadline of admission leaves time for the first token; the number of hosts that share the targets comes from the list.

--- a/Services/Router/AdmissionDesk.cpp
+++ b/Services/Router/AdmissionDesk.cpp
@@ -88,6 +88,12 @@
   this->queueOf(Admitted.Model).Unsent.erase(Admitted.Ticket);
 }
 
+void AdmissionDesk::firstToken(const AdmittedRequest &Admitted,
+                               Duration Waited) {
+  this->queueOf(Admitted.Model)
+      .Waiting.firstToken(Admitted.Ticket, Waited, this->Tasks.Now());
+}
+
 void AdmissionDesk::finish(const AdmittedRequest &Admitted) {
   TimePoint Now = this->Tasks.Now();
   this->sent(Admitted);
--- a/Services/Router/AdmissionDesk.h
+++ b/Services/Router/AdmissionDesk.h
@@ -41,6 +41,10 @@
   /// Tells that the request is counted at its target from now on.
   void sent(const AdmittedRequest &Admitted);
 
+  /// Tells how long the request waited at its target before its prompt was
+  /// computed, which bounds how many are let in at a time.
+  void firstToken(const AdmittedRequest &Admitted, Duration Waited);
+
   /// Ends a request that was let in, and lets the next one in.
   void finish(const AdmittedRequest &Admitted);
 
--- a/Services/Router/ChatDesk.cpp
+++ b/Services/Router/ChatDesk.cpp
@@ -110,7 +110,7 @@
   Place.Priority = Asked.Stream.Priority;
   Place.Class = Asked.Class;
   Place.Cost = promptEstimate(Asked.Asked) + Asked.Stream.MaxTokens;
-  Place.Deadline = Asked.Stream.Deadline;
+  Place.Deadline = Asked.Stream.Deadline - this->Settings.FirstTokenTarget;
   auto Admitted = this->Parts.Admissions.waitForPlace(
       idOfName<ModelId>(Asked.Asked.Model), Place,
       [&Reply] { return Reply.isCallerGone(); });
@@ -179,6 +179,8 @@
   Counted.PrefillTokens = Asked.LastChoice.PrefillTokens;
   Counted.SentAt = Now;
   Counted.ExpectedFirstToken = Asked.LastChoice.FirstToken;
+  Counted.ExpectedPrefill =
+      Asked.LastChoice.FirstToken - Asked.LastChoice.Queue;
   Asked.InFlight[Target] = Counted;
   this->Parts.Targets.dispatched(Target, Counted.PrefillTokens, Now);
   this->Parts.Admissions.sent(Asked.Admitted);
@@ -204,7 +206,10 @@
     this->Parts.Outliers.succeeded(Place.value());
     return;
   }
-  this->Parts.Outliers.failed(Place.value(), Now);
+  if (Failure == TargetError::ConnectFailed)
+    this->Parts.Outliers.unreachable(Place.value(), Now);
+  else
+    this->Parts.Outliers.failed(Place.value(), Now);
   const Member *Known = this->Parts.Watch.find(Target);
   logEvent(LogLevel::Warning, "attempt_failed",
            {{"target", Known ? Known->Name : toHex(Target.Value)},
@@ -218,6 +223,9 @@
       continue;
     Counted.HasFirstToken = true;
     this->Parts.Targets.firstToken(Target, Counted.PrefillTokens, Now);
+    Duration Waited = Now - Counted.SentAt - Counted.ExpectedPrefill;
+    this->Parts.Admissions.firstToken(Asked.Admitted,
+                                      std::max(Duration::zero(), Waited));
     auto Place = this->Parts.Targets.slotOf(Target);
     if (Place)
       this->Parts.Outliers.observe(Place.value(), Counted.ExpectedFirstToken,
--- a/Services/Router/ChatDesk.h
+++ b/Services/Router/ChatDesk.h
@@ -31,6 +31,8 @@
   /// How long a request waits for tokens that are on their way to this host.
   Duration ReserveTimeout = std::chrono::seconds(2);
   std::uint32_t DefaultMaxTokens = 512;
+  /// How long before its deadline a request has to start.
+  Duration FirstTokenTarget = std::chrono::milliseconds(800);
   /// How long one engine is asked whether it holds an earlier answer.
   Duration ProbeTimeout = std::chrono::milliseconds(500);
   /// How many engines are asked for an earlier answer.
@@ -75,6 +77,7 @@
     bool HasFirstToken = false;
     TimePoint SentAt;
     Duration ExpectedFirstToken{};
+    Duration ExpectedPrefill{};
   };
 
   /// One request on its way.
--- a/Services/Router/TargetWatch.cpp
+++ b/Services/Router/TargetWatch.cpp
@@ -7,11 +7,12 @@
 
 namespace bergamothook {
 
-TargetWatch::TargetWatch(TargetTable &Table, MembershipHooks List,
-                         EngineHooks Engines, Runtime Tasks,
-                         TargetWatchSettings Settings)
-    : Table(Table), List(std::move(List)), Engines(std::move(Engines)),
-      Tasks(std::move(Tasks)), Settings(Settings) {}
+TargetWatch::TargetWatch(TargetTable &Table, OutlierDetector &Outliers,
+                         MembershipHooks List, EngineHooks Engines,
+                         Runtime Tasks, TargetWatchSettings Settings)
+    : Table(Table), Outliers(Outliers), List(std::move(List)),
+      Engines(std::move(Engines)), Tasks(std::move(Tasks)), Settings(Settings) {
+}
 
 void TargetWatch::run() {
   while (!this->IsStopping) {
@@ -34,12 +35,13 @@
     Named.insert(idOfName<TargetId>(Known.Name));
     this->takeMember(Known);
   }
+  // Each live host is assumed to send as much to the targets as this one.
+  auto Hosts = static_cast<std::uint32_t>(this->entryHosts().size());
+  this->Table.setHosts(std::max(1U, Hosts));
   std::erase_if(this->Members, [&](const auto &Item) {
     if (Named.contains(Item.first))
       return false;
-    this->Table.remove(Item.first);
-    this->LoadedModels.erase(Item.first);
-    this->Leaving.erase(Item.first);
+    this->forget(Item.first);
     return true;
   });
 }
@@ -51,13 +53,31 @@
     this->markLeaving(Target);
   if (Known.Role != MemberRole::Engine)
     return;
-  this->Table.upsert(this->infoOf(Known), this->Tasks.Now());
+  this->join(Known, this->Tasks.Now());
   if (this->Leaving.contains(Target))
     this->Table.setState(Target, TargetState::Leaving);
   if (this->Watched.insert(Target).second)
     this->Tasks.Spawn([this, Target] { this->watchEngine(Target); });
 }
 
+void TargetWatch::join(const Member &Known, TimePoint Now) {
+  TargetInfo Info = this->infoOf(Known);
+  bool IsNew = !this->Table.find(Info.Id);
+  this->Table.upsert(Info, Now);
+  auto Place = this->Table.slotOf(Info.Id);
+  if (IsNew && Place)
+    this->Outliers.add(Place.value(), Now);
+}
+
+void TargetWatch::forget(TargetId Target) {
+  auto Place = this->Table.slotOf(Target);
+  if (Place)
+    this->Outliers.remove(Place.value());
+  this->Table.remove(Target);
+  this->LoadedModels.erase(Target);
+  this->Leaving.erase(Target);
+}
+
 TargetInfo TargetWatch::infoOf(const Member &Known) const {
   TargetInfo Info;
   Info.Id = idOfName<TargetId>(Known.Name);
--- a/Services/Router/TargetWatch.h
+++ b/Services/Router/TargetWatch.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_SERVICES_ROUTER_TARGETWATCH_H
 
 #include "LibPlatform/MembershipHooks.h"
+#include "LibRouting/OutlierDetector.h"
 #include "LibRouting/TargetTable.h"
 #include "LibTarget/EngineHooks.h"
 #include "LibTask/Runtime.h"
@@ -26,8 +27,9 @@
 /// runtime.
 class TargetWatch {
 public:
-  TargetWatch(TargetTable &Table, MembershipHooks List, EngineHooks Engines,
-              Runtime Tasks, TargetWatchSettings Settings);
+  TargetWatch(TargetTable &Table, OutlierDetector &Outliers,
+              MembershipHooks List, EngineHooks Engines, Runtime Tasks,
+              TargetWatchSettings Settings);
 
   /// Reads the list until stop(). Runs as a task of its own, and starts one
   /// task for each engine that appears.
@@ -63,11 +65,14 @@
 private:
   void take(const MemberList &List);
   void takeMember(const Member &Known);
+  void join(const Member &Known, TimePoint Now);
+  void forget(TargetId Target);
   void watchEngine(TargetId Target);
   void takeLoad(TargetId Target, const EngineLoad &Load, TimePoint AskedAt);
   TargetInfo infoOf(const Member &Known) const;
 
   TargetTable &Table;
+  OutlierDetector &Outliers;
   MembershipHooks List;
   EngineHooks Engines;
   Runtime Tasks;
