--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using Pistache::Http::Private::BodyStep;
+using Pistache::Http::Private::RequestLineStep;
 using Pistache::Http::Private::State;
 
 /// Room for the framing of a chunked body.
@@ -30,6 +31,18 @@
   return Text;
 }
 
+/// Whether the length of the body is told once, and as a number. Pistache takes
+/// any text for a number, and a request whose length is told in two ways may be
+/// read differently by those that it passes through.
+bool hasClearLength(const Pistache::Http::Header::Collection &Headers) {
+  auto Length = Headers.tryGetRaw("Content-Length");
+  if (!Length)
+    return true;
+  std::string Digits = Length->value();
+  return !Headers.tryGetRaw("Transfer-Encoding") && !Digits.empty() &&
+         Digits.find_first_not_of("0123456789") == std::string::npos;
+}
+
 HttpRequest convert(const Pistache::Http::Request &Parsed) {
   HttpRequest Request;
   Request.Method = Pistache::Http::methodString(Parsed.method());
@@ -101,6 +114,11 @@
       return;
     }
     this->parse(Now, Sink);
+    // Pistache waits for more where a whole line holds no request.
+    bool IsLineWhole = std::find(Bytes, Bytes + Length, '\n') != Bytes + Length;
+    if (this->FedBytes > 0 && IsLineWhole &&
+        this->Parser.step()->id() == RequestLineStep::Id)
+      this->refuse(400, "malformed request", Now);
   } catch (const Pistache::Http::HttpError &Failure) {
     bool IsClientError = Failure.code() >= 400 && Failure.code() < 500;
     this->refuse(IsClientError ? Failure.code() : 400, "malformed request",
@@ -130,6 +148,10 @@
     this->HasHeaders = true;
   }
   const auto &Headers = this->Parser.request.headers();
+  if (!hasClearLength(Headers)) {
+    this->refuse(400, "unclear body length", Now);
+    return;
+  }
   auto Length = Headers.tryGet<Pistache::Http::Header::ContentLength>();
   bool IsTooLong = Length && Length->value() > this->Limits->MaxBodyBytes;
   if (IsTooLong || this->FedBytes > this->Limits->MaxHeaderBytes +
@@ -146,6 +168,10 @@
 
 void ServerConnection::dispatch(TimePoint Now, const RequestSink &Sink) {
   const auto &Parsed = this->Parser.request;
+  if (!hasClearLength(Parsed.headers())) {
+    this->refuse(400, "unclear body length", Now);
+    return;
+  }
   if (Parsed.body().size() > this->Limits->MaxBodyBytes) {
     this->refuse(413, "request body too large", Now);
     return;
