--- a/Libraries/LibStandinServer/EngineStandin.cpp
+++ b/Libraries/LibStandinServer/EngineStandin.cpp
@@ -2,6 +2,7 @@
 
 #include "LibAdapter/EngineControlWire.h"
 #include "LibAdapter/EngineWire.h"
+#include "LibStandin/TokenText.h"
 #include "LibStandinServer/KvWire.h"
 
 #include <algorithm>
@@ -271,14 +272,16 @@
 nlohmann::json EngineStandin::ledgerJson() const {
   auto Runs = nlohmann::json::array();
   for (const GenerationRun &Run : this->Engine.ledger())
-    Runs.push_back({{"request", toHex(Run.Request)},
-                    {"attempt", Run.Attempt.Value},
-                    {"prompt_tokens", Run.Counted.PromptTokens},
-                    {"cached_prompt_tokens", Run.Counted.CachedPromptTokens},
-                    {"generated_tokens", Run.Counted.GeneratedTokens},
-                    {"first_token", Run.FirstToken},
-                    {"opens", Run.Opens},
-                    {"outcome", nameOf(Run.Outcome)}});
+    Runs.push_back(
+        {{"request", toHex(Run.Request)},
+         {"attempt", Run.Attempt.Value},
+         {"prompt_tokens", Run.Counted.PromptTokens},
+         {"cached_prompt_tokens", Run.Counted.CachedPromptTokens},
+         {"generated_tokens", Run.Counted.GeneratedTokens},
+         {"first_token", Run.FirstToken},
+         {"opens", Run.Opens},
+         {"answer", tokensText(Run.Request, 0, Run.Counted.GeneratedTokens)},
+         {"outcome", nameOf(Run.Outcome)}});
   return {{"runs", Runs}};
 }
 
