--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -10,6 +10,15 @@
 
 HttpServer::~HttpServer() = default;
 
+Result<void> HttpServer::useTls(const std::string &CertificateFile,
+                                const std::string &KeyFile) {
+  return this->Core->useTls(CertificateFile, KeyFile);
+}
+
+Result<void> HttpServer::reloadCertificate() {
+  return this->Core->reloadCertificate();
+}
+
 Result<void> HttpServer::start() { return this->Core->start(); }
 
 void HttpServer::stop() { this->Core->stop(); }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -31,6 +31,15 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
+  /// Serves HTTPS with the certificate chain and the key in two PEM files. Call
+  /// it before start().
+  Result<void> useTls(const std::string &CertificateFile,
+                      const std::string &KeyFile);
+
+  /// Reads the certificate and its key again; connections from now on get them.
+  /// On a failure the earlier ones stay in use.
+  Result<void> reloadCertificate();
+
   /// Listens and serves. The process ignores SIGPIPE from now on.
   Result<void> start();
 
--- a/Libraries/LibHttp/ServerCore.cpp
+++ b/Libraries/LibHttp/ServerCore.cpp
@@ -52,20 +52,44 @@
 
 ServerCore::~ServerCore() { this->stop(); }
 
-Result<void> ServerCore::start() {
-  std::signal(SIGPIPE, SIG_IGN);
+Result<void> ServerCore::useTls(const std::string &CertificateFile,
+                                const std::string &KeyFile) {
+  this->Certificate =
+      std::make_unique<CertificateStore>(CertificateFile, KeyFile);
+  return this->Certificate->load();
+}
+
+Result<void> ServerCore::reloadCertificate() {
+  if (!this->Certificate)
+    return HttpError::BadCertificate;
+  return this->Certificate->load();
+}
+
+void ServerCore::listen() {
   using Pistache::Tcp::Options;
   Pistache::Flags<Options> Flags(Options::ReuseAddr);
   Flags.setFlag(Options::NoDelay);
   Flags.setFlag(Options::CloseOnExec);
+  Pistache::Address At(this->Limits->Address,
+                       Pistache::Port(this->Limits->Port));
+  this->Listener = std::make_unique<Pistache::Tcp::Listener>(At);
+  this->Listener->init(this->Limits->Threads, Flags, "http", Backlog);
+  this->Listener->setHandler(std::make_shared<ServerHandler>(this));
+  this->Listener->bind();
+  if (this->Certificate) {
+    SSL_CTX *Context = contextMadeBy([this] {
+      this->Listener->setupSSL(this->Certificate->certificateFile(),
+                               this->Certificate->keyFile(), false, nullptr);
+    });
+    this->Certificate->installOn(Context);
+  }
+  this->Listener->runThreaded();
+}
+
+Result<void> ServerCore::start() {
+  std::signal(SIGPIPE, SIG_IGN);
   try {
-    Pistache::Address At(this->Limits->Address,
-                         Pistache::Port(this->Limits->Port));
-    this->Listener = std::make_unique<Pistache::Tcp::Listener>(At);
-    this->Listener->init(this->Limits->Threads, Flags, "http", Backlog);
-    this->Listener->setHandler(std::make_shared<ServerHandler>(this));
-    this->Listener->bind();
-    this->Listener->runThreaded();
+    this->listen();
   } catch (const std::exception &) {
     this->Listener.reset();
     return HttpError::CannotListen;
--- a/Libraries/LibHttp/ServerCore.h
+++ b/Libraries/LibHttp/ServerCore.h
@@ -4,6 +4,7 @@
 #ifndef BERGAMOTHOOK_LIBHTTP_SERVERCORE_H
 #define BERGAMOTHOOK_LIBHTTP_SERVERCORE_H
 
+#include "LibHttp/CertificateStore.h"
 #include "LibHttp/HttpServer.h"
 #include "LibHttp/ServerConnection.h"
 
@@ -23,6 +24,9 @@
   ServerCore(const ServerCore &) = delete;
   ServerCore &operator=(const ServerCore &) = delete;
 
+  Result<void> useTls(const std::string &CertificateFile,
+                      const std::string &KeyFile);
+  Result<void> reloadCertificate();
   Result<void> start();
   void stop();
   std::uint16_t port() const;
@@ -36,6 +40,7 @@
   void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer);
 
 private:
+  void listen();
   bool mayHoldOldBytes(int Fd);
   void answer(HttpRequest Request, ReplyManner Manner,
               const std::shared_ptr<ServerConnection> &Connection);
@@ -47,6 +52,7 @@
   std::shared_ptr<std::atomic<std::size_t>> ActiveRequests =
       std::make_shared<std::atomic<std::size_t>>(0);
   ServerConnection::RequestSink Sink;
+  std::unique_ptr<CertificateStore> Certificate;
   std::unique_ptr<Pistache::Tcp::Listener> Listener;
   std::thread Sweeper;
 
