--- a/Libraries/LibLedger/BudgetFold.cpp
+++ b/Libraries/LibLedger/BudgetFold.cpp
@@ -101,7 +101,7 @@
                                     const Origin &From) {
   Budget *Owner = this->findBudget(Body.Team);
   if (!Owner || Owner->IsClosed || Body.Tokens < 0 || Body.Minimum < 0 ||
-      Body.UnwitnessedCap < 0 || Body.UnwitnessedCap > MostTokens)
+      Body.UnwitnessedCap < 0 || Body.UnwitnessedCap > MostTokens / 4)
     return LedgerOutcome::Void;
   Index At = this->findSlice(*Owner, From.Writer);
   std::uint32_t Known = At == None ? 0 : this->Slices[At].Sequence;
@@ -111,10 +111,12 @@
     return LedgerOutcome::Void;
   if (At == None)
     At = this->addSlice(*Owner, From.Writer);
-  Index Witness = this->holderIndex(Body.Witness);
+  Index First = this->holderIndex(Body.Witnesses.First);
+  Index Second = this->holderIndex(Body.Witnesses.Second);
   Slice &Target = this->Slices[At];
   Target.Sequence = Body.Sequence;
-  Target.Witness = Witness;
+  Target.FirstWitness = First;
+  Target.SecondWitness = Second;
   Target.UnwitnessedCap = Body.UnwitnessedCap;
   this->dropDemand(*Owner, Target);
   // While others wait, nobody gets more than the least that helps him.
@@ -207,14 +209,25 @@
                                     const Origin &From) {
   Budget *Owner = this->findBudget(Body.Team);
   Index At = Owner ? this->findSlice(*Owner, Body.Holder) : None;
-  if (At == None || Body.Open < 0 || Body.Open > MostTokens)
+  if (At == None || Body.Open < 0 || Body.Open > MostTokens / 4)
     return LedgerOutcome::Void;
   Slice &Source = this->Slices[At];
-  if (!this->Holders[Source.Holder].IsEnded ||
-      this->Holders[Source.Witness].Id != From.Writer)
+  bool IsFirst = this->Holders[Source.FirstWitness].Id == From.Writer;
+  bool IsSecond = this->Holders[Source.SecondWitness].Id == From.Writer;
+  if (!this->Holders[Source.Holder].IsEnded || (!IsFirst && !IsSecond))
     return LedgerOutcome::Void;
-  TokenCount Kept =
-      std::min(Source.Outstanding, Body.Open + Source.UnwitnessedCap);
+  (IsFirst ? Source.FirstReport : Source.SecondReport) = Body.Open;
+  // A note may be with either witness, so both must have spoken. A holder that
+  // had one peer only named itself, or that peer twice, as the other.
+  bool HasOne = Source.FirstWitness == Source.SecondWitness ||
+                Source.FirstWitness == Source.Holder ||
+                Source.SecondWitness == Source.Holder;
+  if (!HasOne &&
+      (Source.FirstReport == NoReport || Source.SecondReport == NoReport))
+    return LedgerOutcome::Accepted;
+  TokenCount Open = std::max<TokenCount>(Source.FirstReport, 0) +
+                    std::max<TokenCount>(Source.SecondReport, 0);
+  TokenCount Kept = std::min(Source.Outstanding, Open + Source.UnwitnessedCap);
   this->move(*Owner, Source, Kept - Source.Outstanding);
   if (Kept == 0)
     this->removeSlice(*Owner, At);
--- a/Libraries/LibLedger/BudgetFold.h
+++ b/Libraries/LibLedger/BudgetFold.h
@@ -50,7 +50,7 @@
   TokenCount UnwitnessedCap = 0;
   /// The tokens for which the holder waits; 0 for none.
   TokenCount Demand = 0;
-  Incarnation Witness;
+  WitnessPair Witnesses;
   std::uint32_t Sequence = 0;
   /// The holder has ended; its tokens are stranded.
   bool IsEnded = false;
@@ -158,6 +158,8 @@
   using Index = std::uint32_t;
   static constexpr Index None = ~Index{0};
 
+  static constexpr TokenCount NoReport = -1;
+
   struct Budget {
     TeamId Team;
     TokenCount ToppedUp = 0;
@@ -175,8 +177,12 @@
     TokenCount Demand = 0;
     /// Orders demands by their age.
     std::uint64_t DemandOrder = 0;
+    /// What the witnesses reported of an ended holder.
+    TokenCount FirstReport = NoReport;
+    TokenCount SecondReport = NoReport;
     Index Holder = None;
-    Index Witness = None;
+    Index FirstWitness = None;
+    Index SecondWitness = None;
     Index Next = None;
     std::uint32_t Sequence = 0;
   };
--- a/Libraries/LibLedger/BudgetSnapshot.cpp
+++ b/Libraries/LibLedger/BudgetSnapshot.cpp
@@ -59,8 +59,10 @@
        Owner.IsClosed, Count);
     for (Index At = Owner.FirstSlice; At != None; At = this->Slices[At].Next) {
       const Slice &Present = this->Slices[At];
-      Ar(Present.Holder, Present.Witness, Present.Sequence, Present.Outstanding,
-         Present.UnwitnessedCap, Present.Demand, Present.DemandOrder);
+      Ar(Present.Holder, Present.FirstWitness, Present.SecondWitness,
+         Present.Sequence, Present.Outstanding, Present.UnwitnessedCap,
+         Present.Demand, Present.DemandOrder, Present.FirstReport,
+         Present.SecondReport);
     }
   }
   writeIds(Ar, this->Memory.previous());
@@ -127,12 +129,16 @@
   Index Last = None;
   for (std::uint32_t Count = 0; Count < SliceCount; ++Count) {
     Slice Present;
-    Ar(Present.Holder, Present.Witness, Present.Sequence, Present.Outstanding,
-       Present.UnwitnessedCap, Present.Demand, Present.DemandOrder);
+    Ar(Present.Holder, Present.FirstWitness, Present.SecondWitness,
+       Present.Sequence, Present.Outstanding, Present.UnwitnessedCap,
+       Present.Demand, Present.DemandOrder, Present.FirstReport,
+       Present.SecondReport);
     if (Present.Holder >= this->Holders.size() ||
-        Present.Witness >= this->Holders.size())
+        Present.FirstWitness >= this->Holders.size() ||
+        Present.SecondWitness >= this->Holders.size())
       throw cereal::Exception("slice of an unknown holder");
     checkRange({Present.Outstanding, Present.UnwitnessedCap, Present.Demand});
+    checkRange({Present.FirstReport + 1, Present.SecondReport + 1});
     checkRange({Owner.Outstanding + Present.Outstanding});
     auto At = static_cast<Index>(this->Slices.size());
     Owner.Outstanding += Present.Outstanding;
@@ -158,8 +164,12 @@
       Word = combine(Word, this->Holders[Present.Holder].Id.Host.Value);
       Word = combine(Word, this->Holders[Present.Holder].Id.Run);
       Word = combine(Word, this->Holders[Present.Holder].IsEnded);
-      Word = combine(Word, this->Holders[Present.Witness].Id.Host.Value);
-      Word = combine(Word, this->Holders[Present.Witness].Id.Run);
+      for (Index Witness : {Present.FirstWitness, Present.SecondWitness}) {
+        Word = combine(Word, this->Holders[Witness].Id.Host.Value);
+        Word = combine(Word, this->Holders[Witness].Id.Run);
+      }
+      Word = combine(Word, Present.FirstReport);
+      Word = combine(Word, Present.SecondReport);
       Word = combine(Word, Present.Outstanding);
       Word = combine(Word, Present.UnwitnessedCap);
       Word = combine(Word, Present.Demand);
--- a/Libraries/LibLedger/BudgetView.cpp
+++ b/Libraries/LibLedger/BudgetView.cpp
@@ -6,7 +6,8 @@
   SliceView View;
   View.Holder = this->Holders[Of.Holder].Id;
   View.IsEnded = this->Holders[Of.Holder].IsEnded;
-  View.Witness = this->Holders[Of.Witness].Id;
+  View.Witnesses.First = this->Holders[Of.FirstWitness].Id;
+  View.Witnesses.Second = this->Holders[Of.SecondWitness].Id;
   View.Outstanding = Of.Outstanding;
   View.UnwitnessedCap = Of.UnwitnessedCap;
   View.Demand = Of.Demand;
--- a/Libraries/LibLedger/LedgerRecord.h
+++ b/Libraries/LibLedger/LedgerRecord.h
@@ -26,6 +26,30 @@
 /// remembers, by the log's progress instead of by any clock.
 using LedgerEpoch = std::uint32_t;
 
+/// The peers that hold the notes of one slice. Each note is held by at least
+/// one of them. A holder without a peer names itself.
+struct WitnessPair {
+  /// In another failure domain, if there is one.
+  Incarnation First;
+  /// In the failure domain of the holder, if there is one.
+  Incarnation Second;
+
+  auto operator<=>(const WitnessPair &) const = default;
+
+  bool contains(const Incarnation &Peer) const {
+    return this->First == Peer || this->Second == Peer;
+  }
+
+  /// Tells whether the pair names any peer of \p Holder.
+  bool hasPeer(const Incarnation &Holder) const {
+    return this->First != Holder || this->Second != Holder;
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->First, this->Second);
+  }
+};
+
 /// Adds prepaid tokens to a budget. The identifier of the record makes it
 /// count once.
 struct TopUp {
@@ -52,14 +76,13 @@
   /// The least that helps the writer. Unmet, it stays as a demand which later
   /// returns and top-ups serve. 0: no demand is left behind.
   TokenCount Minimum = 0;
-  /// The peer that holds the writer's settlement notes.
-  Incarnation Witness;
+  WitnessPair Witnesses;
   /// The most tokens that the writer ever has reserved or spent, and neither
-  /// settled in the log nor acknowledged by the witness.
+  /// settled in the log nor acknowledged by a witness.
   TokenCount UnwitnessedCap = 0;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Team, this->Sequence, this->Tokens, this->Minimum, this->Witness,
+    Ar(this->Team, this->Sequence, this->Tokens, this->Minimum, this->Witnesses,
        this->UnwitnessedCap);
   }
 };
@@ -116,8 +139,8 @@
   }
 };
 
-/// The witness of an ended holder says that all settlements it knew of are in
-/// the log, and how many tokens of open reservations it knows of.
+/// A witness of an ended holder says how many tokens it knows of that were
+/// reserved or spent and are not settled in the log.
 struct WitnessReport {
   TeamId Team;
   Incarnation Holder;
--- a/Libraries/LibLedger/SettlementWitness.cpp
+++ b/Libraries/LibLedger/SettlementWitness.cpp
@@ -125,7 +125,7 @@
     Open[Present.Note.Team] += Present.Note.Tokens;
   for (TeamId Team : Of.Teams) {
     auto Known = this->Fold.slice(Team, Holder);
-    if (!Known || Known.value().Witness != this->Self)
+    if (!Known || !Known.value().Witnesses.contains(this->Self))
       continue;
     // A settlement on its way counts as open until it was read back.
     TokenCount Tokens = Open[Team];
--- a/Libraries/LibLedger/SliceHolder.cpp
+++ b/Libraries/LibLedger/SliceHolder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace bergamothook {
 
@@ -111,12 +112,12 @@
 }
 
 bool SliceHolder::hasWitnessRoom(const Slice &Of, TokenCount Tokens) const {
-  if (Of.Witness != this->Self && Of.Unwitnessed + Tokens > Of.Cap)
+  if (Of.Witnesses.hasPeer(this->Self) && Of.Unwitnessed + Tokens > Of.Cap)
     return false;
-  if (Of.OnWay != Operation::Grant || Of.WitnessOnWay == this->Self)
+  if (Of.OnWay != Operation::Grant || !Of.WitnessesOnWay.hasPeer(this->Self))
     return true;
   // The promise of the operation on its way holds from now on as well.
-  bool IsSame = Of.WitnessOnWay == Of.Witness;
+  bool IsSame = Of.WitnessesOnWay == Of.Witnesses;
   TokenCount Unwitnessed = IsSame ? Of.Unwitnessed : Of.UnwitnessedByNext;
   return Unwitnessed + Tokens <= Of.CapOnWay;
 }
@@ -201,10 +202,13 @@
   Made.Epoch = Of.Epoch;
   if (!this->Hooks.SendNote)
     return;
-  if (Present.Witness != this->Self)
-    this->Hooks.SendNote(Present.Witness, Made);
-  if (Present.IsChangingWitness && Present.NextWitness != this->Self)
-    this->Hooks.SendNote(Present.NextWitness, Made);
+  std::set<Incarnation> Peers{Present.Witnesses.First,
+                              Present.Witnesses.Second};
+  if (Present.IsChangingWitness)
+    Peers.insert({Present.NextWitnesses.First, Present.NextWitnesses.Second});
+  Peers.erase(this->Self);
+  for (Incarnation Peer : Peers)
+    this->Hooks.SendNote(Peer, Made);
 }
 
 void SliceHolder::onAcknowledged(const NoteAcknowledgement &Answer, TimePoint) {
@@ -215,11 +219,11 @@
   // Whichever note is held covers the reservation: the worst case of the first
   // is at least what the second bills.
   Slice &Slice = this->Slices[Of.Team];
-  if (Answer.Witness == Slice.Witness && !Of.IsWitnessed) {
+  if (Slice.Witnesses.contains(Answer.Witness) && !Of.IsWitnessed) {
     Of.IsWitnessed = true;
     Slice.Unwitnessed -= Of.Tokens;
   }
-  if (Slice.IsChangingWitness && Answer.Witness == Slice.NextWitness &&
+  if (Slice.IsChangingWitness && Slice.NextWitnesses.contains(Answer.Witness) &&
       !Of.IsWitnessedByNext) {
     Of.IsWitnessedByNext = true;
     Slice.UnwitnessedByNext -= Of.Tokens;
@@ -240,8 +244,8 @@
   if (Known == this->Slices.end())
     return {};
   const Slice &Of = Known->second;
-  return {Of.Available,   Of.Reserved, Of.Settling, Of.Returning, Of.Disputed,
-          Of.Unwitnessed, Of.Cap,      Of.Witness,  Of.Rate};
+  return {Of.Available,   Of.Reserved, Of.Settling,  Of.Returning, Of.Disputed,
+          Of.Unwitnessed, Of.Cap,      Of.Witnesses, Of.Rate};
 }
 
 } // namespace bergamothook
--- a/Libraries/LibLedger/SliceHolder.h
+++ b/Libraries/LibLedger/SliceHolder.h
@@ -26,6 +26,9 @@
   /// incarnation when there is none.
   /// \p Present, the witness so far, is kept while it lives.
   std::function<Incarnation(Incarnation Present)> ChooseWitness;
+  /// The same for a second witness, in the holder's own failure domain, which
+  /// answers while the others can't be reached. May be left out.
+  std::function<Incarnation(Incarnation Present)> ChooseSecondWitness;
   /// Called whenever a reservation of \p Team that was refused may succeed.
   std::function<void(TeamId Team)> Changed;
 };
@@ -56,7 +59,7 @@
   /// Reserved or settling, and not acknowledged by the witness.
   TokenCount Unwitnessed = 0;
   TokenCount UnwitnessedCap = 0;
-  Incarnation Witness;
+  WitnessPair Witnesses;
   /// Tokens a second.
   double Rate = 0;
 };
@@ -138,7 +141,7 @@
     bool IsQueued = false;
     /// Another record billed the request.
     bool IsBilledElsewhere = false;
-    /// The present and the next witness hold the note of the present state.
+    /// One of the present, and one of the next, witnesses holds a note.
     bool IsWitnessed = false;
     bool IsWitnessedByNext = false;
   };
@@ -166,11 +169,11 @@
     TokenCount Largest = 0;
     std::uint32_t Sequence = 0;
     Operation OnWay = Operation::None;
-    /// The witness that the fold knows, that of the grant on its way, and the
-    /// one that is to take over.
-    Incarnation Witness;
-    Incarnation WitnessOnWay;
-    Incarnation NextWitness;
+    /// The witnesses that the fold knows, those of the grant on its way, and
+    /// those that are to take over.
+    WitnessPair Witnesses;
+    WitnessPair WitnessesOnWay;
+    WitnessPair NextWitnesses;
     bool IsChangingWitness = false;
     bool IsWarm = false;
     /// Another holder waits for tokens.
@@ -199,9 +202,10 @@
                           TokenCount WorstCase) const;
   void refreshEpochs();
   void note(ReservationId Id, NoteKind Kind);
+  WitnessPair chooseWitnesses(const WitnessPair &Present) const;
   void repeatNotes();
   bool hasWitnessRoom(const Slice &Of, TokenCount Tokens) const;
-  void beginWitnessChange(TeamId Team, Slice &Present, Incarnation Next);
+  void beginWitnessChange(TeamId Team, Slice &Present, const WitnessPair &Next);
   void finishWitnessChange(TeamId Team, Slice &Present);
   void reconcile(TeamId Team, Slice &Present);
   void finishGrant(TeamId Team, Slice &Present, LedgerOutcome Outcome,
--- a/Libraries/LibLedger/SliceHolderApply.cpp
+++ b/Libraries/LibLedger/SliceHolderApply.cpp
@@ -57,9 +57,9 @@
     return;
   }
   Present.Cap = Present.CapOnWay;
-  if (Present.Witness == Present.WitnessOnWay)
+  if (Present.Witnesses == Present.WitnessesOnWay)
     return;
-  Present.Witness = Present.WitnessOnWay;
+  Present.Witnesses = Present.WitnessesOnWay;
   this->finishWitnessChange(Team, Present);
 }
 
--- a/Libraries/LibLedger/SliceHolderPlan.cpp
+++ b/Libraries/LibLedger/SliceHolderPlan.cpp
@@ -175,19 +175,28 @@
     this->MarkedEpoch = Next;
 }
 
+WitnessPair SliceHolder::chooseWitnesses(const WitnessPair &Present) const {
+  WitnessPair Best{this->Self, this->Self};
+  if (this->Hooks.ChooseWitness)
+    Best.First = this->Hooks.ChooseWitness(Present.First);
+  if (this->Hooks.ChooseSecondWitness)
+    Best.Second = this->Hooks.ChooseSecondWitness(Present.Second);
+  return Best;
+}
+
 bool SliceHolder::planWitness(TeamId Team, Slice &Present) {
-  if (Present.Sequence == 0 || !this->Hooks.ChooseWitness)
+  if (Present.Sequence == 0)
     return false;
-  Incarnation Sought =
-      Present.IsChangingWitness ? Present.NextWitness : Present.Witness;
-  Incarnation Best = this->Hooks.ChooseWitness(Sought);
+  WitnessPair Sought =
+      Present.IsChangingWitness ? Present.NextWitnesses : Present.Witnesses;
+  WitnessPair Best = this->chooseWitnesses(Sought);
   if (Best != Sought)
     this->beginWitnessChange(Team, Present, Best);
   // Until the next witness holds most notes, the cap would have to be large.
   TokenCount Cap = this->capFor(Present, 0);
   bool IsReady =
       Present.IsChangingWitness && (Present.UnwitnessedByNext * 2 <= Cap ||
-                                    Present.NextWitness == this->Self);
+                                    !Present.NextWitnesses.hasPeer(this->Self));
   bool IsCapSmall = Present.Cap * 2 < Cap;
   if (!IsReady && !IsCapSmall)
     return false;
@@ -196,10 +205,10 @@
 }
 
 void SliceHolder::beginWitnessChange(TeamId Team, Slice &Present,
-                                     Incarnation Next) {
+                                     const WitnessPair &Next) {
   Present.UnwitnessedByNext = 0;
-  Present.IsChangingWitness = Next != Present.Witness;
-  Present.NextWitness = Next;
+  Present.IsChangingWitness = Next != Present.Witnesses;
+  Present.NextWitnesses = Next;
   if (!Present.IsChangingWitness)
     return;
   for (auto &[Id, Mine] : this->Reservations) {
@@ -227,8 +236,9 @@
   std::size_t Left = NotesPerRepeat;
   for (const auto &[Id, Mine] : this->Reservations) {
     const Slice &Present = this->Slices[Mine.Team];
-    bool IsMissing = (!Mine.IsWitnessed && Present.Witness != this->Self) ||
-                     (Present.IsChangingWitness && !Mine.IsWitnessedByNext);
+    bool IsMissing =
+        (!Mine.IsWitnessed && Present.Witnesses.hasPeer(this->Self)) ||
+        (Present.IsChangingWitness && !Mine.IsWitnessedByNext);
     if (!IsMissing)
       continue;
     this->note(Id, Mine.IsSettling ? NoteKind::Settled : NoteKind::Opened);
@@ -244,13 +254,10 @@
 
 void SliceHolder::ask(TeamId Team, Slice &Present, TokenCount Tokens,
                       TokenCount Minimum) {
-  if (Present.Sequence == 0) {
-    Present.Witness = this->Self;
-    if (this->Hooks.ChooseWitness)
-      Present.Witness = this->Hooks.ChooseWitness(this->Self);
-  }
+  if (Present.Sequence == 0)
+    Present.Witnesses = this->chooseWitnesses({this->Self, this->Self});
   bool IsChange = Present.IsChangingWitness;
-  Incarnation Witness = IsChange ? Present.NextWitness : Present.Witness;
+  WitnessPair Witnesses = IsChange ? Present.NextWitnesses : Present.Witnesses;
   TokenCount Exposed =
       IsChange ? Present.UnwitnessedByNext : Present.Unwitnessed;
   GrantRequest Body;
@@ -258,14 +265,14 @@
   Body.Sequence = Present.Sequence + 1;
   Body.Tokens = Tokens;
   Body.Minimum = Minimum;
-  Body.Witness = Witness;
+  Body.Witnesses = Witnesses;
   // The promise must hold already when it is made.
   Body.UnwitnessedCap = std::max(this->capFor(Present, Tokens), Exposed);
   if (!this->append(Body))
     return;
   Present.Sequence = Body.Sequence;
   Present.OnWay = Operation::Grant;
-  Present.WitnessOnWay = Witness;
+  Present.WitnessesOnWay = Witnesses;
   Present.CapOnWay = Body.UnwitnessedCap;
 }
 
--- a/Tests/LibLedger/BudgetFoldTest.cpp
+++ b/Tests/LibLedger/BudgetFoldTest.cpp
@@ -151,7 +151,7 @@
   };
   Settle Bill{RequestId{1, 1}, TestTeam, Holder, 10, AttemptNumber{1}, 0};
   CHECK(Apply(TopUp{TestTeam, 100, 0, {}}) == LedgerOutcome::Accepted);
-  CHECK(Apply(GrantRequest{TestTeam, 1, 50, 0, Holder, 0}) ==
+  CHECK(Apply(GrantRequest{TestTeam, 1, 50, 0, {Holder, Holder}, 0}) ==
         LedgerOutcome::Accepted);
   CHECK(Apply(Bill) == LedgerOutcome::Accepted);
   for (LedgerEpoch Epoch = 1; Epoch <= 20; ++Epoch) {
