--- a/Libraries/LibLedger/BudgetSnapshot.cpp
+++ b/Libraries/LibLedger/BudgetSnapshot.cpp
@@ -25,6 +25,15 @@
   return Count;
 }
 
+/// Reads a flag, and refuses any value but 0 and 1.
+template <typename Archive> bool readFlag(Archive &Ar) {
+  std::uint8_t Value = 0;
+  Ar(Value);
+  if (Value > 1)
+    throw cereal::Exception("flag out of range");
+  return Value == 1;
+}
+
 /// Refuses terms that no budget can have, so that no sum overflows.
 void checkRange(std::initializer_list<TokenCount> Terms) {
   for (TokenCount Term : Terms)
@@ -93,12 +102,14 @@
   Ar(Version);
   if (Version != SnapshotVersion)
     throw cereal::Exception("unknown version of the snapshot");
-  Ar(this->MemoryEpochs, this->Epoch, this->HasPosition);
+  Ar(this->MemoryEpochs, this->Epoch);
+  this->HasPosition = readFlag(Ar);
   Ar(this->Position.At, this->Position.Index, this->NextDemandOrder);
   std::uint32_t HolderCount = readCount(Ar, Size);
   for (std::uint32_t Count = 0; Count < HolderCount; ++Count) {
     Holder Known;
-    Ar(Known.Id, Known.IsEnded);
+    Ar(Known.Id);
+    Known.IsEnded = readFlag(Ar);
     this->HolderIndex.emplace(Known.Id, Count);
     this->Holders.push_back(Known);
   }
@@ -122,8 +133,8 @@
 template <typename Archive>
 void BudgetFold::loadBudget(Archive &Ar, std::size_t Size) {
   Budget Owner;
-  Ar(Owner.Team, Owner.ToppedUp, Owner.Settled, Owner.Unallocated,
-     Owner.IsClosed);
+  Ar(Owner.Team, Owner.ToppedUp, Owner.Settled, Owner.Unallocated);
+  Owner.IsClosed = readFlag(Ar);
   checkRange({Owner.ToppedUp, Owner.Settled, Owner.Unallocated});
   std::uint32_t SliceCount = readCount(Ar, Size);
   Index Last = None;
--- a/Libraries/LibLedger/SliceHolderPlan.cpp
+++ b/Libraries/LibLedger/SliceHolderPlan.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A slice is topped up when it holds less than this share of its target.
-constexpr TokenCount LowDivisor = 2;
+/// A slice is topped up when it lacks more than this share of its target, so
+/// that an outage finds it nearly full.
+constexpr TokenCount LackDivisor = 8;
 /// A topping smaller than this share of the target is not worth a record.
 constexpr TokenCount SmallestToppingDivisor = 16;
 /// A slice is too large when it holds this many times its target.
@@ -111,7 +112,8 @@
 }
 
 bool SliceHolder::planTopping(TeamId Team, Slice &Present, TokenCount Target) {
-  if (Present.Available >= Target / LowDivisor || this->Fold.hasDemand(Team))
+  if (Present.Available >= Target - Target / LackDivisor ||
+      this->Fold.hasDemand(Team))
     return false;
   TokenCount Unallocated = this->Fold.unallocated(Team);
   TokenCount Tokens = std::min(Target - Present.Available,
--- a/Libraries/LibLedger/SlicePolicy.cpp
+++ b/Libraries/LibLedger/SlicePolicy.cpp
@@ -7,14 +7,11 @@
 namespace {
 
 /// The share of the slice that may be unwitnessed, at both ends of the scale.
-constexpr double CautiousCapShare = 0.05;
-constexpr double EagerCapShare = 0.5;
-
-/// The least number of reservations that the cap has room for.
-constexpr TokenCount CapReservations = 8;
+constexpr double CautiousCapShare = 0.005;
+constexpr double EagerCapShare = 0.05;
 
 /// How many times the cover for an outage a slice aims at, at both ends.
-constexpr double CautiousCover = 1.1;
+constexpr double CautiousCover = 1.25;
 constexpr double EagerCover = 2.0;
 
 /// The share of the unallocated tokens that all holders together aim at
@@ -36,7 +33,7 @@
   double Share = between(CautiousIdleShare, EagerIdleShare, this->Eagerness);
   double Idle = static_cast<double>(Unallocated) * Share / this->FleetHosts;
   double Least = std::min(static_cast<double>(this->SmallestTarget), Idle * 2);
-  return static_cast<TokenCount>(std::max({ByRate, Idle, Least}));
+  return static_cast<TokenCount>(std::max(ByRate + Least, Idle));
 }
 
 TokenCount SlicePolicy::largestTopping(TokenCount Unallocated) const {
@@ -47,7 +44,7 @@
                                        TokenCount Largest) const {
   double Share = between(CautiousCapShare, EagerCapShare, this->Eagerness);
   auto ByShare = static_cast<TokenCount>(static_cast<double>(Held) * Share);
-  return std::max(ByShare, Largest * CapReservations);
+  return std::max(ByShare, Largest * this->CapReservations);
 }
 
 } // namespace bergamothook
--- a/Libraries/LibLedger/SlicePolicy.h
+++ b/Libraries/LibLedger/SlicePolicy.h
@@ -20,9 +20,13 @@
   /// The longest outage of the log that slices are sized for.
   Duration OutageCover = std::chrono::minutes(10);
   /// The time constant of the rate of spending.
-  Duration RateWindow = std::chrono::minutes(2);
-  /// The least that a slice aims at, while the budget has it.
+  Duration RateWindow = std::chrono::minutes(5);
+  /// What a slice aims at besides its rate, while the budget has it: small
+  /// rates are known badly.
   TokenCount SmallestTarget = 20'000;
+  /// How many of its largest reservations a slice may have unwitnessed at
+  /// least.
+  TokenCount CapReservations = 2;
   /// How long a denied reservation counts as wanted unless it is repeated.
   Duration WantLifetime = std::chrono::seconds(2);
   /// How long a denied demand waits before it is stated again, which makes
--- a/Utilities/Bench/BudgetsExperiment.cpp
+++ b/Utilities/Bench/BudgetsExperiment.cpp
@@ -352,6 +352,13 @@
      [](World &In, const Site &At, std::uint64_t Seed) {
        return makeSlices(In, At, Seed, 0.5);
      }},
+    {"equal split", [](World &In, const Site &,
+                       std::uint64_t) { return makeSplitDesign(In); }},
+    {"append per request", [](World &In, const Site &,
+                              std::uint64_t) { return makeAppendDesign(In); }},
+};
+
+const std::vector<Named> Weights{
     {"slices 0 (cautious)",
      [](World &In, const Site &At, std::uint64_t Seed) {
        return makeSlices(In, At, Seed, 0);
@@ -360,10 +367,6 @@
      [](World &In, const Site &At, std::uint64_t Seed) {
        return makeSlices(In, At, Seed, 1);
      }},
-    {"equal split", [](World &In, const Site &,
-                       std::uint64_t) { return makeSplitDesign(In); }},
-    {"append per request", [](World &In, const Site &,
-                              std::uint64_t) { return makeAppendDesign(In); }},
 };
 
 void runTrial(const Site &At, const Faults &Having, const Named &Way,
@@ -396,6 +399,10 @@
     for (const auto &Having : AllFaults)
       for (const auto &Way : Designs)
         runTrial(At, Having, Way, Options.Seed, Sink);
+  // The curve of the weights.
+  for (const auto &Having : {AllFaults[2], AllFaults[6]})
+    for (const auto &Way : Weights)
+      runTrial(Sites[0], Having, Way, Options.Seed, Sink);
 }
 
 const ExperimentRegistration Registered{
--- a/Utilities/Bench/BudgetsSliceDesign.cpp
+++ b/Utilities/Bench/BudgetsSliceDesign.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration BatchInterval = std::chrono::milliseconds(50);
+constexpr Duration BackOff = std::chrono::seconds(2);
 constexpr Duration ReadBackTimeout = std::chrono::seconds(3);
 constexpr Duration PlanInterval = std::chrono::milliseconds(50);
 constexpr std::size_t EntriesPerRead = 256;
@@ -35,6 +36,8 @@
       return;
     auto At = In.Log.append(Stream, encodeBatch(Batch), In.Now);
     bool HasNoEffect = !At && provesNoEffect(At.error());
+    if (HasNoEffect)
+      this->NextBatch = In.Now + BackOff;
     for (auto &Record : Batch) {
       if (HasNoEffect)
         this->Waiting.push_back(std::move(Record));
