--- a/Libraries/LibLedger/BudgetSnapshot.cpp
+++ b/Libraries/LibLedger/BudgetSnapshot.cpp
@@ -25,6 +25,15 @@
   return Count;
 }
 
+/// Reads a flag, and refuses any value but 0 and 1.
+template <typename Archive> bool readFlag(Archive &Ar) {
+  std::uint8_t Value = 0;
+  Ar(Value);
+  if (Value > 1)
+    throw cereal::Exception("flag out of range");
+  return Value == 1;
+}
+
 /// Refuses terms that no budget can have, so that no sum overflows.
 void checkRange(std::initializer_list<TokenCount> Terms) {
   for (TokenCount Term : Terms)
@@ -59,8 +68,10 @@
        Owner.IsClosed, Count);
     for (Index At = Owner.FirstSlice; At != None; At = this->Slices[At].Next) {
       const Slice &Present = this->Slices[At];
-      Ar(Present.Holder, Present.Witness, Present.Sequence, Present.Outstanding,
-         Present.UnwitnessedCap, Present.Demand, Present.DemandOrder);
+      Ar(Present.Holder, Present.FirstWitness, Present.SecondWitness,
+         Present.Sequence, Present.Outstanding, Present.UnwitnessedCap,
+         Present.Demand, Present.DemandOrder, Present.FirstReport,
+         Present.SecondReport);
     }
   }
   writeIds(Ar, this->Memory.previous());
@@ -91,12 +102,14 @@
   Ar(Version);
   if (Version != SnapshotVersion)
     throw cereal::Exception("unknown version of the snapshot");
-  Ar(this->MemoryEpochs, this->Epoch, this->HasPosition);
+  Ar(this->MemoryEpochs, this->Epoch);
+  this->HasPosition = readFlag(Ar);
   Ar(this->Position.At, this->Position.Index, this->NextDemandOrder);
   std::uint32_t HolderCount = readCount(Ar, Size);
   for (std::uint32_t Count = 0; Count < HolderCount; ++Count) {
     Holder Known;
-    Ar(Known.Id, Known.IsEnded);
+    Ar(Known.Id);
+    Known.IsEnded = readFlag(Ar);
     this->HolderIndex.emplace(Known.Id, Count);
     this->Holders.push_back(Known);
   }
@@ -120,19 +133,23 @@
 template <typename Archive>
 void BudgetFold::loadBudget(Archive &Ar, std::size_t Size) {
   Budget Owner;
-  Ar(Owner.Team, Owner.ToppedUp, Owner.Settled, Owner.Unallocated,
-     Owner.IsClosed);
+  Ar(Owner.Team, Owner.ToppedUp, Owner.Settled, Owner.Unallocated);
+  Owner.IsClosed = readFlag(Ar);
   checkRange({Owner.ToppedUp, Owner.Settled, Owner.Unallocated});
   std::uint32_t SliceCount = readCount(Ar, Size);
   Index Last = None;
   for (std::uint32_t Count = 0; Count < SliceCount; ++Count) {
     Slice Present;
-    Ar(Present.Holder, Present.Witness, Present.Sequence, Present.Outstanding,
-       Present.UnwitnessedCap, Present.Demand, Present.DemandOrder);
+    Ar(Present.Holder, Present.FirstWitness, Present.SecondWitness,
+       Present.Sequence, Present.Outstanding, Present.UnwitnessedCap,
+       Present.Demand, Present.DemandOrder, Present.FirstReport,
+       Present.SecondReport);
     if (Present.Holder >= this->Holders.size() ||
-        Present.Witness >= this->Holders.size())
+        Present.FirstWitness >= this->Holders.size() ||
+        Present.SecondWitness >= this->Holders.size())
       throw cereal::Exception("slice of an unknown holder");
     checkRange({Present.Outstanding, Present.UnwitnessedCap, Present.Demand});
+    checkRange({Present.FirstReport + 1, Present.SecondReport + 1});
     checkRange({Owner.Outstanding + Present.Outstanding});
     auto At = static_cast<Index>(this->Slices.size());
     Owner.Outstanding += Present.Outstanding;
@@ -158,8 +175,12 @@
       Word = combine(Word, this->Holders[Present.Holder].Id.Host.Value);
       Word = combine(Word, this->Holders[Present.Holder].Id.Run);
       Word = combine(Word, this->Holders[Present.Holder].IsEnded);
-      Word = combine(Word, this->Holders[Present.Witness].Id.Host.Value);
-      Word = combine(Word, this->Holders[Present.Witness].Id.Run);
+      for (Index Witness : {Present.FirstWitness, Present.SecondWitness}) {
+        Word = combine(Word, this->Holders[Witness].Id.Host.Value);
+        Word = combine(Word, this->Holders[Witness].Id.Run);
+      }
+      Word = combine(Word, Present.FirstReport);
+      Word = combine(Word, Present.SecondReport);
       Word = combine(Word, Present.Outstanding);
       Word = combine(Word, Present.UnwitnessedCap);
       Word = combine(Word, Present.Demand);
