--- a/Services/Router/BudgetDesk.cpp
+++ b/Services/Router/BudgetDesk.cpp
@@ -76,6 +76,7 @@
   };
   Made.SendNote = this->Hooks.SendNote;
   Made.ChooseWitness = this->Hooks.ChooseWitness;
+  Made.ChooseSecondWitness = this->Hooks.ChooseSecondWitness;
   Made.Changed = [this](TeamId) { this->Changed.notify(); };
   return Made;
 }
--- a/Services/Router/BudgetDesk.h
+++ b/Services/Router/BudgetDesk.h
@@ -31,7 +31,10 @@
   LogHooks Log;
   Runtime Tasks;
   std::function<void(Incarnation Witness, const SettlementNote &)> SendNote;
-  std::function<Incarnation(Incarnation)> ChooseWitness;
+  /// Names the first witness, of another failure domain, and the second, of
+  /// this host's own, so that a partition between domains leaves one of them.
+  std::function<Incarnation(Incarnation Present)> ChooseWitness;
+  std::function<Incarnation(Incarnation Present)> ChooseSecondWitness;
 };
 
 /// All budgets of one host. All calls come from tasks of one runtime.
--- a/Services/Router/PeerDesk.cpp
+++ b/Services/Router/PeerDesk.cpp
@@ -244,7 +244,8 @@
   return Known;
 }
 
-Incarnation PeerDesk::chooseWitness(Incarnation Present) const {
+Incarnation PeerDesk::chooseWitness(Incarnation Present,
+                                    bool IsOwnDomain) const {
   const HostTable &Table = this->Fleet.members().table();
   auto Known = Table.find(Present.Host);
   if (Known && Known->Run == Present.Run && Known->State == HostState::Alive)
@@ -252,7 +253,7 @@
   std::vector<HostRumor> Others;
   for (const HostRumor &Other : Table.present())
     if (Other.State == HostState::Alive && Other.Run != 0 &&
-        Other.Domain != this->Settings.Domain)
+        (Other.Domain == this->Settings.Domain) == IsOwnDomain)
       Others.push_back(Other);
   if (Others.empty())
     return this->Settings.Self;
--- a/Services/Router/PeerDesk.h
+++ b/Services/Router/PeerDesk.h
@@ -55,9 +55,9 @@
   /// task for at most LocateTimeout.
   std::optional<TargetId> locate(RequestId Request);
 
-  /// Names a live host of another failure domain, \p Present while it is one;
-  /// this host itself when there is none.
-  Incarnation chooseWitness(Incarnation Present) const;
+  /// Names a live host of another failure domain, or of this one, \p Present
+  /// while it lives; this host itself when there is none.
+  Incarnation chooseWitness(Incarnation Present, bool IsOwnDomain) const;
 
   void sendSettlementNote(Incarnation Witness, const SettlementNote &Note);
 
--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -138,7 +138,10 @@
     this->Peers.sendSettlementNote(Witness, Note);
   };
   Made.ChooseWitness = [this](Incarnation Present) {
-    return this->Peers.chooseWitness(Present);
+    return this->Peers.chooseWitness(Present, false);
+  };
+  Made.ChooseSecondWitness = [this](Incarnation Present) {
+    return this->Peers.chooseWitness(Present, true);
   };
   return Made;
 }
