--- a/Libraries/LibOutcome/OrderRecord.cpp
+++ b/Libraries/LibOutcome/OrderRecord.cpp
@@ -31,4 +31,8 @@
 
 #undef BERGAMOTHOOK_ORDER_BODY
 
+Result<OrderSettled> decodeOrderSettled(const StreamRecord &Record) {
+  return detail::decodeBody<OrderSettled>(Record.Body);
+}
+
 } // namespace bergamothook
