--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -17,7 +17,7 @@
   test                        build and run every test through ctest
   bench [NAME] [--json FILE] [--seed N]
                               build and run one experiment, or all of them; "scale"
-                              starts 3 to 100 real routers
+                              starts 3 to 100 real routers, "overhead" one
   check                       check format and lint
   sanitize                    build and test with the sanitizers in BuildSanitize/
 TEXT
@@ -96,6 +96,8 @@
   build_tree
   if [ "${1:-}" = scale ]; then
     run_scale "${@:2}"
+  elif [ "${1:-}" = overhead ]; then
+    run_overhead "${@:2}"
   else
     "$build/bin/bergamothook-bench" "$@"
   fi
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -138,12 +138,17 @@
   wait 2>/dev/null || true
 }
 
+# Writes a fresh key of the hosts' protocol.
+write_peer_key() {
+  (umask 077 && printf '{"signWith": 1, "keys": {"1": "%s"}}\n' "$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')" >"$run_dir/peer.key")
+}
+
 # Starts everything and publishes the sample site.
 start_fleet() {
   host_count=$1
   rm -rf "$run_dir"
   mkdir -p "$run_dir"
-  (umask 077 && printf '{"signWith": 1, "keys": {"1": "%s"}}\n' "$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')" >"$run_dir/peer.key")
+  write_peer_key
   start_platform
   write_ctl_settings
   wait_for_url "http://127.0.0.1:$log_port/healthz"
--- a/Meta/scale.sh
+++ b/Meta/scale.sh
@@ -57,3 +57,30 @@
   local hosts
   for hosts in ${BERGAMOTHOOK_SCALE_HOSTS:-3 9 30 100}; do measure_scale "$hosts"; done
 }
+
+# One router before one engine with a large batch, and the bench as the caller
+# of both.
+run_overhead() {
+  trap stop_fleet EXIT
+  trap 'exit 130' INT TERM
+  host_count=1
+  rm -rf "$run_dir"
+  mkdir -p "$run_dir"
+  write_peer_key
+  local members
+  members="[$(member engine-1 engine "${domains[1]}" "$(engine_port 1)" '["bench"]'),$(member host-1 entry_host "${domains[1]}" "$(peer_port 1)" '[]')]"
+  start_standin log log "{$(listen $log_port)}"
+  start_standin membership membership "{$(listen $membership_port), \"members\": $members}"
+  start_standin engine-1 engine "{$(listen "$(engine_port 1)"), \"engine\": {\"name\": \"engine-1\", \"models\": [\"bench\"], \"batch_limit\": 1024}}"
+  write_ctl_settings
+  wait_for_url "http://127.0.0.1:$log_port/healthz"
+  start_router 1
+  printf '{"team/bench": {"settings": {"models": ["bench"], "classes": {"quick": {"deadlineMilliseconds": 60000}}}, "keys": ["%s"]}}' \
+    "$(printf bench-token | sha256sum | cut -d' ' -f1)" >"$run_dir/bench.json"
+  ctl apply "$run_dir/bench.json" >/dev/null
+  ctl topup bench 100000000 >/dev/null
+  wait_for_url "http://127.0.0.1:$(caller_port 1)/readyz"
+  sleep 2
+  "$build/bin/bergamothook-bench" "$@" overhead "$(caller_port 1)" "$(engine_port 1)"
+  printf '%-12s %-28s %-44s %14s %s\n' overhead router "peak resident memory" "$(awk '/^VmHWM/ {print $2 / 1024}' "/proc/$(cat "$run_dir/host-1.pid")/status")" MiB
+}
--- a/Utilities/Bench/Main.cpp
+++ b/Utilities/Bench/Main.cpp
@@ -109,8 +109,9 @@
   }
   bool HasRun = false;
   for (const auto &[Name, Known] : experiments()) {
-    // A replay needs the file that it replays, so "all" leaves it out.
-    if (Command.Name != Name && (Command.Name != "all" || Name == "replay"))
+    // These need words of their own, so that "all" leaves them out.
+    bool NeedsWords = Name == "replay" || Name == "overhead";
+    if (Command.Name != Name && (Command.Name != "all" || NeedsWords))
       continue;
     HasRun = true;
     Known.Run(Command.Options,
