--- a/Utilities/Bench/OverheadExperiment.cpp
+++ b/Utilities/Bench/OverheadExperiment.cpp
@@ -5,6 +5,7 @@
 
 #include "Experiment.h"
 #include "LibAdapter/EngineWire.h"
+#include "LibBase/Random.h"
 #include "LibHttp/HttpClient.h"
 #include "LibTask/RealRuntime.h"
 
