--- a/Libraries/LibOutcome/OrderRecord.cpp
+++ b/Libraries/LibOutcome/OrderRecord.cpp
@@ -31,8 +31,4 @@
 
 #undef BERGAMOTHOOK_ORDER_BODY
 
-Result<OrderSettled> decodeOrderSettled(const StreamRecord &Record) {
-  return detail::decodeBody<OrderSettled>(Record.Body);
-}
-
 } // namespace bergamothook
--- a/Libraries/LibOutcome/OrderRecord.h
+++ b/Libraries/LibOutcome/OrderRecord.h
@@ -119,9 +119,6 @@
   }
 };
 
-/// Reads the operator's word in a record of the kind OperatorSettled.
-Result<OrderSettled> decodeOrderSettled(const StreamRecord &Record);
-
 /// Encodes \p Body as the body of a record of the kind \p Kind.
 template <typename Body>
 StreamRecord makeOrderRecord(RecordId Id, Incarnation Writer,
--- a/Utilities/Ctl/AuditCommand.cpp
+++ b/Utilities/Ctl/AuditCommand.cpp
@@ -99,7 +99,7 @@
       [&](const StreamRecord &Record, RecordPosition At) {
         if (Record.Kind != Kind)
           return;
-        auto Word = decodeOrderSettled(Record);
+        auto Word = readOrderRecord<OrderSettled>(Record);
         if (Word)
           Trail.push_back({OrderStream, At, Word.value().Operator,
                            "settle-order", toHex(Word.value().Request),
