--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -96,6 +96,8 @@
   build_tree
   if [ "${1:-}" = scale ]; then
     run_scale "${@:2}"
+  elif [ "${1:-}" = request-cost ]; then
+    run_request_cost
   elif [ "${1:-}" = overhead ]; then
     run_overhead "${@:2}"
   else
