--- a/Services/Router/Main.cpp
+++ b/Services/Router/Main.cpp
@@ -1,14 +1,13 @@
 /// \file
 /// bergamothook-router: the program of an entry host.
 
+#include "LibSettings/CommandLine.h"
 #include "Router.h"
 
 #include <csignal>
 #include <cstdio>
-#include <getopt.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <pthread.h>
 #include <thread>
 
@@ -17,64 +16,18 @@
 namespace {
 
 constexpr int ExitFailed = 1;
-constexpr int ExitUsage = 2;
 constexpr int ExitSettings = 3;
 
-struct CommandLine {
-  std::string ConfigFile;
-  bool IsCheck = false;
-};
-
-void printUsage(std::ostream &Out) {
-  Out << "Usage: bergamothook-router --config FILE [--check]\n"
-         "Routes callers' requests to targets within the teams' budgets.\n\n"
-         "  --config FILE  the settings, in JSON\n"
-         "  --check        check the settings and exit\n"
-         "  --version      print the version\n"
-         "  --help         print this text\n\n"
-         "SIGTERM and SIGINT stop gracefully; a second one cuts off what is\n"
-         "still in progress.\n"
-         "Exit status: 0 done, 1 could not start, 2 usage, 3 settings.\n";
-}
-
-/// Reads the command line. \returns nothing when the program is to exit with
-/// \p ExitCode.
-std::optional<CommandLine> parse(int Count, char **Words, int &ExitCode) {
-  static const option Options[] = {{"config", required_argument, nullptr, 'c'},
-                                   {"check", no_argument, nullptr, 'k'},
-                                   {"version", no_argument, nullptr, 'v'},
-                                   {"help", no_argument, nullptr, 'h'},
-                                   {nullptr, 0, nullptr, 0}};
-  CommandLine Read;
-  int Letter = 0;
-  while ((Letter = getopt_long(Count, Words, "", Options, nullptr)) != -1) {
-    ExitCode = 0;
-    switch (Letter) {
-    case 'c':
-      Read.ConfigFile = optarg;
-      break;
-    case 'k':
-      Read.IsCheck = true;
-      break;
-    case 'v':
-      std::cout << "bergamothook-router " BERGAMOTHOOK_VERSION "\n";
-      return std::nullopt;
-    case 'h':
-      printUsage(std::cout);
-      return std::nullopt;
-    default:
-      printUsage(std::cerr);
-      ExitCode = ExitUsage;
-      return std::nullopt;
-    }
-  }
-  if (Read.ConfigFile.empty() || optind < Count) {
-    printUsage(std::cerr);
-    ExitCode = ExitUsage;
-    return std::nullopt;
-  }
-  return Read;
-}
+const char *const HelpText =
+    "Usage: bergamothook-router --config FILE [--check]\n"
+    "Routes callers' requests to targets within the teams' budgets.\n\n"
+    "  --config FILE  the settings, in JSON\n"
+    "  --check        check the settings and exit\n"
+    "  --version      print the version\n"
+    "  --help         print this text\n\n"
+    "SIGTERM and SIGINT stop gracefully; a second one cuts off what is\n"
+    "still in progress.\n"
+    "Exit status: 0 done, 1 could not start, 2 usage, 3 settings.\n";
 
 /// Signals are taken by one thread that waits for them, so that no code runs in
 /// a signal handler.
@@ -129,16 +82,24 @@
 int main(int Count, char **Words) {
   using namespace bergamothook;
   int ExitCode = 0;
-  auto Command = parse(Count, Words, ExitCode);
-  if (!Command)
+  CommandLineRules Rules{"bergamothook-router",
+                         HelpText,
+                         {{"config", true}, {"check", false}},
+                         false};
+  auto Line = readCommandLine(Rules, Count, Words, ExitCode);
+  if (!Line)
     return ExitCode;
-  auto Settings = readRouterSettings(Command->ConfigFile);
+  if (!Line->has("config") || !Line->Words.empty()) {
+    std::cerr << HelpText;
+    return ExitUsage;
+  }
+  auto Settings = readRouterSettings(Line->value("config"));
   if (!Settings) {
     std::cerr << Settings.error().toText() << "\n";
     return ExitSettings;
   }
-  if (Command->IsCheck) {
-    std::cout << Command->ConfigFile << ": the settings are valid\n";
+  if (Line->has("check")) {
+    std::cout << Line->value("config") << ": the settings are valid\n";
     return 0;
   }
   startLogging("router", Settings.value().HostName,
--- a/Utilities/Bench/Main.cpp
+++ b/Utilities/Bench/Main.cpp
@@ -2,82 +2,51 @@
 /// bergamothook-bench: runs experiments and prints their rows.
 
 #include "Experiment.h"
+#include "LibSettings/CommandLine.h"
 
 #include <cstdio>
 #include <fstream>
-#include <getopt.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace bergamothook {
 
 namespace {
 
 constexpr int ExitFailed = 1;
-constexpr int ExitUsage = 2;
 
-struct CommandLine {
+const char *const HelpText =
+    "Usage: bergamothook-bench [--json FILE] [--seed N] [NAME [WORD...]]\n"
+    "Runs the experiment NAME, or all of them.\n\n"
+    "  --json FILE  also write each row as a line of JSON to FILE\n"
+    "  --seed N     the seed of the random numbers (default 1)\n"
+    "  --list       list the experiments\n"
+    "  --version    print the version\n"
+    "  --help       print this text\n\n"
+    "Exit status: 0 done, 1 an experiment failed, 2 usage.\n";
+
+/// What is to be run.
+struct BenchOrder {
   std::string JsonFile;
   ExperimentOptions Options;
   std::string Name = "all";
 };
 
-void printUsage(std::ostream &Out) {
-  Out << "Usage: bergamothook-bench [--json FILE] [--seed N] [NAME [WORD...]]\n"
-         "Runs the experiment NAME, or all of them.\n\n"
-         "  --json FILE  also write each row as a line of JSON to FILE\n"
-         "  --seed N     the seed of the random numbers (default 1)\n"
-         "  --list       list the experiments\n"
-         "  --version    print the version\n"
-         "  --help       print this text\n\n"
-         "Exit status: 0 done, 1 an experiment failed, 2 usage.\n";
-}
-
 void printExperiments() {
   for (const auto &[Name, Known] : experiments())
     std::cout << Name << "\t" << Known.Help << "\n";
 }
 
-/// Reads the command line. \returns nothing when the program is to exit with
-/// \p ExitCode.
-std::optional<CommandLine> parse(int Count, char **Words, int &ExitCode) {
-  static const option Options[] = {{"json", required_argument, nullptr, 'j'},
-                                   {"seed", required_argument, nullptr, 's'},
-                                   {"list", no_argument, nullptr, 'l'},
-                                   {"version", no_argument, nullptr, 'v'},
-                                   {"help", no_argument, nullptr, 'h'},
-                                   {nullptr, 0, nullptr, 0}};
-  CommandLine Read;
-  int Letter = 0;
-  while ((Letter = getopt_long(Count, Words, "", Options, nullptr)) != -1) {
-    ExitCode = 0;
-    switch (Letter) {
-    case 'j':
-      Read.JsonFile = optarg;
-      break;
-    case 's':
-      Read.Options.Seed = std::strtoull(optarg, nullptr, 10);
-      break;
-    case 'l':
-      printExperiments();
-      return std::nullopt;
-    case 'v':
-      std::cout << "bergamothook-bench " BERGAMOTHOOK_VERSION "\n";
-      return std::nullopt;
-    case 'h':
-      printUsage(std::cout);
-      return std::nullopt;
-    default:
-      printUsage(std::cerr);
-      ExitCode = ExitUsage;
-      return std::nullopt;
-    }
-  }
-  if (optind < Count)
-    Read.Name = Words[optind++];
-  while (optind < Count)
-    Read.Options.Arguments.emplace_back(Words[optind++]);
+BenchOrder orderOf(const CommandLine &Line) {
+  BenchOrder Read;
+  Read.JsonFile = Line.value("json");
+  if (Line.has("seed"))
+    Read.Options.Seed = std::strtoull(Line.value("seed").c_str(), nullptr, 10);
+  Read.Options.Arguments = Line.Words;
+  if (Line.Words.empty())
+    return Read;
+  Read.Name = Line.Words.front();
+  Read.Options.Arguments.erase(Read.Options.Arguments.begin());
   return Read;
 }
 
@@ -98,7 +67,7 @@
        << std::endl;
 }
 
-int runExperiments(const CommandLine &Command) {
+int runExperiments(const BenchOrder &Command) {
   std::ofstream Json;
   if (!Command.JsonFile.empty()) {
     Json.open(Command.JsonFile);
@@ -133,11 +102,19 @@
 int main(int Count, char **Words) {
   using namespace bergamothook;
   int ExitCode = 0;
-  auto Command = parse(Count, Words, ExitCode);
-  if (!Command)
+  CommandLineRules Rules{"bergamothook-bench",
+                         HelpText,
+                         {{"json", true}, {"seed", true}, {"list", false}},
+                         false};
+  auto Line = readCommandLine(Rules, Count, Words, ExitCode);
+  if (!Line)
     return ExitCode;
+  if (Line->has("list")) {
+    printExperiments();
+    return 0;
+  }
   try {
-    return runExperiments(*Command);
+    return runExperiments(orderOf(*Line));
   } catch (const std::exception &Failure) {
     std::cerr << "experiment failed: " << Failure.what() << "\n";
     return ExitFailed;
--- a/Utilities/Ctl/Main.cpp
+++ b/Utilities/Ctl/Main.cpp
@@ -3,19 +3,16 @@
 
 #include "Command.h"
 #include "LibAdapter/HttpLog.h"
+#include "LibSettings/CommandLine.h"
 #include "LibSettings/SettingsFile.h"
 #include "LibTask/RealRuntime.h"
 
-#include <cstdio>
-#include <getopt.h>
 #include <iostream>
-#include <optional>
 
 namespace bergamothook {
 
 namespace {
 
-constexpr int ExitUsage = 2;
 constexpr int ExitSettings = 4;
 
 const char *const CtlSchema = R"JSON({
@@ -38,69 +35,18 @@
   }
 })JSON";
 
-struct CommandLine {
-  std::string ConfigFile;
-  bool IsCheck = false;
-  std::string Name;
-  std::vector<std::string> Words;
-};
-
-void printUsage(std::ostream &Out) {
-  Out << "Usage: bergamothook-ctl --config FILE COMMAND [WORD...]\n\n"
-         "  --config FILE  where the log and the hosts are, in JSON\n"
-         "  --check        check that file and exit\n"
-         "  --version      print the version\n"
-         "  --help         print this text\n\nCommands:\n";
+std::string helpText() {
+  std::string Text =
+      "Usage: bergamothook-ctl --config FILE COMMAND [WORD...]\n\n"
+      "  --config FILE  where the log and the hosts are, in JSON\n"
+      "  --check        check that file and exit\n"
+      "  --version      print the version\n"
+      "  --help         print this text\n\nCommands:\n";
   for (const auto &[Name, Known] : commands())
-    Out << "  " << Name << " " << Known.Synopsis << "\n      " << Known.Help
-        << "\n";
-  Out << "\nExit status: 0 done, 1 refused, 2 usage, 3 unreachable, "
-         "4 settings.\n";
-}
-
-/// Reads the command line. \returns nothing when the program is to exit with
-/// \p ExitCode.
-std::optional<CommandLine> parse(int Count, char **Words, int &ExitCode) {
-  static const option Options[] = {{"config", required_argument, nullptr, 'c'},
-                                   {"check", no_argument, nullptr, 'k'},
-                                   {"version", no_argument, nullptr, 'v'},
-                                   {"help", no_argument, nullptr, 'h'},
-                                   {nullptr, 0, nullptr, 0}};
-  CommandLine Read;
-  int Letter = 0;
-  // The plus sign ends the options at the command's name.
-  while ((Letter = getopt_long(Count, Words, "+", Options, nullptr)) != -1) {
-    ExitCode = 0;
-    switch (Letter) {
-    case 'c':
-      Read.ConfigFile = optarg;
-      break;
-    case 'k':
-      Read.IsCheck = true;
-      break;
-    case 'v':
-      std::cout << "bergamothook-ctl " BERGAMOTHOOK_VERSION "\n";
-      return std::nullopt;
-    case 'h':
-      printUsage(std::cout);
-      return std::nullopt;
-    default:
-      printUsage(std::cerr);
-      ExitCode = ExitUsage;
-      return std::nullopt;
-    }
-  }
-  if (optind < Count)
-    Read.Name = Words[optind++];
-  while (optind < Count)
-    Read.Words.emplace_back(Words[optind++]);
-  bool IsComplete = !Read.ConfigFile.empty() &&
-                    (Read.IsCheck || commands().contains(Read.Name));
-  if (IsComplete)
-    return Read;
-  printUsage(std::cerr);
-  ExitCode = ExitUsage;
-  return std::nullopt;
+    Text += "  " + Name + " " + Known.Synopsis + "\n      " + Known.Help + "\n";
+  Text += "\nExit status: 0 done, 1 refused, 2 usage, 3 unreachable, "
+          "4 settings.\n";
+  return Text;
 }
 
 CommandContext makeContext(const nlohmann::json &Document, std::string Token,
@@ -131,10 +77,21 @@
 int main(int Count, char **Words) {
   using namespace bergamothook;
   int ExitCode = 0;
-  auto Line = parse(Count, Words, ExitCode);
+  CommandLineRules Rules{"bergamothook-ctl",
+                         helpText(),
+                         {{"config", true}, {"check", false}},
+                         true};
+  auto Line = readCommandLine(Rules, Count, Words, ExitCode);
   if (!Line)
     return ExitCode;
-  auto Document = readSettingsFile(Line->ConfigFile, CtlSchema);
+  bool IsCheck = Line->has("check");
+  std::string Name = Line->Words.empty() ? "" : Line->Words.front();
+  if (!Line->has("config") || (!IsCheck && !commands().contains(Name))) {
+    std::cerr << Rules.HelpText;
+    return ExitUsage;
+  }
+  std::string File = Line->value("config");
+  auto Document = readSettingsFile(File, CtlSchema);
   if (!Document) {
     std::cerr << Document.error().toText() << "\n";
     return ExitSettings;
@@ -145,8 +102,8 @@
     std::cerr << Token.error().toText() << "\n";
     return ExitSettings;
   }
-  if (Line->IsCheck) {
-    std::cout << Line->ConfigFile << ": the settings are valid\n";
+  if (IsCheck) {
+    std::cout << File << ": the settings are valid\n";
     return 0;
   }
   RealRuntime Threads;
@@ -154,7 +111,8 @@
   HttpClient Http(Tasks);
   CommandContext Context =
       makeContext(Document.value(), Token.value(), Tasks, Http);
-  CommandStatus Status = commands()[Line->Name].Run(Context, Line->Words);
+  Line->Words.erase(Line->Words.begin());
+  CommandStatus Status = commands()[Name].Run(Context, Line->Words);
   // Tasks of the command may still wait for the log.
   std::cout.flush();
   std::_Exit(static_cast<int>(Status));
