--- a/Libraries/LibPeer/PeerNode.cpp
+++ b/Libraries/LibPeer/PeerNode.cpp
@@ -129,7 +129,8 @@
     // again meanwhile.
     auto Frame =
         this->Gate.seal(To, PeerTransport::Stream, Message.Kind, Message.Body);
-    if (Frame) {
+    bool HasSession = Frame.has_value();
+    if (HasSession) {
       std::size_t Bytes = Frame.value().size();
       auto Sent = this->Hooks.SendStream(To, std::move(Frame).value(),
                                          Now + this->Limits.SendTimeout);
@@ -147,7 +148,8 @@
     }
     TimePoint Wake = this->Tasks.Now() + this->Dice.jitter(BackOff);
     this->Tasks.waitUntil(this->SessionStarted, Wake, [&] {
-      return this->IsStopping || (!Frame && this->Gate.runOf(To).has_value());
+      return this->IsStopping ||
+             (!HasSession && this->Gate.runOf(To).has_value());
     });
     BackOff = std::min(2 * BackOff, this->Limits.LongestBackOff);
   }
