--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -110,7 +110,6 @@
   ;;
 sanitize)
   install_packages
-  export ASAN_OPTIONS=${ASAN_OPTIONS:-use_sigaltstack=0}
   configure "$root/BuildSanitize" -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-O1 -DBERGAMOTHOOK_SANITIZE=ON
   cmake --build "$root/BuildSanitize" -j "$jobs"
   run_tests "$root/BuildSanitize"
