--- a/Tests/LibHttp/EdgeTest.cpp
+++ b/Tests/LibHttp/EdgeTest.cpp
@@ -84,8 +84,9 @@
            "POST / HTTP/1.1\r\nContent-Length: none\r\n\r\n",
            "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-           "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-           "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+           // Both lengths at once; the two literals are one request.
+           ("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
        }) {
     CAPTURE(std::string(Bytes));
     std::string Answer = Edge.exchange(Bytes);
--- a/Tests/LibHttp/RawSocket.cpp
+++ b/Tests/LibHttp/RawSocket.cpp
@@ -79,7 +79,8 @@
 RawListener::RawListener()
     : Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in At = loopback(0);
-  ::bind(this->Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+  static_cast<void>(
+      ::bind(this->Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)));
   static_cast<void>(::listen(this->Fd, 16));
 }
 
--- a/Utilities/Bench/BudgetsSlopes.cpp
+++ b/Utilities/Bench/BudgetsSlopes.cpp
@@ -36,7 +36,8 @@
   }
 
   void apply(const LedgerBody &Body, Incarnation Writer) {
-    this->Fold.apply(Body, RecordId{1, ++this->Next}, Writer,
+    ++this->Next;
+    this->Fold.apply(Body, RecordId{1, this->Next}, Writer,
                      {Offset{this->Next}, 0});
   }
 
--- a/Utilities/Bench/OverheadExperiment.cpp
+++ b/Utilities/Bench/OverheadExperiment.cpp
@@ -10,8 +10,7 @@
 #include "LibTask/RealRuntime.h"
 
 #include <algorithm>
-#include <atomic>
-#include <boost/fiber/operations.hpp>
+#include <cmath>
 #include <memory>
 
 namespace bergamothook {
@@ -34,9 +33,8 @@
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  auto Place = static_cast<std::size_t>(
-      Share * static_cast<double>(Values.size() - 1) + 0.5);
-  return Values[Place];
+  auto Place = std::lround(Share * static_cast<double>(Values.size() - 1));
+  return Values[static_cast<std::size_t>(Place)];
 }
 
 HttpCall callOfEngine(std::uint16_t Port, Random &Dice) {
