Serve TLS where the settings name a certificate, and read it again every minute

Cause: the settings took certificate_file and key_file, and the router ignored them. Measured: a router with a test certificate answers /readyz over HTTPS.

--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -20,6 +20,7 @@
 constexpr Duration HandBackTimeout = std::chrono::seconds(10);
 const std::string OrderPrefix = "/v1/orders/";
 
+constexpr Duration CertificateInterval = std::chrono::minutes(1);
 constexpr Duration JoinedListInterval = std::chrono::milliseconds(100);
 constexpr std::uint64_t BootBits = 0xffffffff00000000;
 
@@ -33,6 +34,24 @@
   return Text;
 }
 
+Result<void> startServer(HttpServer &Server, const ListenSettings &Listen) {
+  if (!Listen.CertificateFile.empty()) {
+    BOOST_OUTCOME_TRYV(Server.useTls(Listen.CertificateFile, Listen.KeyFile));
+  }
+  return Server.start();
+}
+
+void reloadCertificate(HttpServer &Server, const ListenSettings &Listen) {
+  if (Listen.CertificateFile.empty())
+    return;
+  // Files that are being replaced may not fit; the certificate in force stays.
+  auto Reloaded = Server.reloadCertificate();
+  if (!Reloaded)
+    logEvent(LogLevel::Warning, "certificate_not_reloaded",
+             {{"file", Listen.CertificateFile},
+              {"reason", Reloaded.error().message()}});
+}
+
 TargetWatchSettings watchSettings() {
   TargetWatchSettings Made;
   Made.ListInterval = JoinedListInterval;
@@ -204,8 +223,10 @@
   // The port comes first: it proves that earlier runs of this host have ended.
   BOOST_OUTCOME_TRYV(this->Peers.start());
   this->startTasks();
-  BOOST_OUTCOME_TRYV(this->OperatorServer.start());
-  BOOST_OUTCOME_TRYV(this->CallerServer.start());
+  BOOST_OUTCOME_TRYV(
+      startServer(this->OperatorServer, this->Settings.Operators));
+  BOOST_OUTCOME_TRYV(startServer(this->CallerServer, this->Settings.Callers));
+  this->Tasks.Spawn([this] { this->reloadCertificates(); });
   logEvent(LogLevel::Info, "started",
            {{"run", this->Self.Run},
             {"callers_port", this->CallerServer.port()},
@@ -213,6 +234,14 @@
   return success();
 }
 
+void Router::reloadCertificates() {
+  while (!this->IsStopping) {
+    this->Tasks.sleepUntil(this->Tasks.Now() + CertificateInterval);
+    reloadCertificate(this->OperatorServer, this->Settings.Operators);
+    reloadCertificate(this->CallerServer, this->Settings.Callers);
+  }
+}
+
 void Router::bindPeers() {
   this->Peers.OnConfiguration = [this](const ConfigSnapshot &Present) {
     this->warmBudgets(Present);
--- a/Services/Router/Router.h
+++ b/Services/Router/Router.h
@@ -49,6 +49,7 @@
                    HttpReply &Reply);
   void sendReadiness(HttpReply &Reply) const;
   void sendMetrics(HttpReply &Reply);
+  void reloadCertificates();
   void bindPeers();
   void startTasks();
   void endPredecessors();
