--- a/Libraries/LibSettings/CommandLine.cpp
+++ b/Libraries/LibSettings/CommandLine.cpp
@@ -39,7 +39,8 @@
   const char *Order = Rules.EndsAtFirstWord ? "+" : "";
   CommandLine Read;
   int Letter = 0;
-  optind = 1;
+  // 0 makes the GNU library start afresh, also with another order.
+  optind = 0;
   while ((Letter = getopt_long(Count, Words, Order, Options.data(), nullptr)) !=
          -1) {
     ExitCode = 0;
