Judge overspend by what the engines generated, and a leaving target by its ledger

Cause: the run's overspend was worked out from the ledger's own sums, which can't go below zero unless the fold is wrong, and the check of a leaving target passed when its ledger could not be read. Change: the run adds up every generation in the engines' ledgers; the check wants a count.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -133,7 +133,9 @@
     view=$(ctl budget "$account")
     settled=$(jq .settled <<<"$view")
     [ "$settled" = "$expected" ] && [ "$settled" -gt 0 ] && billed=$((billed + 1))
-    total=$(jq '.topped_up - .settled' <<<"$view")
+    # Overspent is what the engines generated, also twice, above the top-ups.
+    total=$(jq --arg r "$request" '[.[] | select(.request == $r) | .prompt_tokens + .generated_tokens] | add // 0' <<<"$engines")
+    total=$(($(jq .topped_up <<<"$view") - total))
     [ "$total" -lt 0 ] && overspend=$((overspend - total))
   done
   for label in "${chats[@]}"; do [ -n "$(answer_text "$label")" ] || refusals=$((refusals + 1)); done
--- a/Meta/faults.sh
+++ b/Meta/faults.sh
@@ -172,7 +172,7 @@
   for number in 1 2 3 4; do draft "leaving-$number" $((2 + number % 2)) "leaving-$number" 5; done
   after=$(curl -sf "http://127.0.0.1:$(engine_port 3)/ledger" | jq '.runs | length')
   set_fault "$(engine_port 3)" '{"is_leaving": false}'
-  is_whole leaving-4 && [ "$before" = "$after" ]
+  is_whole leaving-4 && [ -n "$before" ] && [ "$before" = "$after" ]
 }
 
 check_graceful_stop() {
