--- /dev/null
+++ b/Libraries/LibNet/HttpPool.h
@@ -0,0 +1,59 @@
+/// \file
+/// Connections to other HTTP servers, kept open between exchanges.
+
+#ifndef BERGAMOTHOOK_LIBNET_HTTPPOOL_H
+#define BERGAMOTHOOK_LIBNET_HTTPPOOL_H
+
+#include "LibNet/TcpConnection.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace bergamothook {
+
+struct HttpPoolLimits {
+  /// How long a connection may lie idle when the server does not say.
+  Duration IdleTime = std::chrono::seconds(4);
+  /// Subtracted from the idle time that the server tells, so that the two ends
+  /// do not meet: a request that crosses the server's close is lost.
+  Duration IdleMargin = std::chrono::milliseconds(700);
+  std::size_t MaxIdlePerAddress = 64;
+};
+
+/// Idle connections by address. The newest is taken first, so that the others
+/// can age and go.
+class HttpPool {
+public:
+  explicit HttpPool(HttpPoolLimits Limits) : Limits(Limits) {}
+
+  /// Takes an idle connection that was used within \p MaxIdle.
+  TcpConnection::Handle take(const std::string &Address, Duration MaxIdle,
+                             TimePoint Now);
+
+  /// Puts a connection back. \p ServerIdleTime is what the server told of it.
+  void give(const std::string &Address, TcpConnection::Handle Connection,
+            std::optional<Duration> ServerIdleTime, TimePoint Now);
+
+  /// Closes all idle connections to \p Address.
+  void forget(const std::string &Address);
+
+  /// Closes what is too old or has ended.
+  void expire(TimePoint Now);
+
+  std::size_t size() const;
+
+private:
+  struct Idle {
+    TcpConnection::Handle Connection;
+    TimePoint Since;
+    TimePoint Until;
+  };
+
+  HttpPoolLimits Limits;
+  std::map<std::string, std::deque<Idle>> ByAddress;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibNet/NetScheduler.h
@@ -0,0 +1,35 @@
+/// \file
+/// The order in which the fibers of a NetRuntime run, and what its thread does
+/// while all of them wait.
+
+#ifndef BERGAMOTHOOK_LIBNET_NETSCHEDULER_H
+#define BERGAMOTHOOK_LIBNET_NETSCHEDULER_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace bergamothook::detail {
+
+/// Runs ready fibers first come, first served; waits in the I/O context when
+/// none is ready.
+class NetScheduler final : public boost::fibers::algo::algorithm {
+public:
+  explicit NetScheduler(boost::asio::io_context &Context) : Context(Context) {}
+
+  void awakened(boost::fibers::context *Fiber) noexcept override;
+  boost::fibers::context *pick_next() noexcept override; // NOLINT
+  bool has_ready_fibers() const noexcept override;       // NOLINT
+  void suspend_until(                                    // NOLINT
+      const std::chrono::steady_clock::time_point &When) noexcept override;
+  void notify() noexcept override {}
+
+private:
+  boost::asio::io_context &Context;
+  boost::fibers::scheduler::ready_queue_type Ready;
+};
+
+} // namespace bergamothook::detail
+
+#endif
--- /dev/null
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -0,0 +1,283 @@
+#include "LibNet/TcpConnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace bergamothook {
+
+namespace {
+/// Bytes asked for in one read; larger than a typical burst of events.
+constexpr std::size_t ReadBytes = 16 * 1024;
+} // namespace
+
+using boost::asio::ip::tcp;
+
+Result<tcp::endpoint> parseEndpoint(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return NetError::Malformed;
+  boost::system::error_code Failure;
+  auto Host = boost::asio::ip::make_address(Address.substr(0, Colon), Failure);
+  std::uint16_t Port = 0;
+  const char *End = Address.data() + Address.size();
+  auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
+  if (Failure || Parsed.ec != std::errc() || Parsed.ptr != End || Port == 0)
+    return NetError::Malformed;
+  return tcp::endpoint(Host, Port);
+}
+
+TcpConnection::TcpConnection(NetRuntime &Loop, tcp::socket Socket,
+                             TcpLimits Limits)
+    : Loop(Loop), Tasks(Loop.hooks()), Socket(std::move(Socket)),
+      Limits(Limits) {}
+
+TcpConnection::~TcpConnection() {
+  boost::system::error_code Ignored; // A destructor has nobody to tell.
+  this->Socket.close(Ignored);
+}
+
+TcpConnection::Handle TcpConnection::adopt(NetRuntime &Loop, tcp::socket Socket,
+                                           TcpLimits Limits) {
+  Handle Made(new TcpConnection(Loop, std::move(Socket), Limits));
+  Made->setOptions();
+  Made->readAhead();
+  return Made;
+}
+
+Result<TcpConnection::Handle> TcpConnection::connect(NetRuntime &Loop,
+                                                     const std::string &Address,
+                                                     TcpLimits Limits,
+                                                     TimePoint Deadline) {
+  auto Where = parseEndpoint(Address);
+  if (!Where)
+    return NetError::ConnectFailed;
+  Handle Made(new TcpConnection(Loop, tcp::socket(Loop.context()), Limits));
+  // The handler may run after this call has returned, so it shares the flags.
+  struct Progress {
+    bool IsDone = false;
+    bool HasFailed = false;
+  };
+  auto Attempt = std::make_shared<Progress>();
+  Made->Socket.async_connect(
+      Where.value(), [Made, Attempt](const boost::system::error_code &Failure) {
+        Attempt->IsDone = true;
+        Attempt->HasFailed = static_cast<bool>(Failure);
+        Made->notify();
+      });
+  Made->Tasks.waitUntil(Made->Own, Deadline, [&] { return Attempt->IsDone; });
+  if (!Attempt->IsDone || Attempt->HasFailed) {
+    Made->abort();
+    return NetError::ConnectFailed;
+  }
+  Made->setOptions();
+  Made->readAhead();
+  return Made;
+}
+
+void TcpConnection::setOptions() {
+  boost::system::error_code Ignored; // Options are best effort.
+  this->Socket.non_blocking(true, Ignored);
+  this->Socket.set_option(tcp::no_delay(true), Ignored);
+  int Milliseconds =
+      static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           this->Limits.UnacknowledgedLimit)
+                           .count());
+  ::setsockopt(this->Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &Milliseconds, sizeof(Milliseconds));
+}
+
+void TcpConnection::attach(Event *Target) {
+  this->Changed = Target ? Target : &this->Own;
+}
+
+void TcpConnection::notify() { this->Changed->notify(); }
+
+std::error_code TcpConnection::endReason() const {
+  return this->WasLost ? NetError::Reset : NetError::Closed;
+}
+
+void TcpConnection::take(std::size_t Bytes) {
+  this->Taken += Bytes;
+  if (this->Taken == this->Received.size()) {
+    this->Received.clear();
+    this->Taken = 0;
+    if (this->Received.capacity() > ReadBytes)
+      this->Received.shrink_to_fit();
+  }
+  this->readAhead();
+}
+
+void TcpConnection::readAhead() {
+  if (this->IsReading || this->HasEnded || this->IsClosed ||
+      this->unread().size() >= this->Limits.MaxUnread)
+    return;
+  this->IsReading = true;
+  this->Socket.async_wait(tcp::socket::wait_read,
+                          [Self = this->shared_from_this()](
+                              const boost::system::error_code &Failure) {
+                            Self->onReadable(Failure);
+                          });
+}
+
+void TcpConnection::onReadable(const boost::system::error_code &WaitFailure) {
+  this->IsReading = false;
+  if (this->IsClosed)
+    return;
+  if (WaitFailure)
+    return this->end(true);
+  // One buffer serves all connections of the thread, so that an idle
+  // connection holds none.
+  static thread_local std::array<char, ReadBytes> Shared;
+  boost::system::error_code Failure;
+  std::size_t Bytes =
+      this->Socket.read_some(boost::asio::buffer(Shared), Failure);
+  if (Failure == boost::asio::error::would_block) {
+    this->readAhead();
+    return;
+  }
+  if (Failure)
+    return this->end(Failure != boost::asio::error::eof);
+  if (!this->IsClosing) {
+    if (this->Taken > 0) {
+      this->Received.erase(0, this->Taken);
+      this->Taken = 0;
+    }
+    this->Received.append(Shared.data(), Bytes);
+  }
+  this->readAhead();
+  this->notify();
+}
+
+void TcpConnection::end(bool IsLoss) {
+  this->HasEnded = true;
+  this->WasLost = this->WasLost || IsLoss;
+  if (this->IsClosing)
+    this->finishClose();
+  this->notify();
+}
+
+Result<void> TcpConnection::write(std::string_view Bytes, TimePoint Deadline) {
+  if (this->IsClosed || this->WasLost)
+    return NetError::Reset;
+  if (!this->IsSending && this->unsent() == 0) {
+    boost::system::error_code Failure;
+    std::size_t Written = this->Socket.write_some(
+        boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+    if (Failure && Failure != boost::asio::error::would_block) {
+      this->end(true);
+      return NetError::Reset;
+    }
+    this->TotalSent += Written;
+    Bytes.remove_prefix(Written);
+  }
+  if (Bytes.empty())
+    return success();
+  this->Unsent.append(Bytes);
+  this->sendQueued();
+  bool HasRoom = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
+    return this->WasLost || this->IsClosed ||
+           this->unsent() < this->Limits.MaxUnsent;
+  });
+  if (this->WasLost || this->IsClosed)
+    return NetError::Reset;
+  if (!HasRoom)
+    return NetError::TimedOut;
+  return success();
+}
+
+Result<void> TcpConnection::flush(TimePoint Deadline) {
+  bool IsEmpty = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
+    return this->WasLost || this->IsClosed || this->unsent() == 0;
+  });
+  if (this->WasLost || this->IsClosed)
+    return NetError::Reset;
+  if (!IsEmpty)
+    return NetError::TimedOut;
+  return success();
+}
+
+void TcpConnection::sendQueued() {
+  if (this->IsSending || this->unsent() == 0 || this->IsClosed)
+    return;
+  this->IsSending = true;
+  this->Socket.async_wait(tcp::socket::wait_write,
+                          [Self = this->shared_from_this()](
+                              const boost::system::error_code &Failure) {
+                            Self->onWritable(Failure);
+                          });
+}
+
+void TcpConnection::onWritable(const boost::system::error_code &WaitFailure) {
+  this->IsSending = false;
+  if (this->IsClosed)
+    return;
+  if (WaitFailure)
+    return this->end(true);
+  boost::system::error_code Failure;
+  std::string_view Rest = std::string_view(this->Unsent).substr(this->Sent);
+  std::size_t Written = this->Socket.write_some(
+      boost::asio::buffer(Rest.data(), Rest.size()), Failure);
+  if (Failure && Failure != boost::asio::error::would_block)
+    return this->end(true);
+  this->Sent += Written;
+  this->TotalSent += Written;
+  if (this->unsent() == 0) {
+    this->Unsent.clear();
+    this->Unsent.shrink_to_fit();
+    this->Sent = 0;
+    if (this->IsClosing)
+      this->finishClose();
+  } else {
+    this->sendQueued();
+  }
+  this->notify();
+}
+
+void TcpConnection::finish(TimePoint Deadline) {
+  if (!this->flush(Deadline)) {
+    this->abort();
+    return;
+  }
+  boost::system::error_code Ignored; // The connection is gone either way.
+  this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
+    this->take(this->unread().size());
+    return this->HasEnded || this->IsClosed;
+  });
+  this->close();
+}
+
+void TcpConnection::close() {
+  if (this->IsClosed || this->IsClosing)
+    return;
+  this->IsClosing = true;
+  this->Received.clear();
+  this->Taken = 0;
+  if (this->unsent() == 0 || this->HasEnded)
+    this->finishClose();
+}
+
+void TcpConnection::finishClose() {
+  if (this->IsClosed)
+    return;
+  this->IsClosed = true;
+  boost::system::error_code Ignored; // The connection is gone either way.
+  this->Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+  this->Socket.close(Ignored);
+}
+
+void TcpConnection::abort() {
+  if (this->IsClosed)
+    return;
+  this->IsClosed = true;
+  boost::system::error_code Ignored; // The connection is gone either way.
+  if (this->Socket.is_open()) {
+    this->Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    this->Socket.close(Ignored);
+  }
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -0,0 +1,97 @@
+#include "LibNet/TcpListener.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace bergamothook {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Accepts made in one go, so that a burst does not starve the open ones.
+constexpr int AcceptsAtOnce = 32;
+
+Result<tcp::endpoint> parseListenAddress(const std::string &Address) {
+  // Port 0 is valid for listening only.
+  if (Address.size() > 2 && Address.ends_with(":0")) {
+    boost::system::error_code Failure;
+    auto Host = boost::asio::ip::make_address(
+        Address.substr(0, Address.size() - 2), Failure);
+    if (Failure)
+      return NetError::Malformed;
+    return tcp::endpoint(Host, 0);
+  }
+  return parseEndpoint(Address);
+}
+
+} // namespace
+
+TcpListener::TcpListener(NetRuntime &Loop, TcpListenerSettings Settings,
+                         Serve Handler)
+    : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
+      Handler(std::move(Handler)), Acceptor(Loop.context()) {}
+
+Result<void> TcpListener::start() {
+  BOOST_OUTCOME_TRY(Where, parseListenAddress(this->Settings.Address));
+  try {
+    this->Acceptor.open(Where.protocol());
+    this->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->Acceptor.bind(Where);
+    this->Acceptor.listen(this->Settings.Backlog);
+    this->Acceptor.non_blocking(true);
+    this->Port = this->Acceptor.local_endpoint().port();
+  } catch (const boost::system::system_error &Failure) {
+    return std::error_code(Failure.code().value(), std::generic_category());
+  }
+  this->acceptNext();
+  return success();
+}
+
+void TcpListener::stop() {
+  boost::system::error_code Ignored; // Closing an acceptor can't be retried.
+  this->Acceptor.close(Ignored);
+}
+
+void TcpListener::acceptNext() {
+  if (!this->Acceptor.is_open())
+    return;
+  this->Acceptor.async_wait(tcp::acceptor::wait_read,
+                            [this](const boost::system::error_code &Failure) {
+                              this->onAcceptable(Failure);
+                            });
+}
+
+void TcpListener::onAcceptable(const boost::system::error_code &WaitFailure) {
+  if (WaitFailure || !this->Acceptor.is_open())
+    return;
+  for (int I = 0; I < AcceptsAtOnce; ++I) {
+    if (this->Open >= this->Settings.MaxConnections) {
+      this->IsPaused = true;
+      return;
+    }
+    boost::system::error_code Failure;
+    tcp::socket Socket(this->Loop.context());
+    this->Acceptor.accept(Socket, Failure);
+    if (Failure)
+      break;
+    this->serve(std::move(Socket));
+  }
+  this->acceptNext();
+}
+
+void TcpListener::serve(tcp::socket Socket) {
+  ++this->Open;
+  auto Connection = TcpConnection::adopt(this->Loop, std::move(Socket),
+                                         this->Settings.Limits);
+  this->Tasks.Spawn([this, Connection] {
+    this->Handler(Connection);
+    Connection->close();
+    --this->Open;
+    if (this->IsPaused) {
+      this->IsPaused = false;
+      this->acceptNext();
+    }
+  });
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/EventSplitter.cpp
@@ -0,0 +1,58 @@
+#include "LibRelay/EventSplitter.h"
+
+#include <charconv>
+
+namespace bergamothook {
+
+namespace {
+
+/// Finds the end of the first event: behind the blank line that closes it.
+std::size_t endOfEvent(std::string_view Bytes) {
+  std::size_t Unix = Bytes.find("\n\n");
+  std::size_t Dos = Bytes.find("\r\n\r\n");
+  if (Unix == std::string_view::npos && Dos == std::string_view::npos)
+    return std::string_view::npos;
+  if (Dos < Unix)
+    return Dos + 4;
+  return Unix + 2;
+}
+
+} // namespace
+
+EventRun EventSplitter::take(std::string_view Bytes) {
+  this->Rest += Bytes;
+  EventRun Run;
+  std::size_t Begin = 0;
+  for (;;) {
+    std::string_view Left = std::string_view(this->Rest).substr(Begin);
+    std::size_t Length = endOfEvent(Left);
+    if (Length == std::string_view::npos)
+      break;
+    this->readId(Left.substr(0, Length));
+    ++Run.Events;
+    Begin += Length;
+  }
+  Run.Bytes = this->Rest.substr(0, Begin);
+  this->Rest.erase(0, Begin);
+  return Run;
+}
+
+void EventSplitter::readId(std::string_view Event) {
+  constexpr std::string_view Field = "id:";
+  std::size_t At = Event.starts_with(Field) ? 0 : Event.find("\nid:");
+  if (At == std::string_view::npos)
+    return;
+  At = Event.find(':', At) + 1;
+  while (At < Event.size() && Event[At] == ' ')
+    ++At;
+  std::uint64_t Id = 0;
+  auto Parsed =
+      std::from_chars(Event.data() + At, Event.data() + Event.size(), Id);
+  if (Parsed.ec != std::errc())
+    return;
+  if (this->LastId && Id != *this->LastId + 1)
+    this->HasGap = true;
+  this->LastId = Id;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/RelayConfig.cpp
@@ -0,0 +1,67 @@
+#include "LibRelay/RelayConfig.h"
+
+#include <algorithm>
+
+namespace bergamothook {
+
+namespace {
+
+/// Host names compare without case, and a port is no part of them.
+std::string hostKey(std::string_view Host) {
+  std::string Key(Host.substr(0, Host.find(':')));
+  std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char Letter) {
+    return static_cast<char>(std::tolower(Letter));
+  });
+  return Key;
+}
+
+} // namespace
+
+void RelayConfig::addRoute(RelayRoute Route) {
+  auto &OfHost = this->Routes[hostKey(Route.Host)];
+  auto Place = std::find_if(
+      OfHost.begin(), OfHost.end(), [&Route](const RelayRoute &Other) {
+        return Other.PathPrefix.size() < Route.PathPrefix.size();
+      });
+  OfHost.insert(Place, std::move(Route));
+  ++this->RouteCount;
+}
+
+void RelayConfig::addService(RoutedService Service) {
+  std::string Name = Service.Name;
+  this->Services.insert_or_assign(std::move(Name), std::move(Service));
+}
+
+void RelayConfig::addTeam(const RelayTeam &Team,
+                          const std::vector<std::string> &Keys) {
+  this->Teams.insert_or_assign(Team.Name, Team);
+  for (const std::string &Key : Keys)
+    this->TeamOfKey.insert_or_assign(Key, Team.Name);
+}
+
+const RelayRoute *RelayConfig::findRoute(std::string_view Host,
+                                         std::string_view Target) const {
+  auto Found = this->Routes.find(hostKey(Host));
+  if (Found == this->Routes.end())
+    return nullptr;
+  std::string_view Path = Target.substr(0, Target.find('?'));
+  for (const RelayRoute &Route : Found->second)
+    if (Path.starts_with(Route.PathPrefix))
+      return &Route;
+  return nullptr;
+}
+
+const RoutedService *RelayConfig::findService(const std::string &Name) const {
+  auto Found = this->Services.find(Name);
+  return Found == this->Services.end() ? nullptr : &Found->second;
+}
+
+const RelayTeam *RelayConfig::findTeamByKey(std::string_view Key) const {
+  auto Name = this->TeamOfKey.find(std::string(Key));
+  if (Name == this->TeamOfKey.end())
+    return nullptr;
+  auto Found = this->Teams.find(Name->second);
+  return Found == this->Teams.end() ? nullptr : &Found->second;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/RelayDesk.cpp
@@ -0,0 +1,92 @@
+#include "LibRelay/RelayDesk.h"
+
+#include "LibObserve/StructuredLog.h"
+#include "LibRelay/RelayRun.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+/// One calm success in so many is logged; all others are counted.
+constexpr std::uint64_t SuccessSample = 100;
+
+std::int64_t millisecondsOf(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+} // namespace
+
+RelayDesk::RelayDesk(RelaySettings Settings, RelayHooks Hooks,
+                     WalletDesk &Wallets, Metrics &Measured)
+    : Settings(std::move(Settings)), Hooks(std::move(Hooks)), Wallets(Wallets),
+      Measured(Measured), Picker(this->Settings.Picker,
+                                 this->Settings.OwnDomain, this->Settings.Seed),
+      Resends(this->Settings.Resends), Dice(this->Settings.Seed + 1) {}
+
+bool RelayDesk::setConfig(RelayConfigPtr Next) {
+  if (this->Config && Next->Version <= this->Config->Version)
+    return false;
+  for (const auto &[Name, Team] : Next->teams())
+    if (Team.Budget)
+      this->Wallets.setBudget(Name, *Team.Budget);
+  this->Config = std::move(Next);
+  return true;
+}
+
+RelayOutcome RelayDesk::serve(const RelayCall &Call, const CallerSide &Caller) {
+  detail::RelayRun Run(*this, Call, Caller);
+  RelayOutcome Outcome = Run.run();
+  this->record(Call, Outcome);
+  return Outcome;
+}
+
+RelayOutcome RelayDesk::refuse(const RelayCall &Call, const CallerSide &Caller,
+                               unsigned Status, RelayReason Reason,
+                               std::optional<Duration> RetryAfter) {
+  RelayOutcome Outcome;
+  Outcome.Status = Status;
+  Outcome.Reason = Reason;
+  auto Sent =
+      Caller.SendWhole(this->Hooks.MakeRefusal(Status, Call, RetryAfter),
+                       refusalBody(Reason, Outcome.End));
+  if (!Sent)
+    Outcome.End = RelayEnd::CallerLeft;
+  Outcome.Total = this->Hooks.Tasks.Now() - Call.ArrivedAt;
+  this->record(Call, Outcome);
+  return Outcome;
+}
+
+void RelayDesk::record(const RelayCall &Call, const RelayOutcome &Outcome) {
+  const std::string Labels = "{end=\"" + std::string(nameOf(Outcome.End)) +
+                             "\",status=\"" + std::to_string(Outcome.Status) +
+                             "\"}";
+  this->Measured.count("relay_calls_total" + Labels);
+  bool IsCalm = Outcome.End == RelayEnd::Done && Outcome.Sends == 1 &&
+                Outcome.Status < 400;
+  if (IsCalm) {
+    this->Measured.observe("relay_answer_seconds", Outcome.Total);
+    if (Outcome.Events > 0)
+      this->Measured.observe("relay_first_event_seconds", Outcome.FirstEvent);
+    if (this->Dice.below(SuccessSample) != 0)
+      return;
+  }
+  logEvent(IsCalm ? LogLevel::Info : LogLevel::Warning, "call_ended",
+           {{"request", Call.Id},
+            {"route", Call.Route ? Call.Route->Name : ""},
+            {"team", Call.Team ? Call.Team->Name : ""},
+            {"config_version", Call.Config ? Call.Config->Version : 0},
+            {"end", nameOf(Outcome.End)},
+            {"status", Outcome.Status},
+            {"reason", make_error_code(Outcome.Reason).message()},
+            {"target", Outcome.Target},
+            {"sends", Outcome.Sends},
+            {"events", Outcome.Events},
+            {"tokens_charged", Outcome.TokensCharged},
+            {"tokens_wait_ms", millisecondsOf(Outcome.TokensWait)},
+            {"first_event_ms", millisecondsOf(Outcome.FirstEvent)},
+            {"total_ms", millisecondsOf(Outcome.Total)}});
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/RelayDesk.h
@@ -0,0 +1,70 @@
+/// \file
+/// What all calls of one host share: the configuration in force, the targets,
+/// the budgets. Serves calls to their end.
+
+#ifndef BERGAMOTHOOK_LIBRELAY_RELAYDESK_H
+#define BERGAMOTHOOK_LIBRELAY_RELAYDESK_H
+
+#include "LibObserve/Metrics.h"
+#include "LibRelay/RelayHooks.h"
+#include "LibRelay/RelayOutcome.h"
+#include "LibRelay/ResendBudget.h"
+#include "LibRelay/TargetPicker.h"
+#include "LibRelay/WalletDesk.h"
+
+namespace bergamothook {
+
+struct RelaySettings {
+  std::string OwnDomain;
+  PickerPolicy Picker;
+  ResendPolicy Resends;
+  std::uint64_t Seed = 0;
+};
+
+/// All calls come from tasks of one runtime. The wallets and the metrics
+/// outlive it.
+class RelayDesk {
+public:
+  RelayDesk(RelaySettings Settings, RelayHooks Hooks, WalletDesk &Wallets,
+            Metrics &Measured);
+
+  /// Puts a version of the configuration in force. \returns false for one that
+  /// is not newer than the present one.
+  bool setConfig(RelayConfigPtr Config);
+
+  /// The version in force; null before the first one.
+  const RelayConfigPtr &config() const { return this->Config; }
+
+  /// Answers one call. Blocks the calling task until the caller has its answer
+  /// or has left.
+  RelayOutcome serve(const RelayCall &Call, const CallerSide &Caller);
+
+  /// Refuses a call that never became one.
+  RelayOutcome refuse(const RelayCall &Call, const CallerSide &Caller,
+                      unsigned Status, RelayReason Reason,
+                      std::optional<Duration> RetryAfter = std::nullopt);
+
+  TargetDirectory &targets() { return this->Targets; }
+  ResendBudget &resends() { return this->Resends; }
+  TargetPicker &picker() { return this->Picker; }
+  WalletDesk &wallets() { return this->Wallets; }
+  const RelayHooks &hooks() const { return this->Hooks; }
+  Random &dice() { return this->Dice; }
+
+private:
+  void record(const RelayCall &Call, const RelayOutcome &Outcome);
+
+  RelaySettings Settings;
+  RelayHooks Hooks;
+  WalletDesk &Wallets;
+  Metrics &Measured;
+  RelayConfigPtr Config;
+  TargetDirectory Targets;
+  TargetPicker Picker;
+  ResendBudget Resends;
+  Random Dice;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -0,0 +1,140 @@
+#include "LibRelay/TargetDirectory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bergamothook {
+
+bool TargetDirectory::onListed(const ListedTarget &Target, TimePoint) {
+  auto [Place, IsNew] = this->Targets.try_emplace(Target.Id);
+  TargetState &State = Place->second;
+  if (!IsNew && State.Listed == Target && !State.MissingSince)
+    return false;
+  bool IsRestarted = !IsNew && State.Listed.StartedAt != Target.StartedAt;
+  if (!IsNew && !IsRestarted && State.IsRetired && !State.MissingSince &&
+      State.Listed.Address == Target.Address)
+    return false; // It was seen to have ended; the list has not noticed yet.
+  if (IsRestarted) {
+    State.FailuresInARow = 0;
+    State.AvoidUntil = {};
+    State.FullUntil = {};
+  }
+  State.Listed = Target;
+  State.MissingSince.reset();
+  State.IsRetired = false;
+  return true;
+}
+
+void TargetDirectory::onRemoved(const std::string &Id, TimePoint Now) {
+  auto Found = this->Targets.find(Id);
+  if (Found == this->Targets.end() || Found->second.MissingSince)
+    return;
+  TargetState &State = Found->second;
+  State.MissingSince = Now;
+  bool MayBeLapse = this->UnreachableAt &&
+                    Now - *this->UnreachableAt <= this->Policy.LapseWindow;
+  if (!MayBeLapse || State.Listed.IsLeaving)
+    State.IsRetired = true;
+  this->forgetIfIdle(Id);
+}
+
+void TargetDirectory::onWholeList(const std::vector<ListedTarget> &Listed,
+                                  TimePoint Now) {
+  std::set<std::string> Named;
+  for (const ListedTarget &Target : Listed) {
+    Named.insert(Target.Id);
+    this->onListed(Target, Now);
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Id, State] : this->Targets)
+    if (!Named.contains(Id))
+      Missing.push_back(Id);
+  for (const std::string &Id : Missing)
+    this->onRemoved(Id, Now);
+}
+
+void TargetDirectory::expire(TimePoint Now) {
+  std::vector<std::string> Gone;
+  for (auto &[Id, State] : this->Targets)
+    if (State.MissingSince &&
+        Now - *State.MissingSince >= this->Policy.LapseGrace) {
+      State.IsRetired = true;
+      Gone.push_back(Id);
+    }
+  for (const std::string &Id : Gone)
+    this->forgetIfIdle(Id);
+}
+
+std::vector<TargetState *> TargetDirectory::usable(const std::string &Service) {
+  std::vector<TargetState *> Found;
+  for (auto &[Id, State] : this->Targets)
+    if (State.Listed.Service == Service && !State.Listed.IsLeaving &&
+        !State.IsRetired)
+      Found.push_back(&State);
+  return Found;
+}
+
+TargetState *TargetDirectory::find(const std::string &Id) {
+  auto Found = this->Targets.find(Id);
+  return Found == this->Targets.end() ? nullptr : &Found->second;
+}
+
+void TargetDirectory::onStarted(const std::string &Id,
+                                std::int64_t PromptTokens) {
+  if (TargetState *State = this->find(Id)) {
+    ++State->Running;
+    State->ReadingTokens += PromptTokens;
+  }
+}
+
+void TargetDirectory::onPromptRead(const std::string &Id,
+                                   std::int64_t PromptTokens) {
+  if (TargetState *State = this->find(Id))
+    State->ReadingTokens -= PromptTokens;
+}
+
+void TargetDirectory::onEnded(const std::string &Id) {
+  if (TargetState *State = this->find(Id)) {
+    --State->Running;
+    this->forgetIfIdle(Id);
+  }
+}
+
+void TargetDirectory::onGoodAnswer(const std::string &Id) {
+  if (TargetState *State = this->find(Id)) {
+    State->FailuresInARow = 0;
+    State->AvoidUntil = {};
+  }
+}
+
+void TargetDirectory::onFailure(const std::string &Id, TimePoint Now) {
+  TargetState *State = this->find(Id);
+  if (!State)
+    return;
+  Duration Avoidance = this->Policy.FirstAvoidance;
+  for (std::uint32_t I = 0;
+       I < State->FailuresInARow && Avoidance < this->Policy.LongestAvoidance;
+       ++I)
+    Avoidance *= 2;
+  ++State->FailuresInARow;
+  State->AvoidUntil = Now + std::min(Avoidance, this->Policy.LongestAvoidance);
+}
+
+void TargetDirectory::onFull(const std::string &Id, TimePoint Now) {
+  if (TargetState *State = this->find(Id))
+    State->FullUntil = Now + this->Policy.FullTime;
+}
+
+void TargetDirectory::onReplaced(const std::string &Id) {
+  if (TargetState *State = this->find(Id))
+    State->IsRetired = true;
+}
+
+void TargetDirectory::forgetIfIdle(const std::string &Id) {
+  auto Found = this->Targets.find(Id);
+  if (Found != this->Targets.end() && Found->second.IsRetired &&
+      Found->second.MissingSince && Found->second.Running == 0)
+    this->Targets.erase(Found);
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/WalletDesk.cpp
@@ -0,0 +1,136 @@
+#include "LibRelay/WalletDesk.h"
+
+#include "LibObserve/StructuredLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+/// The pause after a call of the log that failed.
+constexpr Duration RetryPause = std::chrono::milliseconds(150);
+/// The longest sleep of the task when nothing is due.
+constexpr Duration IdlePause = std::chrono::milliseconds(200);
+/// The longest that a request waits for tokens before it is refused as not run;
+/// some rounds of a log that is well.
+constexpr Duration LongestWait = std::chrono::milliseconds(700);
+/// How long a request waits between two tries, when nothing tells of a change.
+constexpr Duration TryPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+WalletDesk::WalletDesk(std::string Self, WalletPolicy Policy, WalletLog Log,
+                       Runtime Tasks)
+    : Purses(std::move(Self), Policy), Policy(Policy), Log(std::move(Log)),
+      Tasks(std::move(Tasks)) {}
+
+void WalletDesk::setBudget(const std::string &Team, Tokens Budget) {
+  this->Purses.setBudget(Team, Budget);
+  this->Wanted.notify();
+}
+
+bool WalletDesk::catchUp() {
+  bool HadRead = this->Purses.isReady();
+  auto Page = HadRead ? this->Log.Read(this->Purses.book().end())
+                      : this->Log.ReadNewest();
+  if (!Page && Page.error() == std::errc::result_out_of_range) {
+    logEvent(LogLevel::Warning, "wallet_log_trimmed",
+             {{"offset", this->Purses.book().end()}});
+    this->Purses.forgetBook();
+    return false;
+  }
+  if (!Page)
+    return false;
+  this->Purses.onRead(Page.value().Records, Page.value().End,
+                      this->Tasks.Now());
+  if (!HadRead)
+    logEvent(LogLevel::Info, "wallets_read",
+             {{"end", Page.value().End},
+              {"processes", this->Purses.book().processes()}});
+  this->Changed.notify();
+  return true;
+}
+
+void WalletDesk::runRound() {
+  if (!this->catchUp()) {
+    this->Tasks.sleepUntil(this->Tasks.Now() + RetryPause);
+    return;
+  }
+  std::vector<WalletRecord> Records = this->Purses.planRound(this->Tasks.Now());
+  if (Records.empty())
+    return;
+  switch (this->Log.AppendAt(this->Purses.book().end(), Records)) {
+  case WalletAppend::Done:
+    this->Purses.onAppended(this->Purses.book().end() + Records.size(),
+                            this->Tasks.Now());
+    this->Changed.notify();
+    return;
+  case WalletAppend::Moved:
+    this->Purses.onRefused();
+    return;
+  case WalletAppend::Refused:
+    this->Purses.onRefused();
+    break;
+  case WalletAppend::Unanswered:
+    this->Purses.onUnanswered();
+    break;
+  }
+  this->Tasks.sleepUntil(this->Tasks.Now() + RetryPause);
+}
+
+void WalletDesk::run() {
+  while (!this->IsDrained) {
+    TimePoint Now = this->Tasks.Now();
+    if (!this->Purses.isReady() || this->Purses.isRoundDue(Now)) {
+      this->runRound();
+      continue;
+    }
+    if (this->IsStopping && Now >= this->Purses.nextRound(Now)) {
+      this->IsDrained = true;
+      break;
+    }
+    std::uint64_t Seen = this->Wanted.generation();
+    TimePoint Next = std::max(this->Purses.nextRound(Now),
+                              Now + std::chrono::milliseconds(1));
+    this->Tasks.WaitOn(this->Wanted, Seen, std::min(Next, Now + IdlePause));
+  }
+  this->Changed.notify();
+}
+
+void WalletDesk::stop(TimePoint Deadline) {
+  this->Purses.beginStop();
+  this->IsStopping = true;
+  this->Wanted.notify();
+  this->Tasks.waitUntil(this->Changed, Deadline,
+                        [this] { return this->IsDrained; });
+  this->IsDrained = true;
+}
+
+Result<void> WalletDesk::reserve(const std::string &Team, Tokens Amount,
+                                 TimePoint Deadline,
+                                 const std::function<bool()> &IsGivenUp) {
+  TimePoint Begin = this->Tasks.Now();
+  TimePoint End = std::min(Deadline, Begin + LongestWait);
+  for (;;) {
+    std::uint64_t Seen = this->Changed.generation();
+    auto Verdict = this->Purses.reserve(Team, Amount, this->Tasks.Now());
+    if (Verdict || Verdict.error() != WalletError::NotInHand)
+      return Verdict;
+    this->Wanted.notify();
+    TimePoint Now = this->Tasks.Now();
+    if (Now >= End || IsGivenUp()) {
+      this->Purses.abandon(Team, Amount);
+      return Verdict;
+    }
+    this->Tasks.WaitOn(this->Changed, Seen, std::min(End, Now + TryPause));
+    this->Purses.abandon(Team, Amount);
+  }
+}
+
+void WalletDesk::settle(const std::string &Team, Tokens Reserved,
+                        Tokens Spent) {
+  this->Purses.settle(Team, Reserved, Spent, this->Tasks.Now());
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/WalletDesk.h
@@ -0,0 +1,86 @@
+/// \file
+/// Runs the rounds of a wallet on the log, and lets requests wait for tokens.
+
+#ifndef BERGAMOTHOOK_LIBRELAY_WALLETDESK_H
+#define BERGAMOTHOOK_LIBRELAY_WALLETDESK_H
+
+#include "LibTask/Runtime.h"
+#include "LibWallet/Wallet.h"
+
+#include <functional>
+
+namespace bergamothook {
+
+/// What was read of the wallets' log.
+struct WalletPage {
+  std::vector<WalletRecord> Records;
+  /// The offset behind the last record.
+  std::uint64_t End = 0;
+};
+
+enum class WalletAppend {
+  Done,
+  /// Not appended, and never will be.
+  Refused,
+  /// Not appended: the log does not end where the writer thought.
+  Moved,
+  /// Nobody knows.
+  Unanswered,
+};
+
+/// Calls of the log that holds the wallets. Each blocks the calling task.
+struct WalletLog {
+  /// Reads everything from \p From on. std::errc::result_out_of_range when
+  /// records at \p From are gone.
+  std::function<Result<WalletPage>(std::uint64_t From)> Read;
+  /// Reads the newest record of each key.
+  std::function<Result<WalletPage>()> ReadNewest;
+  /// Appends all records, provided that the log ends at \p At.
+  std::function<WalletAppend(std::uint64_t At,
+                             const std::vector<WalletRecord> &Records)>
+      AppendAt;
+};
+
+/// The wallet of one host with its task. All calls come from tasks of one
+/// runtime.
+class WalletDesk {
+public:
+  WalletDesk(std::string Self, WalletPolicy Policy, WalletLog Log,
+             Runtime Tasks);
+
+  /// Reads the log and runs rounds until stop(). A task of its own.
+  void run();
+
+  /// Hands back what is in hand; waits until that is on the log, at most until
+  /// \p Deadline.
+  void stop(TimePoint Deadline);
+
+  /// Sets tokens aside, waiting for them until \p Deadline or until \p
+  /// IsGivenUp holds.
+  Result<void> reserve(const std::string &Team, Tokens Amount,
+                       TimePoint Deadline,
+                       const std::function<bool()> &IsGivenUp);
+
+  void settle(const std::string &Team, Tokens Reserved, Tokens Spent);
+
+  void setBudget(const std::string &Team, Tokens Budget);
+
+  Wallet &wallet() { return this->Purses; }
+
+private:
+  void runRound();
+  bool catchUp();
+
+  Wallet Purses;
+  WalletPolicy Policy;
+  WalletLog Log;
+  Runtime Tasks;
+  Event Wanted;
+  Event Changed;
+  bool IsStopping = false;
+  bool IsDrained = false;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibRelayFront/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibRelay LibNet LibObserve)
--- /dev/null
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -0,0 +1,77 @@
+/// \file
+/// The port on which callers send their calls: one task for each connection.
+
+#ifndef BERGAMOTHOOK_LIBRELAYFRONT_RELAYSERVER_H
+#define BERGAMOTHOOK_LIBRELAYFRONT_RELAYSERVER_H
+
+#include "LibNet/HttpReader.h"
+#include "LibNet/TcpListener.h"
+#include "LibRelay/RelayDesk.h"
+
+namespace bergamothook {
+
+/// A call, or why the message is none.
+struct DecodedCall {
+  RelayCall Call;
+  /// The status of the refusal; 0 for a good call.
+  unsigned RefusalStatus = 0;
+  RelayReason Reason = RelayReason::None;
+  std::optional<Duration> RetryAfter;
+};
+
+struct RelayServerSettings {
+  TcpListenerSettings Listen;
+  /// After a stop began, how long an idle connection is kept for a request that
+  /// is on its way.
+  Duration IdleGraceAtStop = std::chrono::milliseconds(400);
+  /// How long a connection that was closed waits for the caller's own close.
+  Duration CloseTimeout = std::chrono::milliseconds(1500);
+};
+
+/// Reads requests, hands calls to the desk, and writes the answers.
+class RelayServer {
+public:
+  /// Turns a request into a call, by the configuration in force.
+  using Decode =
+      std::function<DecodedCall(HttpRequestMessage Message, TimePoint Now)>;
+
+  RelayServer(NetRuntime &Loop, RelayServerSettings Settings, RelayDesk &Desk,
+              Decode Decoder);
+
+  Result<void> start() { return this->Listener.start(); }
+
+  /// Answers with a wish to close from now on; new connections are still
+  /// served, since the balancer takes a while to notice.
+  void beginStop();
+
+  /// Accepts no more connections.
+  void stopListening() { this->Listener.stop(); }
+
+  /// Requests read and not answered.
+  std::size_t inProgress() const { return this->InProgress; }
+  std::size_t connections() const { return this->Listener.connections(); }
+
+private:
+  struct Session;
+
+  void serveConnection(const TcpConnection::Handle &Connection);
+  bool serveRequest(Session &Of, HttpRequestMessage Message);
+  bool waitForRequest(Session &Of);
+  void refuseMessage(Session &Of, std::error_code Failure);
+  CallerSide callerSide(Session &Of) const;
+  CallerLimits limits() const;
+
+  NetRuntime &Loop;
+  Runtime Tasks;
+  RelayServerSettings Settings;
+  RelayDesk &Desk;
+  Decode Decoder;
+  TcpListener Listener;
+  std::set<Event *> Sessions;
+  std::size_t InProgress = 0;
+  std::optional<TimePoint> StoppingSince;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibRelayFront/StatusServer.cpp
@@ -0,0 +1,49 @@
+#include "LibRelayFront/StatusServer.h"
+
+#include "LibNet/HttpReader.h"
+
+namespace bergamothook {
+
+namespace {
+
+constexpr Duration IdleTimeout = std::chrono::seconds(10);
+constexpr Duration ReadTimeout = std::chrono::seconds(3);
+constexpr HttpReadLimits SmallRequests{8 * 1024, 64 * 1024};
+
+} // namespace
+
+StatusServer::StatusServer(NetRuntime &Loop, const std::string &Address,
+                           Answer Handler)
+    : Tasks(Loop.hooks()), Handler(std::move(Handler)),
+      Listener(Loop, {Address, 64, 100, {}},
+               [this](const TcpConnection::Handle &Connection) {
+                 this->serveConnection(Connection);
+               }) {}
+
+void StatusServer::serveConnection(const TcpConnection::Handle &Connection) {
+  Event Changed;
+  Attachment Attached(Connection, Changed);
+  HttpRequestReader Reader(Connection, this->Tasks, Changed);
+  while (Reader.waitForFirstByte(this->Tasks.Now() + IdleTimeout,
+                                 [] { return false; })) {
+    auto Message =
+        Reader.read(SmallRequests, this->Tasks.Now() + ReadTimeout, [] {});
+    if (!Message)
+      return;
+    const std::string &Target = Message.value().Head.Target;
+    StatusAnswer Given = this->Handler(Target.substr(0, Target.find('?')));
+    HttpResponseHead Head;
+    Head.Status = Given.Status;
+    Head.KeepAlive = Message.value().Head.KeepAlive;
+    Head.Headers.add("Content-Type", Given.ContentType);
+    std::string Bytes =
+        formatResponseHead(Head, BodyFraming::Length, Given.Body.size()) +
+        Given.Body;
+    if (!Connection->write(Bytes, this->Tasks.Now() + ReadTimeout) ||
+        !Head.KeepAlive)
+      break;
+  }
+  Connection->finish(this->Tasks.Now() + std::chrono::seconds(1));
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelayFront/StatusServer.h
@@ -0,0 +1,39 @@
+/// \file
+/// A small port for questions about the host: readiness, metrics.
+
+#ifndef BERGAMOTHOOK_LIBRELAYFRONT_STATUSSERVER_H
+#define BERGAMOTHOOK_LIBRELAYFRONT_STATUSSERVER_H
+
+#include "LibNet/HttpMessage.h"
+#include "LibNet/TcpListener.h"
+
+namespace bergamothook {
+
+struct StatusAnswer {
+  unsigned Status = 404;
+  std::string ContentType = "text/plain";
+  std::string Body;
+};
+
+/// Answers GET requests, one task for each connection.
+class StatusServer {
+public:
+  using Answer = std::function<StatusAnswer(const std::string &Path)>;
+
+  StatusServer(NetRuntime &Loop, const std::string &Address, Answer Handler);
+
+  Result<void> start() { return this->Listener.start(); }
+  void stop() { this->Listener.stop(); }
+  std::uint16_t port() const { return this->Listener.port(); }
+
+private:
+  void serveConnection(const TcpConnection::Handle &Connection);
+
+  Runtime Tasks;
+  Answer Handler;
+  TcpListener Listener;
+};
+
+} // namespace bergamothook
+
+#endif
--- a/Libraries/LibSettings/Depends.cmake
+++ b/Libraries/LibSettings/Depends.cmake
@@ -1,7 +1,9 @@
 set(DEPENDS LibBase nlohmann_json::nlohmann_json)
-# With the sanitizers g++ 12 takes std::regex, which valijson uses, for
-# uninitialized; the plain build keeps the warning.
+# g++ 12 warns falsely inside valijson: at -O3 of -Wrestrict (GCC bug 105651),
+# with the sanitizers of an uninitialized std::regex.
+set(VALIJSON_OPTIONS -Wno-restrict)
 if(BERGAMOTHOOK_SANITIZE)
-  set_source_files_properties(${CMAKE_SOURCE_DIR}/Libraries/LibSettings/SettingsFile.cpp
-    PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
+  list(APPEND VALIJSON_OPTIONS -Wno-maybe-uninitialized)
 endif()
+set_source_files_properties(${CMAKE_SOURCE_DIR}/Libraries/LibSettings/SettingsFile.cpp
+  PROPERTIES COMPILE_OPTIONS "${VALIJSON_OPTIONS}")
--- /dev/null
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -0,0 +1,206 @@
+#include "LibWallet/Wallet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamothook {
+
+namespace {
+
+double secondsOf(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+Tokens Wallet::Purse::limit() const {
+  return this->HeldIfLanded ? std::min(this->Held, *this->HeldIfLanded)
+                            : this->Held;
+}
+
+Wallet::Wallet(std::string Self, WalletPolicy Policy)
+    : Self(std::move(Self)), Policy(Policy) {}
+
+void Wallet::setBudget(const std::string &Team, Tokens Budget) {
+  this->Purses[Team].Budget = Budget;
+}
+
+Result<void> Wallet::reserve(const std::string &Team, Tokens Amount,
+                             TimePoint Now) {
+  Purse &Own = this->Purses[Team];
+  if (Own.committed() + Amount <= Own.limit()) {
+    Own.SetAside += Amount;
+    Own.Largest = std::max(Own.Largest, Amount);
+    return success();
+  }
+  if (!this->HasRead)
+    return WalletError::NotReady;
+  if (!Own.Budget)
+    return WalletError::Exhausted;
+  WalletShare Others = this->Book.sumOfOthers(Team, this->Self);
+  bool IsFresh = this->viewAge(Now) <= this->Policy.FreshView;
+  if (IsFresh && Own.committed() + Amount > *Own.Budget - Others.Committed)
+    return WalletError::Exhausted;
+  Own.Wanted += Amount;
+  return WalletError::NotInHand;
+}
+
+void Wallet::abandon(const std::string &Team, Tokens Amount) {
+  Purse &Own = this->Purses[Team];
+  Own.Wanted = std::max<Tokens>(0, Own.Wanted - Amount);
+}
+
+double Wallet::decayed(const Purse &Own, Duration Window, TimePoint Now) {
+  return Own.Rate * std::exp(-secondsOf(Now - Own.RateAt) / secondsOf(Window));
+}
+
+void Wallet::settle(const std::string &Team, Tokens Reserved, Tokens Spent,
+                    TimePoint Now) {
+  Purse &Own = this->Purses[Team];
+  Own.SetAside -= Reserved;
+  Own.Spent += Spent;
+  Own.Rate = decayed(Own, this->Policy.RateWindow, Now) +
+             static_cast<double>(Spent) / secondsOf(this->Policy.RateWindow);
+  Own.RateAt = Now;
+}
+
+void Wallet::onRead(const std::vector<WalletRecord> &Records, std::uint64_t End,
+                    TimePoint Now) {
+  bool HasMoved = End > this->Book.end();
+  for (const WalletRecord &Record : Records)
+    this->Book.apply(Record);
+  this->Book.advanceTo(End);
+  this->HasRead = true;
+  this->ReadAt = Now;
+  // An unanswered append was to land at the old end; once another record
+  // stands there it can't land any more.
+  if (HasMoved)
+    this->resolve();
+}
+
+void Wallet::resolve() {
+  for (auto &[Team, Own] : this->Purses) {
+    WalletShare OnLog = this->Book.shareOf({Team, this->Self});
+    Own.Held = OnLog.Held;
+    Own.CommittedOnLog = OnLog.Committed;
+    Own.HeldIfLanded.reset();
+  }
+}
+
+void Wallet::forgetBook() {
+  this->Book.clear();
+  this->HasRead = false;
+}
+
+Tokens Wallet::freeFor(const std::string &Team, const Purse &Own) const {
+  if (!Own.Budget)
+    return 0;
+  Tokens OthersHold = this->Book.sumOfOthers(Team, this->Self).Held;
+  return std::max<Tokens>(0, *Own.Budget - OthersHold - Own.committed());
+}
+
+Tokens Wallet::idleTarget(const Purse &Own, Tokens Free, TimePoint Now) const {
+  if (this->IsStopping)
+    return 0;
+  double Rate = decayed(Own, this->Policy.RateWindow, Now);
+  Tokens Cover =
+      static_cast<Tokens>(Rate * secondsOf(this->Policy.Cover)) + Own.Largest;
+  return std::min(Cover, Free / this->Policy.Divisor);
+}
+
+Tokens Wallet::heldTarget(const std::string &Team, const Purse &Own,
+                          TimePoint Now) const {
+  Tokens Free = this->freeFor(Team, Own);
+  Tokens Idle = this->idleTarget(Own, Free, Now);
+  Tokens Wanted = this->IsStopping ? 0 : Own.Wanted;
+  return Own.committed() + std::min(Free, std::max(Idle, Wanted));
+}
+
+bool Wallet::needsRecord(const std::string &Team, const Purse &Own,
+                         TimePoint Now) const {
+  if (!Own.Budget && Own.Held == 0)
+    return false;
+  Tokens Target = this->heldTarget(Team, Own, Now);
+  if (this->IsStopping)
+    return Own.Held != Target;
+  Tokens IdleTarget = Target - Own.committed();
+  Tokens Idle = Own.limit() - Own.committed();
+  if (Own.Wanted > 0 && Target > Own.Held)
+    return true;
+  bool IsShort = Idle < IdleTarget / 2;
+  bool IsExcess = Idle > 2 * IdleTarget;
+  // What others can't see returned, they refuse requests for.
+  Tokens Unseen = std::abs(Own.CommittedOnLog - Own.committed());
+  return IsShort || IsExcess || Unseen > IdleTarget + Own.Largest;
+}
+
+bool Wallet::isWanted() const {
+  return std::any_of(this->Purses.begin(), this->Purses.end(),
+                     [](const auto &Entry) { return Entry.second.Wanted > 0; });
+}
+
+TimePoint Wallet::nextRound(TimePoint) const {
+  return this->LastRound + (this->isWanted() || this->IsStopping
+                                ? this->Policy.UrgentInterval
+                                : this->Policy.CalmInterval);
+}
+
+bool Wallet::isRoundDue(TimePoint Now) const {
+  if (Now < this->nextRound(Now))
+    return false;
+  return this->isWanted() ||
+         std::any_of(this->Purses.begin(), this->Purses.end(),
+                     [&](const auto &Entry) {
+                       return this->needsRecord(Entry.first, Entry.second, Now);
+                     });
+}
+
+std::vector<WalletRecord> Wallet::planRound(TimePoint Now) {
+  this->LastRound = Now;
+  this->OnWay.clear();
+  for (auto &[Team, Own] : this->Purses) {
+    if (!this->needsRecord(Team, Own, Now))
+      continue;
+    WalletShare Share{this->heldTarget(Team, Own, Now), Own.committed()};
+    Own.HeldIfLanded =
+        std::min(Own.HeldIfLanded.value_or(Share.Held), Share.Held);
+    this->OnWay.push_back({{Team, this->Self}, Share, 0});
+  }
+  return this->OnWay;
+}
+
+void Wallet::onAppended(std::uint64_t End, TimePoint Now) {
+  std::uint64_t At = End - this->OnWay.size();
+  for (WalletRecord &Record : this->OnWay) {
+    Record.Offset = At++;
+    this->Book.apply(Record);
+  }
+  this->OnWay.clear();
+  this->Book.advanceTo(End);
+  this->ReadAt = Now;
+  this->resolve();
+}
+
+void Wallet::onRefused() { this->OnWay.clear(); }
+
+void Wallet::onUnanswered() { this->OnWay.clear(); }
+
+void Wallet::beginStop() { this->IsStopping = true; }
+
+WalletView Wallet::view(const std::string &Team) const {
+  auto Found = this->Purses.find(Team);
+  if (Found == this->Purses.end())
+    return {};
+  const Purse &Own = Found->second;
+  return {Own.Budget.value_or(0), Own.Held, Own.Spent, Own.SetAside,
+          this->Book.sumOfOthers(Team, this->Self)};
+}
+
+std::vector<std::string> Wallet::teams() const {
+  std::vector<std::string> Names;
+  for (const auto &[Team, Own] : this->Purses)
+    Names.push_back(Team);
+  return Names;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibWallet/Wallet.h
@@ -0,0 +1,141 @@
+/// \file
+/// The prepaid budgets of all teams as one process spends them.
+///
+/// A process takes tokens out of a budget with a record on the log and spends
+/// them without a further word, also while the log is out. The sum of all
+/// shares never passes the budget, since a record is appended only at the exact
+/// end of the log that its writer had read. Nothing is ever taken from a
+/// process because time passed: one that was frozen or cut off wakes with its
+/// share as it was. What a dead process held counts as spent.
+
+#ifndef BERGAMOTHOOK_LIBWALLET_WALLET_H
+#define BERGAMOTHOOK_LIBWALLET_WALLET_H
+
+#include "LibBase/Time.h"
+#include "LibWallet/WalletBook.h"
+#include "LibWallet/WalletError.h"
+#include "LibWallet/WalletPolicy.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bergamothook {
+
+/// What the metrics show of one team.
+struct WalletView {
+  Tokens Budget = 0;
+  Tokens Held = 0;
+  Tokens Spent = 0;
+  Tokens SetAside = 0;
+  WalletShare Others;
+};
+
+/// Not thread-safe. The owner reads and writes the log in rounds:
+/// planRound(), then one append at book().end(), then one of onAppended(),
+/// onRefused() or onUnanswered().
+class Wallet {
+public:
+  Wallet(std::string Self, WalletPolicy Policy);
+
+  /// States the budget of a team; it only grows while the fleet runs.
+  void setBudget(const std::string &Team, Tokens Budget);
+
+  /// Sets \p Amount aside for one request. WalletError::NotInHand counts it as
+  /// wanted until abandon() is called or a further call succeeds.
+  Result<void> reserve(const std::string &Team, Tokens Amount, TimePoint Now);
+
+  /// Takes notice that a request no longer waits for \p Amount.
+  void abandon(const std::string &Team, Tokens Amount);
+
+  /// Ends a reservation of \p Reserved tokens of which \p Spent were spent.
+  void settle(const std::string &Team, Tokens Reserved, Tokens Spent,
+              TimePoint Now);
+
+  /// Takes records that were read from the log, up to the offset \p End.
+  void onRead(const std::vector<WalletRecord> &Records, std::uint64_t End,
+              TimePoint Now);
+
+  /// Starts again from an empty book, because records between the last read and
+  /// the first retained one are gone.
+  void forgetBook();
+
+  /// Tells whether a round is due.
+  bool isRoundDue(TimePoint Now) const;
+
+  /// Gives the time at which the next round may be due.
+  TimePoint nextRound(TimePoint Now) const;
+
+  /// Gives the records of this process that should be on the log. From here on
+  /// it spends no more than both the old and the new records allow.
+  std::vector<WalletRecord> planRound(TimePoint Now);
+
+  /// The records of the last planRound() are on the log, which now ends at
+  /// \p End.
+  void onAppended(std::uint64_t End, TimePoint Now);
+
+  /// They are not on the log, and never will be.
+  void onRefused();
+
+  /// Nobody knows; reading or writing behind them will tell.
+  void onUnanswered();
+
+  /// Hands back everything that is not spent or set aside; nothing more is
+  /// taken.
+  void beginStop();
+
+  const WalletBook &book() const { return this->Book; }
+  const std::string &self() const { return this->Self; }
+  bool isReady() const { return this->HasRead; }
+
+  /// Tells how long ago the log was read to its end.
+  Duration viewAge(TimePoint Now) const { return Now - this->ReadAt; }
+
+  WalletView view(const std::string &Team) const;
+  std::vector<std::string> teams() const;
+
+private:
+  struct Purse {
+    std::optional<Tokens> Budget;
+    Tokens Spent = 0;
+    Tokens SetAside = 0;
+    /// What the log allows, by the newest record that is known to be there.
+    Tokens Held = 0;
+    /// The least that any record allows whose append is unresolved.
+    std::optional<Tokens> HeldIfLanded;
+    /// The sum of what requests wait for.
+    Tokens Wanted = 0;
+    Tokens Largest = 0;
+    /// Tokens a second.
+    double Rate = 0;
+    TimePoint RateAt{};
+    Tokens CommittedOnLog = 0;
+
+    Tokens committed() const { return this->Spent + this->SetAside; }
+    Tokens limit() const;
+  };
+
+  Tokens freeFor(const std::string &Team, const Purse &Own) const;
+  Tokens idleTarget(const Purse &Own, Tokens Free, TimePoint Now) const;
+  Tokens heldTarget(const std::string &Team, const Purse &Own,
+                    TimePoint Now) const;
+  bool needsRecord(const std::string &Team, const Purse &Own,
+                   TimePoint Now) const;
+  bool isWanted() const;
+  void resolve();
+  static double decayed(const Purse &Own, Duration Window, TimePoint Now);
+
+  std::string Self;
+  WalletPolicy Policy;
+  WalletBook Book;
+  std::map<std::string, Purse> Purses;
+  std::vector<WalletRecord> OnWay;
+  TimePoint ReadAt{};
+  TimePoint LastRound{};
+  bool HasRead = false;
+  bool IsStopping = false;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -0,0 +1,35 @@
+/// \file
+/// How much of a budget a process keeps in hand for requests to come.
+
+#ifndef BERGAMOTHOOK_LIBWALLET_WALLETPOLICY_H
+#define BERGAMOTHOOK_LIBWALLET_WALLETPOLICY_H
+
+#include "LibBase/Time.h"
+#include "LibWallet/WalletRecord.h"
+
+namespace bergamothook {
+
+/// What a process that dies takes with it is what it had in hand, and what it
+/// can serve while the log is out is the same: these settings weigh the two.
+/// None of them can cause overspending.
+struct WalletPolicy {
+  /// The spending that tokens in hand should cover: the usual outage of a log,
+  /// without requests that wait for it.
+  Duration Cover = std::chrono::milliseconds(5000);
+  /// What one process may keep in hand of what nobody has taken: 1 / Divisor.
+  /// With six to nine processes about half stays free for who needs it.
+  Tokens Divisor = 8;
+  /// The time constant of the rate of spending.
+  Duration RateWindow = std::chrono::seconds(4);
+  /// The least time between two rounds that nobody waits for.
+  Duration CalmInterval = std::chrono::milliseconds(700);
+  /// The least time between two rounds while a request waits for tokens.
+  Duration UrgentInterval = std::chrono::milliseconds(15);
+  /// How old the view of the log may be when a request is refused because the
+  /// budget is used up.
+  Duration FreshView = std::chrono::milliseconds(400);
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibWallet/WalletRecord.cpp
@@ -0,0 +1,53 @@
+#include "LibWallet/WalletRecord.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+namespace bergamothook {
+
+namespace {
+
+/// The first byte of a share; another layout takes another number.
+constexpr char ShareVersion = 1;
+constexpr char KeySeparator = '\n';
+
+} // namespace
+
+std::string encodeWalletKey(const WalletKey &Key) {
+  return Key.Team + KeySeparator + Key.Process;
+}
+
+Result<WalletKey> decodeWalletKey(std::string_view Bytes) {
+  std::size_t Split = Bytes.find(KeySeparator);
+  if (Split == std::string_view::npos || Split == 0 ||
+      Split + 1 == Bytes.size())
+    return std::make_error_code(std::errc::bad_message);
+  return WalletKey{std::string(Bytes.substr(0, Split)),
+                   std::string(Bytes.substr(Split + 1))};
+}
+
+std::string encodeWalletShare(const WalletShare &Share) {
+  std::ostringstream Out;
+  Out.put(ShareVersion);
+  cereal::PortableBinaryOutputArchive Archive(Out);
+  Archive(Share);
+  return Out.str();
+}
+
+Result<WalletShare> decodeWalletShare(std::string_view Bytes) {
+  if (Bytes.empty() || Bytes.front() != ShareVersion)
+    return std::make_error_code(std::errc::bad_message);
+  std::istringstream In(std::string(Bytes.substr(1)));
+  WalletShare Share;
+  try {
+    cereal::PortableBinaryInputArchive Archive(In);
+    Archive(Share);
+  } catch (const cereal::Exception &) {
+    return std::make_error_code(std::errc::bad_message);
+  }
+  if (Share.Held < 0 || Share.Committed < 0)
+    return std::make_error_code(std::errc::bad_message);
+  return Share;
+}
+
+} // namespace bergamothook
--- a/Meta/CMake/Targets.cmake
+++ b/Meta/CMake/Targets.cmake
@@ -33,3 +33,11 @@
     endif()
   endforeach()
 endfunction()
+
+# The folder platform/ is one library: the adapter to the users' platform.
+function(bergamothook_add_platform)
+  file(GLOB Sources CONFIGURE_DEPENDS platform/*.cpp platform/*.h)
+  add_library(Platform STATIC ${Sources})
+  target_link_libraries(Platform PUBLIC project_options LibRelayFront nlohmann_json::nlohmann_json OpenSSL::Crypto)
+  target_include_directories(Platform PUBLIC ${CMAKE_SOURCE_DIR})
+endfunction()
--- /dev/null
+++ b/Services/Relay/RelayService.cpp
@@ -0,0 +1,278 @@
+#include "RelayService.h"
+
+#include "LibObserve/StructuredLog.h"
+#include "platform/HeaderDialect.h"
+#include "platform/ManifestReader.h"
+#include "platform/WalletStore.h"
+#include "platform/WireNames.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace bergamothook {
+
+namespace {
+
+using platform::KeyedRecord;
+namespace wire = platform::wire;
+
+/// A change of the configuration wakes the read that waits for it.
+constexpr Duration ConfigWait = std::chrono::milliseconds(900);
+constexpr Duration ConfigPause = std::chrono::milliseconds(30);
+/// Targets report about once a second each; their news gather meanwhile.
+constexpr Duration TargetPause = std::chrono::milliseconds(350);
+constexpr Duration TargetWait = std::chrono::milliseconds(500);
+constexpr Duration HousekeepingInterval = std::chrono::milliseconds(200);
+/// After the end signal the balancer sends new connections until it has asked
+/// twice, a second apart.
+constexpr Duration BalancerDelay = std::chrono::milliseconds(2300);
+/// What is kept of the time between the end signal and the kill for handing
+/// budgets back.
+constexpr Duration StopReserve = std::chrono::milliseconds(300);
+/// The part of the fleet's bound on resends that hosts share by their own
+/// requests: windows of hosts and of the fleet do not begin together.
+constexpr double ResendShare = 0.85;
+/// The hosts among which the rest of the bound is divided when the fleet's size
+/// is not known: more than the fleets that the bound is stated for.
+constexpr double ResendHosts = 24;
+/// Descriptors that are not for callers: targets, the store, the ports.
+constexpr std::size_t MaxCallerConnections = 2500;
+constexpr int CallerBacklog = 1024;
+
+std::string makeProcessName(const std::string &Host, std::uint64_t Seed) {
+  return Host + "#" + std::to_string(Seed);
+}
+
+} // namespace
+
+RelayService::RelayService(NetRuntime &Loop, std::string SettingsPath,
+                           platform::PlatformSettings Settings,
+                           std::uint64_t Seed)
+    : Loop(Loop), Tasks(Loop.hooks()), SettingsPath(std::move(SettingsPath)),
+      Settings(std::move(Settings)),
+      Self(makeProcessName(this->Settings.Host, Seed)),
+      Store(Loop, this->Settings.StoreAddress, {}, this->Measured),
+      Wallets(this->Self, {}, platform::makeWalletLog(this->Store),
+              this->Tasks),
+      Dialer(Loop, {}), Desk(this->relaySettings(Seed), this->relayHooks(),
+                             this->Wallets, this->Measured),
+      Server(Loop, this->serverSettings(), this->Desk,
+             [this](HttpRequestMessage Message, TimePoint Now) {
+               return platform::decodeCall(this->Desk.config(),
+                                           std::move(Message), Now);
+             }),
+      ReadyServer(
+          Loop, this->Settings.ReadyAddress,
+          [this](const std::string &Path) { return this->answerReady(Path); }),
+      MetricsServer(Loop, this->Settings.MetricsAddress,
+                    [this](const std::string &Path) {
+                      return this->answerMetrics(Path);
+                    }),
+      ConfigFeed(this->Store, this->Tasks,
+                 {std::string(wire::OperatorTopic), ConfigWait, ConfigPause},
+                 this->configHooks()),
+      TargetFeed(this->Store, this->Tasks,
+                 {std::string(wire::TargetTopic), TargetWait, TargetPause},
+                 this->targetHooks()),
+      Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
+
+RelaySettings RelayService::relaySettings(std::uint64_t Seed) const {
+  RelaySettings Chosen;
+  Chosen.OwnDomain = this->Settings.FailureDomain;
+  Chosen.Resends = {this->Settings.ResendWindow,
+                    this->Settings.ResendRatio * ResendShare,
+                    this->Settings.ResendSlack / ResendHosts};
+  Chosen.Seed = Seed;
+  return Chosen;
+}
+
+RelayServerSettings RelayService::serverSettings() const {
+  RelayServerSettings Chosen;
+  Chosen.Listen = {
+      this->Settings.FrontAddress, CallerBacklog, MaxCallerConnections, {}};
+  return Chosen;
+}
+
+RelayHooks RelayService::relayHooks() {
+  RelayHooks Hooks;
+  Hooks.Tasks = this->Tasks;
+  Hooks.Open = [this](const ListedTarget &Target, const RelayCall &Call,
+                      const HttpRequestHead &Head, const CallerSide &Caller,
+                      TimePoint Deadline) {
+    return this->Dialer.open(Target, Call, Head, Caller, Deadline);
+  };
+  Hooks.MakeHead = platform::makeTargetHead;
+  Hooks.Judge = platform::judgeAnswer;
+  Hooks.MakeRefusal = platform::makeRefusal;
+  return Hooks;
+}
+
+platform::FeedHooks RelayService::configHooks() {
+  platform::FeedHooks Hooks;
+  Hooks.OnWhole = [this](const std::vector<KeyedRecord> &Records) {
+    for (const KeyedRecord &Record : Records)
+      this->takeConfig(Record);
+  };
+  Hooks.OnRecord = [this](const KeyedRecord &Record) {
+    this->takeConfig(Record);
+  };
+  Hooks.OnLost = [] {};
+  Hooks.OnRegained = [] {};
+  return Hooks;
+}
+
+void RelayService::takeConfig(const KeyedRecord &Record) {
+  if (Record.Key != wire::ConfigKey || !Record.Value)
+    return;
+  auto Config = platform::parseManifest(*Record.Value);
+  if (!Config) {
+    logEvent(LogLevel::Error, "config_unreadable",
+             {{"offset", Record.Offset}, {"bytes", Record.Value->size()}});
+    return;
+  }
+  bool IsNew = this->Desk.setConfig(Config.value());
+  logEvent(LogLevel::Info, IsNew ? "config_in_force" : "config_not_newer",
+           {{"version", Config.value()->Version},
+            {"routes", Config.value()->routes()},
+            {"teams", Config.value()->teams().size()},
+            {"offset", Record.Offset}});
+}
+
+platform::FeedHooks RelayService::targetHooks() {
+  platform::FeedHooks Hooks;
+  Hooks.OnWhole = [this](const std::vector<KeyedRecord> &Records) {
+    std::vector<ListedTarget> Targets;
+    for (const KeyedRecord &Record : Records)
+      if (auto Target =
+              platform::parseTargetEntry(Record.Key, Record.Value.value_or("")))
+        Targets.push_back(Target.value());
+    this->Desk.targets().onWholeList(Targets, this->Tasks.Now());
+    this->HasTargets = true;
+    logEvent(LogLevel::Info, "targets_read", {{"targets", Targets.size()}});
+  };
+  Hooks.OnRecord = [this](const KeyedRecord &Record) {
+    this->takeTarget(Record);
+  };
+  Hooks.OnLost = [this] {
+    this->Desk.targets().onListUnreachable(this->Tasks.Now());
+  };
+  Hooks.OnRegained = [] {};
+  return Hooks;
+}
+
+void RelayService::takeTarget(const KeyedRecord &Record) {
+  TimePoint Now = this->Tasks.Now();
+  if (!Record.Value) {
+    logEvent(LogLevel::Info, "target_removed", {{"target", Record.Key}});
+    this->Desk.targets().onRemoved(Record.Key, Now);
+    return;
+  }
+  auto Target = platform::parseTargetEntry(Record.Key, *Record.Value);
+  if (!Target) {
+    // It names no target to use, also if an earlier entry did.
+    logEvent(LogLevel::Warning, "target_unreadable",
+             {{"target", Record.Key}, {"offset", Record.Offset}});
+    this->Desk.targets().onRemoved(Record.Key, Now);
+    return;
+  }
+  if (this->Desk.targets().onListed(Target.value(), Now))
+    logEvent(LogLevel::Info, "target_listed",
+             {{"target", Record.Key},
+              {"service", Target.value().Service},
+              {"address", Target.value().Address},
+              {"leaving", Target.value().IsLeaving}});
+}
+
+Result<void> RelayService::start() {
+  BOOST_OUTCOME_TRYV(this->Server.start());
+  BOOST_OUTCOME_TRYV(this->ReadyServer.start());
+  BOOST_OUTCOME_TRYV(this->MetricsServer.start());
+  auto IsStopped = [this] { return this->IsStopped; };
+  this->Tasks.Spawn([this, IsStopped] { this->ConfigFeed.run(IsStopped); });
+  this->Tasks.Spawn([this, IsStopped] { this->TargetFeed.run(IsStopped); });
+  this->Tasks.Spawn([this] { this->Wallets.run(); });
+  this->Tasks.Spawn([this, IsStopped] { this->Dialer.runExpiry(IsStopped); });
+  this->Tasks.Spawn([this] { this->runHousekeeping(); });
+  this->waitForSignal();
+  logEvent(LogLevel::Info, "started",
+           {{"process", this->Self},
+            {"front", this->Settings.FrontAddress},
+            {"version", BERGAMOTHOOK_VERSION}});
+  return success();
+}
+
+void RelayService::runHousekeeping() {
+  while (!this->IsStopped) {
+    this->Desk.targets().expire(this->Tasks.Now());
+    this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
+  }
+}
+
+bool RelayService::isReady() const {
+  return !this->IsStopping && this->Desk.config() && this->HasTargets;
+}
+
+StatusAnswer RelayService::answerReady(const std::string &Path) const {
+  if (Path != wire::ReadyPath)
+    return {};
+  return {this->isReady() ? 200U : 503U, "text/plain", ""};
+}
+
+StatusAnswer RelayService::answerMetrics(const std::string &Path) {
+  if (Path != "/metrics")
+    return {};
+  this->Measured.set("relay_calls_in_progress",
+                     static_cast<double>(this->Server.inProgress()));
+  this->Measured.set("relay_caller_connections",
+                     static_cast<double>(this->Server.connections()));
+  this->Measured.set("relay_target_connections_made",
+                     static_cast<double>(this->Dialer.connectionsMade()));
+  this->Measured.set("relay_resends_refused",
+                     static_cast<double>(this->Desk.resends().refused()));
+  return {200, "text/plain", this->Measured.toPrometheusText()};
+}
+
+void RelayService::waitForSignal() {
+  this->Signals.async_wait(
+      [this](const boost::system::error_code &Failure, int Signal) {
+        if (Failure)
+          return;
+        if (Signal == SIGHUP)
+          this->Tasks.Spawn([this] { this->reload(); });
+        else if (!this->IsStopping)
+          this->Tasks.Spawn([this] { this->stop(); });
+        this->waitForSignal();
+      });
+}
+
+void RelayService::reload() {
+  auto Read = platform::readSettings(this->SettingsPath);
+  if (!Read) {
+    logEvent(LogLevel::Error, "reload_refused",
+             {{"field", Read.error().Field}, {"reason", Read.error().Text}});
+    return;
+  }
+  bool HasChanged = !(Read.value() == this->Settings);
+  logEvent(LogLevel::Info, "reloaded", {{"changed", HasChanged}});
+}
+
+void RelayService::stop() {
+  this->IsStopping = true;
+  TimePoint Begin = this->Tasks.Now();
+  TimePoint End = Begin + this->Settings.StopTime - StopReserve;
+  logEvent(LogLevel::Info, "stopping",
+           {{"in_progress", this->Server.inProgress()}});
+  this->Server.beginStop();
+  while (this->Tasks.Now() < End &&
+         (this->Tasks.Now() < Begin + BalancerDelay ||
+          this->Server.inProgress() > 0 || this->Server.connections() > 0))
+    this->Tasks.sleepUntil(this->Tasks.Now() + std::chrono::milliseconds(50));
+  std::size_t Cut = this->Server.inProgress();
+  this->Server.stopListening();
+  this->Wallets.stop(this->Tasks.Now() + StopReserve);
+  logEvent(LogLevel::Info, "stopped", {{"cut_off", Cut}});
+  this->IsStopped = true;
+  this->Loop.stop();
+}
+
+} // namespace bergamothook
