--- a/Libraries/LibRelay/RelayDesk.cpp
+++ b/Libraries/LibRelay/RelayDesk.cpp
@@ -29,8 +29,11 @@
   if (this->Config && Next->Version <= this->Config->Version)
     return false;
   for (const auto &[Name, Team] : Next->teams())
-    if (Team.Budget)
-      this->Wallets.setBudget(Name, *Team.Budget);
+    if (Team.Budget && this->Wallets.setBudget(Name, *Team.Budget))
+      logEvent(LogLevel::Info, "budget_changed",
+               {{"team", Name},
+                {"tokens", *Team.Budget},
+                {"config_version", Next->Version}});
   this->Config = std::move(Next);
   return true;
 }
--- a/Libraries/LibRelay/WalletDesk.cpp
+++ b/Libraries/LibRelay/WalletDesk.cpp
@@ -14,7 +14,7 @@
 constexpr Duration IdlePause = std::chrono::milliseconds(200);
 /// The longest that a request waits for tokens before it is refused as not run;
 /// some rounds of a log that is well.
-constexpr Duration LongestWait = std::chrono::milliseconds(700);
+constexpr Duration LongestWait = std::chrono::milliseconds(600);
 /// How long a request waits between two tries, when nothing tells of a change.
 constexpr Duration TryPause = std::chrono::milliseconds(50);
 
@@ -25,9 +25,28 @@
     : Purses(std::move(Self), Policy), Policy(Policy), Log(std::move(Log)),
       Tasks(std::move(Tasks)) {}
 
-void WalletDesk::setBudget(const std::string &Team, Tokens Budget) {
-  this->Purses.setBudget(Team, Budget);
+bool WalletDesk::setBudget(const std::string &Team, Tokens Budget) {
+  if (!this->Purses.setBudget(Team, Budget))
+    return false;
   this->Wanted.notify();
+  return true;
+}
+
+void WalletDesk::noteLog(bool IsLost) {
+  if (IsLost == this->IsLogLost)
+    return;
+  this->IsLogLost = IsLost;
+  nlohmann::json Teams = nlohmann::json::object();
+  for (const std::string &Team : this->Purses.teams()) {
+    WalletView Seen = this->Purses.view(Team);
+    Teams[Team] = {{"budget", Seen.Budget},
+                   {"in_hand", Seen.Held - Seen.Spent - Seen.SetAside},
+                   {"spent", Seen.Spent},
+                   {"others_hold", Seen.Others.Held}};
+  }
+  logEvent(IsLost ? LogLevel::Warning : LogLevel::Info,
+           IsLost ? "wallet_log_lost" : "wallet_log_regained",
+           {{"offset", this->Purses.book().end()}, {"teams", Teams}});
 }
 
 bool WalletDesk::catchUp() {
@@ -40,6 +59,7 @@
     this->Purses.forgetBook();
     return false;
   }
+  this->noteLog(!Page);
   if (!Page)
     return false;
   this->Purses.onRead(Page.value().Records, Page.value().End,
@@ -76,6 +96,8 @@
     this->Purses.onUnanswered();
     break;
   }
+  this->noteLog(true);
+  this->Changed.notify();
   this->Tasks.sleepUntil(this->Tasks.Now() + RetryPause);
 }
 
@@ -119,7 +141,8 @@
       return Verdict;
     this->Wanted.notify();
     TimePoint Now = this->Tasks.Now();
-    if (Now >= End || IsGivenUp()) {
+    // Without the log no tokens come, so the wait would be for nothing.
+    if (Now >= End || this->IsLogLost || IsGivenUp()) {
       this->Purses.abandon(Team, Amount);
       return Verdict;
     }
--- a/Libraries/LibRelay/WalletDesk.h
+++ b/Libraries/LibRelay/WalletDesk.h
@@ -63,13 +63,15 @@
 
   void settle(const std::string &Team, Tokens Reserved, Tokens Spent);
 
-  void setBudget(const std::string &Team, Tokens Budget);
+  /// \returns whether that is another budget than before.
+  bool setBudget(const std::string &Team, Tokens Budget);
 
   Wallet &wallet() { return this->Purses; }
 
 private:
   void runRound();
   bool catchUp();
+  void noteLog(bool IsLost);
 
   Wallet Purses;
   WalletPolicy Policy;
@@ -77,6 +79,8 @@
   Runtime Tasks;
   Event Wanted;
   Event Changed;
+  /// Set while the last call of the log failed.
+  bool IsLogLost = false;
   bool IsStopping = false;
   bool IsDrained = false;
 };
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -21,8 +21,11 @@
 Wallet::Wallet(std::string Self, WalletPolicy Policy)
     : Self(std::move(Self)), Policy(Policy) {}
 
-void Wallet::setBudget(const std::string &Team, Tokens Budget) {
-  this->Purses[Team].Budget = Budget;
+bool Wallet::setBudget(const std::string &Team, Tokens Budget) {
+  Purse &Own = this->Purses[Team];
+  bool IsNew = Own.Budget != Budget;
+  Own.Budget = Budget;
+  return IsNew;
 }
 
 Result<void> Wallet::reserve(const std::string &Team, Tokens Amount,
@@ -105,7 +108,8 @@
   double Rate = decayed(Own, this->Policy.RateWindow, Now);
   Tokens Cover =
       static_cast<Tokens>(Rate * secondsOf(this->Policy.Cover)) + Own.Largest;
-  return std::min(Cover, Free / this->Policy.Divisor);
+  return std::clamp(Cover, Free / this->Policy.MinDivisor,
+                    Free / this->Policy.MaxDivisor);
 }
 
 Tokens Wallet::heldTarget(const std::string &Team, const Purse &Own,
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -38,8 +38,8 @@
 public:
   Wallet(std::string Self, WalletPolicy Policy);
 
-  /// States the budget of a team; it only grows while the fleet runs.
-  void setBudget(const std::string &Team, Tokens Budget);
+  /// States the budget of a team. \returns whether it is another than before.
+  bool setBudget(const std::string &Team, Tokens Budget);
 
   /// Sets \p Amount aside for one request. WalletError::NotInHand counts it as
   /// wanted until abandon() is called or a further call succeeds.
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -13,12 +13,14 @@
 /// can serve while the log is out is the same: these settings weigh the two.
 /// None of them can cause overspending.
 struct WalletPolicy {
-  /// The spending that tokens in hand should cover: the usual outage of a log,
-  /// without requests that wait for it.
-  Duration Cover = std::chrono::milliseconds(5000);
-  /// What one process may keep in hand of what nobody has taken: 1 / Divisor.
-  /// With six to nine processes about half stays free for who needs it.
-  Tokens Divisor = 8;
+  /// The spending that tokens in hand should cover: an outage of the log, or a
+  /// cut from it, in which requests are still served.
+  Duration Cover = std::chrono::seconds(9);
+  /// What one process may keep in hand of what nobody has taken: 1 / MaxDivisor.
+  Tokens MaxDivisor = 6;
+  /// What it keeps also where nothing was spent yet: 1 / MinDivisor. All hosts
+  /// of a fleet of 6 to 9 then leave most of a budget to who needs it.
+  Tokens MinDivisor = 24;
   /// The time constant of the rate of spending.
   Duration RateWindow = std::chrono::seconds(4);
   /// The least time between two rounds that nobody waits for.
