--- a/Libraries/LibRelay/RelayRun.cpp
+++ b/Libraries/LibRelay/RelayRun.cpp
@@ -55,7 +55,8 @@
       break;
     Drawn -= Share.Weight;
   }
-  if (const RoutedService *Known = this->Call.Config->findService(this->Service))
+  if (const RoutedService *Known =
+          this->Call.Config->findService(this->Service))
     this->TokensPerEvent = Known->TokensPerEvent;
 }
 
--- a/Libraries/LibRelay/WalletDesk.cpp
+++ b/Libraries/LibRelay/WalletDesk.cpp
@@ -113,8 +113,9 @@
       break;
     }
     std::uint64_t Seen = this->Wanted.generation();
-    TimePoint Next = std::max(this->Purses.nextRound(Now),
-                              Now + std::chrono::milliseconds(1));
+    TimePoint Next = this->Purses.nextRound(Now);
+    if (Next <= Now)
+      Next = Now + IdlePause;
     this->Tasks.WaitOn(this->Wanted, Seen, std::min(Next, Now + IdlePause));
   }
   this->Changed.notify();
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -71,7 +71,7 @@
                     TimePoint Now) {
   bool HasMoved = End > this->Book.end();
   for (const WalletRecord &Record : Records)
-    this->Book.apply(Record);
+    this->Book.apply(Record, Now);
   this->Book.advanceTo(End);
   this->HasRead = true;
   this->ReadAt = Now;
@@ -86,6 +86,7 @@
     WalletShare OnLog = this->Book.shareOf({Team, this->Self});
     Own.Held = OnLog.Held;
     Own.CommittedOnLog = OnLog.Committed;
+    Own.WantedOnLog = OnLog.Wanted;
     Own.HeldIfLanded.reset();
   }
 }
@@ -102,24 +103,36 @@
   return std::max<Tokens>(0, *Own.Budget - OthersHold - Own.committed());
 }
 
-Tokens Wallet::idleTarget(const Purse &Own, Tokens Free, TimePoint Now) const {
+Tokens Wallet::idleTarget(const std::string &Team, const Purse &Own,
+                          Tokens Free, TimePoint Now) const {
   if (this->IsStopping)
     return 0;
+  auto Processes = static_cast<Tokens>(
+      std::max(this->Policy.LeastProcesses,
+               this->Book.processesSince(Now - this->Policy.ProcessLifetime)));
+  Tokens Most = Free / Processes;
+  if (this->Book.sumOfOthers(Team, this->Self).Wanted > 0)
+    return Most / this->Policy.WantedDivisor;
   double Rate = decayed(Own, this->Policy.RateWindow, Now);
   Tokens Cover =
       static_cast<Tokens>(Rate * secondsOf(this->Policy.Cover)) + Own.Largest;
-  return std::clamp(Cover, Free / this->Policy.MinDivisor,
-                    Free / this->Policy.MaxDivisor);
+  return std::clamp(Cover, Most / this->Policy.StartDivisor, Most);
 }
 
 Tokens Wallet::heldTarget(const std::string &Team, const Purse &Own,
                           TimePoint Now) const {
   Tokens Free = this->freeFor(Team, Own);
-  Tokens Idle = this->idleTarget(Own, Free, Now);
+  Tokens Idle = this->idleTarget(Team, Own, Free, Now);
   Tokens Wanted = this->IsStopping ? 0 : Own.Wanted;
   return Own.committed() + std::min(Free, std::max(Idle, Wanted));
 }
 
+Tokens Wallet::missing(const std::string &Team, const Purse &Own) const {
+  return this->IsStopping
+             ? 0
+             : std::max<Tokens>(0, Own.Wanted - this->freeFor(Team, Own));
+}
+
 bool Wallet::needsRecord(const std::string &Team, const Purse &Own,
                          TimePoint Now) const {
   if (!Own.Budget && Own.Held == 0)
@@ -131,6 +144,8 @@
   Tokens Idle = Own.limit() - Own.committed();
   if (Own.Wanted > 0 && Target > Own.Held)
     return true;
+  if ((Own.WantedOnLog > 0) != (this->missing(Team, Own) > 0))
+    return true;
   bool IsShort = Idle < IdleTarget / 2;
   bool IsExcess = Idle > 2 * IdleTarget;
   // What others can't see returned, they refuse requests for.
@@ -152,7 +167,7 @@
 bool Wallet::isRoundDue(TimePoint Now) const {
   if (Now < this->nextRound(Now))
     return false;
-  return this->isWanted() ||
+  return this->isWanted() || this->viewAge(Now) >= this->Policy.ReadInterval ||
          std::any_of(this->Purses.begin(), this->Purses.end(),
                      [&](const auto &Entry) {
                        return this->needsRecord(Entry.first, Entry.second, Now);
@@ -165,7 +180,8 @@
   for (auto &[Team, Own] : this->Purses) {
     if (!this->needsRecord(Team, Own, Now))
       continue;
-    WalletShare Share{this->heldTarget(Team, Own, Now), Own.committed()};
+    WalletShare Share{this->heldTarget(Team, Own, Now), Own.committed(),
+                      this->missing(Team, Own)};
     Own.HeldIfLanded =
         std::min(Own.HeldIfLanded.value_or(Share.Held), Share.Held);
     this->OnWay.push_back({{Team, this->Self}, Share, 0});
@@ -177,7 +193,7 @@
   std::uint64_t At = End - this->OnWay.size();
   for (WalletRecord &Record : this->OnWay) {
     Record.Offset = At++;
-    this->Book.apply(Record);
+    this->Book.apply(Record, Now);
   }
   this->OnWay.clear();
   this->Book.advanceTo(End);
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -110,13 +110,17 @@
     double Rate = 0;
     TimePoint RateAt{};
     Tokens CommittedOnLog = 0;
+    Tokens WantedOnLog = 0;
 
     Tokens committed() const { return this->Spent + this->SetAside; }
     Tokens limit() const;
   };
 
   Tokens freeFor(const std::string &Team, const Purse &Own) const;
-  Tokens idleTarget(const Purse &Own, Tokens Free, TimePoint Now) const;
+  Tokens idleTarget(const std::string &Team, const Purse &Own, Tokens Free,
+                    TimePoint Now) const;
+  /// What requests wait for and nobody but other processes has.
+  Tokens missing(const std::string &Team, const Purse &Own) const;
   Tokens heldTarget(const std::string &Team, const Purse &Own,
                     TimePoint Now) const;
   bool needsRecord(const std::string &Team, const Purse &Own,
--- a/Libraries/LibWallet/WalletBook.cpp
+++ b/Libraries/LibWallet/WalletBook.cpp
@@ -4,15 +4,16 @@
 
 namespace bergamothook {
 
-void WalletBook::apply(const WalletRecord &Record) {
+void WalletBook::apply(const WalletRecord &Record, TimePoint Now) {
   auto [Place, IsNew] = this->Entries.try_emplace(Record.Key);
   if (!IsNew && Record.Offset < Place->second.Offset)
     return;
   WalletShare &Sum = this->Sums[Record.Key.Team];
   Sum.Held += Record.Share.Held - Place->second.Share.Held;
   Sum.Committed += Record.Share.Committed - Place->second.Share.Committed;
+  Sum.Wanted += Record.Share.Wanted - Place->second.Share.Wanted;
   Place->second = {Record.Share, Record.Offset};
-  this->Processes.insert(Record.Key.Process);
+  this->LastRecords[Record.Key.Process] = Now;
 }
 
 void WalletBook::advanceTo(std::uint64_t Offset) {
@@ -28,7 +29,14 @@
     return {};
   WalletShare Own = this->shareOf({Team, Self});
   return {Found->second.Held - Own.Held,
-          Found->second.Committed - Own.Committed};
+          Found->second.Committed - Own.Committed,
+          Found->second.Wanted - Own.Wanted};
+}
+
+std::size_t WalletBook::processesSince(TimePoint Since) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->LastRecords.begin(), this->LastRecords.end(),
+      [Since](const auto &Last) { return Last.second >= Since; }));
 }
 
 WalletShare WalletBook::shareOf(const WalletKey &Key) const {
--- a/Libraries/LibWallet/WalletBook.h
+++ b/Libraries/LibWallet/WalletBook.h
@@ -4,10 +4,10 @@
 #ifndef BERGAMOTHOOK_LIBWALLET_WALLETBOOK_H
 #define BERGAMOTHOOK_LIBWALLET_WALLETBOOK_H
 
+#include "LibBase/Time.h"
 #include "LibWallet/WalletRecord.h"
 
 #include <map>
-#include <set>
 
 namespace bergamothook {
 
@@ -18,7 +18,7 @@
 public:
   /// Takes a record; one that is older than the pair's present one changes
   /// nothing.
-  void apply(const WalletRecord &Record);
+  void apply(const WalletRecord &Record, TimePoint Now);
 
   /// Says that every record below \p Offset was applied.
   void advanceTo(std::uint64_t Offset);
@@ -37,7 +37,10 @@
   WalletShare shareOf(const WalletKey &Key) const;
 
   /// Counts the processes that ever wrote a share.
-  std::size_t processes() const { return this->Processes.size(); }
+  std::size_t processes() const { return this->LastRecords.size(); }
+
+  /// Counts the processes of which a record was read at \p Since or later.
+  std::size_t processesSince(TimePoint Since) const;
 
 private:
   struct Entry {
@@ -47,7 +50,8 @@
 
   std::map<WalletKey, Entry> Entries;
   std::map<std::string, WalletShare> Sums;
-  std::set<std::string> Processes;
+  /// When the last record of each process was read.
+  std::map<std::string, TimePoint> LastRecords;
   std::uint64_t End = 0;
 };
 
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -16,17 +16,24 @@
   /// The spending that tokens in hand should cover: an outage of the log, or a
   /// cut from it, in which requests are still served.
   Duration Cover = std::chrono::seconds(9);
-  /// What one process may keep in hand of what nobody has taken: 1 / MaxDivisor.
-  Tokens MaxDivisor = 6;
-  /// What it keeps also where nothing was spent yet: 1 / MinDivisor. All hosts
-  /// of a fleet of 6 to 9 then leave most of a budget to who needs it.
-  Tokens MinDivisor = 24;
+  /// What one process may keep in hand of what nobody has taken is 1 / (number
+  /// of processes), and at most 1 / LeastProcesses.
+  std::size_t LeastProcesses = 6;
+  /// A process counts for that while its last record is not older.
+  Duration ProcessLifetime = std::chrono::seconds(15);
+  /// What a process keeps where nothing was spent yet, as a part of the above.
+  Tokens StartDivisor = 4;
+  /// What is left of that while another process waits for tokens, as a part.
+  Tokens WantedDivisor = 8;
   /// The time constant of the rate of spending.
   Duration RateWindow = std::chrono::seconds(4);
   /// The least time between two rounds that nobody waits for.
   Duration CalmInterval = std::chrono::milliseconds(700);
   /// The least time between two rounds while a request waits for tokens.
   Duration UrgentInterval = std::chrono::milliseconds(15);
+  /// How often the log is read where nothing else asks for it, to see what
+  /// others wait for.
+  Duration ReadInterval = std::chrono::milliseconds(1000);
   /// How old the view of the log may be when a request is refused because the
   /// budget is used up.
   Duration FreshView = std::chrono::milliseconds(400);
--- a/Libraries/LibWallet/WalletRecord.h
+++ b/Libraries/LibWallet/WalletRecord.h
@@ -24,11 +24,14 @@
   Tokens Held = 0;
   /// The part of Held that was spent, or is set aside for requests under way.
   Tokens Committed = 0;
+  /// What requests of the process wait for beyond that. Others that see it keep
+  /// less in hand.
+  Tokens Wanted = 0;
 
   bool operator==(const WalletShare &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Held, this->Committed);
+    Ar(this->Held, this->Committed, this->Wanted);
   }
 };
 
--- /dev/null
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -0,0 +1,263 @@
+#include "LibNet/HttpReader.h"
+#include "LibNet/HttpPool.h"
+#include "LibNet/TcpListener.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Far beyond what any step takes; a test that reaches it fails.
+constexpr Duration Patience = 20s;
+
+/// A server task and a client task on one loopback connection.
+struct Pair {
+  using Use = std::function<void(TcpConnection::Handle, Event &)>;
+
+  /// Runs both sides to their end.
+  void play(const Use &Server, const Use &Client) {
+    int Running = 2;
+    auto End = [&] {
+      if (--Running == 0)
+        this->Loop.stop();
+    };
+    TcpListener Port(this->Loop, {"127.0.0.1:0", 16, 16, {}},
+                     [&](const TcpConnection::Handle &Connection) {
+                       Event Changed;
+                       Attachment Attached(Connection, Changed);
+                       Server(Connection, Changed);
+                       End();
+                     });
+    REQUIRE(Port.start());
+    this->Loop.hooks().Spawn([&] {
+      auto Connection = TcpConnection::connect(
+          this->Loop, "127.0.0.1:" + std::to_string(Port.port()), {},
+          this->deadline());
+      REQUIRE(Connection);
+      {
+        Event Changed;
+        Attachment Attached(Connection.value(), Changed);
+        Client(Connection.value(), Changed);
+      }
+      Connection.value()->close();
+      End();
+    });
+    this->Loop.run();
+    Port.stop();
+  }
+
+  /// Lets a server read \p Bytes as one request.
+  Result<HttpRequestMessage> readRequest(const std::string &Bytes,
+                                         HttpReadLimits Limits = {}) {
+    std::optional<Result<HttpRequestMessage>> Out;
+    this->play(
+        [&](const TcpConnection::Handle &Connection, Event &Changed) {
+          HttpRequestReader Reader(Connection, this->Loop.hooks(), Changed);
+          Out = Reader.read(Limits, this->deadline(), [] {});
+        },
+        [&](const TcpConnection::Handle &Connection, Event &Changed) {
+          REQUIRE(Connection->write(Bytes, this->deadline()));
+          // Waits for the server, whose close ends the wait.
+          this->Loop.hooks().waitUntil(Changed, this->deadline(),
+                                       [&] { return Connection->hasEnded(); });
+        });
+    return *Out;
+  }
+
+  /// What a client makes of \p Bytes as the answer of a server.
+  struct Answer {
+    std::error_code Failure;
+    HttpResponseHead Head;
+    std::string Body;
+    bool CanReuse = false;
+  };
+
+  Answer readAnswer(const std::string &Bytes, bool IsReset = false) {
+    Answer Out;
+    this->play(
+        [&](const TcpConnection::Handle &Connection, Event &Changed) {
+          REQUIRE(Connection->write(Bytes, this->deadline()));
+          if (IsReset) {
+            // The client has what came before the reset.
+            this->Loop.hooks().waitUntil(Changed, this->deadline(), [&] {
+              return !Connection->unread().empty();
+            });
+            Connection->abort();
+          }
+        },
+        [&](const TcpConnection::Handle &Connection, Event &Changed) {
+          HttpResponseReader Reader(Connection, this->Loop.hooks(), Changed,
+                                    false);
+          auto Never = [] { return false; };
+          auto Head = Reader.readHead(this->deadline(), Never);
+          if (IsReset)
+            REQUIRE(Connection->write("x", this->deadline()));
+          if (!Head) {
+            Out.Failure = Head.error();
+            return;
+          }
+          Out.Head = Head.value();
+          auto Body = Reader.readAll(1 << 20, this->deadline(), Never);
+          if (Body)
+            Out.Body = Body.value();
+          else
+            Out.Failure = Body.error();
+          Out.CanReuse = Reader.canReuse();
+        });
+    return Out;
+  }
+
+  TimePoint deadline() { return this->Loop.hooks().Now() + Patience; }
+
+  NetRuntime Loop;
+};
+
+} // namespace
+
+TEST_CASE("a request keeps its target, its headers and its body") {
+  Pair Both;
+  auto Read = Both.readRequest(
+      "POST /a%2Fb/../c?page=34&sort=new&page=1 HTTP/1.1\r\n"
+      "Host: api.example\r\nX-One: 1\r\nx-one: 2\r\nX-Two:  b \r\n"
+      "Content-Length: 5\r\n\r\nhe\0lo");
+  // The literal ends at its zero byte, so the body is what is left of it.
+  CHECK_FALSE(Read);
+  std::string Bytes = "POST /a%2Fb/../c?page=34&sort=new&page=1 HTTP/1.1\r\n"
+                      "Host: api.example\r\nX-One: 1\r\nx-one: 2\r\n"
+                      "Content-Length: 5\r\n\r\n";
+  Bytes += std::string("he\0lo", 5);
+  Pair Second;
+  Read = Second.readRequest(Bytes);
+  REQUIRE(Read);
+  const HttpRequestMessage &Message = Read.value();
+  CHECK(Message.Head.Method == "POST");
+  CHECK(Message.Head.Target == "/a%2Fb/../c?page=34&sort=new&page=1");
+  CHECK(Message.Body == std::string("he\0lo", 5));
+  CHECK(Message.Head.KeepAlive);
+  std::vector<HeaderField> Expected = {{"Host", "api.example"},
+                                       {"X-One", "1"},
+                                       {"x-one", "2"},
+                                       {"Content-Length", "5"}};
+  CHECK(Message.Head.Headers.fields() == Expected);
+}
+
+TEST_CASE("a chunked request is read to its end") {
+  Pair Both;
+  auto Read = Both.readRequest("POST / HTTP/1.1\r\nHost: a\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  REQUIRE(Read);
+  CHECK(Read.value().Body == "abcde");
+}
+
+TEST_CASE("a request of two readings is refused") {
+  for (const char *Bytes :
+       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        "Content-Length: 6\r\n\r\nabcdef",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 3\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1 2\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost : a\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "nonsense\r\n\r\n"}) {
+    CAPTURE(Bytes);
+    Pair Both;
+    auto Read = Both.readRequest(Bytes);
+    REQUIRE_FALSE(Read);
+    CHECK(Read.error() == NetError::Malformed);
+  }
+}
+
+TEST_CASE("a request that is too large is refused by its part") {
+  Pair Head;
+  auto Read = Head.readRequest(
+      "GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n",
+      {1000, 1000});
+  REQUIRE_FALSE(Read);
+  CHECK(Read.error() == NetError::HeadTooLarge);
+  Pair Body;
+  Read = Body.readRequest("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" +
+                              std::string(2000, 'a'),
+                          {1000, 1000});
+  REQUIRE_FALSE(Read);
+  CHECK(Read.error() == NetError::BodyTooLarge);
+}
+
+TEST_CASE("answers are read whole in every framing") {
+  Pair Length;
+  auto Answer = Length.readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                                  "Set-Cookie: a\r\nSet-Cookie: b\r\n\r\nabc");
+  CHECK_FALSE(Answer.Failure);
+  CHECK(Answer.Body == "abc");
+  CHECK(Answer.Head.Headers.fields().size() == 3);
+  Pair Chunked;
+  Answer = Chunked.readAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                              "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  CHECK(Answer.Body == "abc");
+  Pair Unframed;
+  Answer = Unframed.readAnswer("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK_FALSE(Answer.Failure);
+  CHECK(Answer.Body == "abc");
+  CHECK_FALSE(Answer.CanReuse);
+  Pair Informed;
+  Answer = Informed.readAnswer("HTTP/1.1 103 Early Hints\r\n\r\n"
+                               "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  CHECK(Answer.Head.Status == 200);
+  CHECK(Answer.Body == "a");
+}
+
+TEST_CASE("an answer that ends early is no whole one") {
+  Pair Cut;
+  auto Answer =
+      Cut.readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  CHECK(Answer.Failure == NetError::Closed);
+  Pair Chunk;
+  Answer = Chunk.readAnswer(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  CHECK(Answer.Failure == NetError::Closed);
+  Pair Reset;
+  Answer = Reset.readAnswer("HTTP/1.1 200 OK\r\n\r\nabc", true);
+  CHECK(Answer.Failure == NetError::Reset);
+  Pair Garbage;
+  Answer = Garbage.readAnswer("%%%%\r\n\r\n");
+  CHECK(Answer.Failure == NetError::Malformed);
+}
+
+TEST_CASE("bytes behind an answer keep its connection from being used again") {
+  Pair Extra;
+  auto Answer = Extra.readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                 "aHTTP/1.1 200 OK\r\n");
+  CHECK(Answer.Body == "a");
+  CHECK_FALSE(Answer.CanReuse);
+}
+
+TEST_CASE("headers of one connection are left behind") {
+  HeaderList Headers;
+  for (const char *Name :
+       {"Host", "Connection", "X-Private", "TE", "keep-alive",
+        "Transfer-Encoding", "content-length", "X-Kept"})
+    Headers.add(Name, std::string_view(Name) == "Connection"
+                          ? "close, x-private"
+                          : "1");
+  Headers.removeConnectionFields();
+  std::vector<HeaderField> Expected = {{"Host", "1"}, {"X-Kept", "1"}};
+  CHECK(Headers.fields() == Expected);
+}
+
+TEST_CASE("no connection proves that nothing was sent") {
+  NetRuntime Loop;
+  std::error_code Failure;
+  Loop.hooks().Spawn([&] {
+    auto Made = TcpConnection::connect(Loop, "127.0.0.1:1", {},
+                                       Loop.hooks().Now() + Patience);
+    Failure = Made ? std::error_code() : Made.error();
+    Loop.stop();
+  });
+  Loop.run();
+  CHECK(Failure == NetError::ConnectFailed);
+}
--- /dev/null
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -0,0 +1,176 @@
+#include "LibRelay/EventSplitter.h"
+#include "LibRelay/RelayConfig.h"
+#include "LibRelay/ResendBudget.h"
+#include "LibRelay/TargetDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Begin{1h};
+
+RelayRoute routeOf(std::string Name, std::string Prefix) {
+  RelayRoute Route;
+  Route.Name = std::move(Name);
+  Route.Host = "api.example";
+  Route.PathPrefix = std::move(Prefix);
+  return Route;
+}
+
+ListedTarget targetOf(std::string Id) {
+  ListedTarget Target;
+  Target.Id = std::move(Id);
+  Target.Service = "engines";
+  Target.Address = "10.0.0.1:80";
+  Target.StartedAt = 1;
+  return Target;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the path selects the route") {
+  RelayConfig Config;
+  Config.addRoute(routeOf("all", "/"));
+  Config.addRoute(routeOf("a", "/a/"));
+  Config.addRoute(routeOf("ab", "/a/b/"));
+  auto NameOf = [&](std::string_view Host, std::string_view Target) {
+    const RelayRoute *Route = Config.findRoute(Host, Target);
+    return Route ? Route->Name : std::string();
+  };
+  CHECK(NameOf("api.example", "/a/b/c?x=/z/") == "ab");
+  CHECK(NameOf("API.example:80", "/a/c") == "a");
+  CHECK(NameOf("api.example", "/a?b=/a/b/") == "all");
+  CHECK(NameOf("other.example", "/a/") == "");
+}
+
+TEST_CASE("resends stay under the bound in every window") {
+  ResendPolicy Policy;
+  Policy.Window = 10s;
+  Policy.Ratio = 0.2;
+  Policy.Slack = 2;
+  ResendBudget Budget(Policy);
+  int Made = 0;
+  TimePoint Now = Begin;
+  for (int I = 0; I < 100; ++I, Now += 100ms) {
+    Budget.onRequest("engines", Now);
+    Made += Budget.tryResend("engines", Now) ? 1 : 0;
+  }
+  CHECK(Made == 22);
+  CHECK(Budget.refused() == 78);
+  // After a quiet window only the slack is left.
+  Now += 20s;
+  CHECK(Budget.tryResend("engines", Now));
+  CHECK(Budget.tryResend("engines", Now));
+  CHECK_FALSE(Budget.tryResend("engines", Now));
+  // Services do not share.
+  CHECK(Budget.tryResend("orders", Now));
+}
+
+TEST_CASE("a target that leaves or is removed gets no new calls") {
+  TargetDirectory Targets;
+  Targets.onListed(targetOf("a"), Begin);
+  Targets.onListed(targetOf("b"), Begin);
+  CHECK(Targets.usable("engines").size() == 2);
+  ListedTarget Leaving = targetOf("a");
+  Leaving.IsLeaving = true;
+  Targets.onListed(Leaving, Begin);
+  CHECK(Targets.usable("engines").size() == 1);
+  Targets.onRemoved("b", Begin);
+  CHECK(Targets.usable("engines").empty());
+}
+
+TEST_CASE("an entry that lapsed in an outage of the list counts for a while") {
+  TargetDirectory Targets;
+  Targets.onListed(targetOf("a"), Begin);
+  Targets.onListUnreachable(Begin + 1s);
+  Targets.onRemoved("a", Begin + 2s);
+  CHECK(Targets.usable("engines").size() == 1);
+  Targets.expire(Begin + 3s);
+  CHECK(Targets.usable("engines").size() == 1);
+  SUBCASE("it is listed again") {
+    Targets.onListed(targetOf("a"), Begin + 3500ms);
+    Targets.expire(Begin + 10s);
+    CHECK(Targets.usable("engines").size() == 1);
+  }
+  SUBCASE("it stays missing") {
+    Targets.expire(Begin + 4s);
+    CHECK(Targets.usable("engines").empty());
+  }
+}
+
+TEST_CASE("a target that was leaving does not come back by a lapse") {
+  TargetDirectory Targets;
+  ListedTarget Leaving = targetOf("a");
+  Leaving.IsLeaving = true;
+  Targets.onListed(Leaving, Begin);
+  Targets.onListUnreachable(Begin);
+  Targets.onRemoved("a", Begin + 1s);
+  CHECK(Targets.usable("engines").empty());
+}
+
+TEST_CASE("a target whose address another one has is left until it restarts") {
+  TargetDirectory Targets;
+  Targets.onListed(targetOf("a"), Begin);
+  Targets.onReplaced("a");
+  CHECK(Targets.usable("engines").empty());
+  Targets.onListed(targetOf("a"), Begin + 1s);
+  CHECK(Targets.usable("engines").empty());
+  ListedTarget Restarted = targetOf("a");
+  Restarted.StartedAt = 2;
+  Targets.onListed(Restarted, Begin + 2s);
+  CHECK(Targets.usable("engines").size() == 1);
+}
+
+TEST_CASE("a whole list takes out what it does not name") {
+  TargetDirectory Targets;
+  Targets.onWholeList({targetOf("a"), targetOf("b")}, Begin);
+  Targets.onWholeList({targetOf("b")}, Begin + 1s);
+  REQUIRE(Targets.usable("engines").size() == 1);
+  CHECK(Targets.usable("engines").front()->Listed.Id == "b");
+}
+
+TEST_CASE("failures keep a target out for longer each time, up to a bound") {
+  TargetDirectory Targets;
+  Targets.onListed(targetOf("a"), Begin);
+  Targets.onFailure("a", Begin);
+  CHECK(Targets.find("a")->AvoidUntil == Begin + 400ms);
+  Targets.onFailure("a", Begin);
+  CHECK(Targets.find("a")->AvoidUntil == Begin + 800ms);
+  for (int I = 0; I < 10; ++I)
+    Targets.onFailure("a", Begin);
+  CHECK(Targets.find("a")->AvoidUntil == Begin + 3s);
+  Targets.onGoodAnswer("a");
+  CHECK(Targets.find("a")->AvoidUntil <= Begin);
+}
+
+TEST_CASE("events come out whole, whatever the cuts of the bytes") {
+  const std::string Stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\n"
+                             "data: c\r\n\r\n";
+  for (std::size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
+    EventSplitter Events;
+    EventRun First = Events.take(Stream.substr(0, Cut));
+    EventRun Second = Events.take(Stream.substr(Cut));
+    CHECK(First.Bytes + Second.Bytes == Stream);
+    CHECK(First.Events + Second.Events == 3);
+    CHECK(Events.lastId() == 3);
+    CHECK_FALSE(Events.hasGap());
+    CHECK(Events.rest().empty());
+  }
+}
+
+TEST_CASE("a piece that is missing or comes twice is noticed") {
+  EventSplitter Missing;
+  Missing.take("id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+  CHECK(Missing.hasGap());
+  EventSplitter Twice;
+  Twice.take("id: 1\ndata: a\n\nid: 1\ndata: a\n\n");
+  CHECK(Twice.hasGap());
+  EventSplitter Resumed;
+  Resumed.take("id: 7\ndata: g\n\nid: 8\ndata: h\n\nid: 9\nda");
+  Resumed.dropRest();
+  Resumed.take("id: 9\ndata: i\n\n");
+  CHECK_FALSE(Resumed.hasGap());
+}
--- /dev/null
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -0,0 +1,192 @@
+#include "RelayFixture.h"
+
+#include "LibObserve/StructuredLog.h"
+
+namespace bergamothook {
+
+namespace {
+
+/// A log without any wallet, which takes every append.
+WalletLog makeCalmLog() {
+  auto End = std::make_shared<std::uint64_t>(0);
+  WalletLog Log;
+  Log.Read = [End](std::uint64_t) -> Result<WalletPage> {
+    return WalletPage{{}, *End};
+  };
+  Log.ReadNewest = [End]() -> Result<WalletPage> {
+    return WalletPage{{}, *End};
+  };
+  Log.AppendAt = [End](std::uint64_t, const std::vector<WalletRecord> &Added) {
+    *End += Added.size();
+    return WalletAppend::Done;
+  };
+  return Log;
+}
+
+} // namespace
+
+RelayFixture::RelayFixture()
+    : Wallets("p", {}, makeCalmLog(), this->Simulated.hooks()),
+      Desk({"domain", {}, {}, 1}, this->makeHooks(), this->Wallets,
+           this->Measured) {
+  startLogging("test", "test", LogLevel::Error);
+  this->Route.Name = "route";
+  this->Route.Host = "api.example";
+  this->Route.PathPrefix = "/";
+  this->Route.Kind = CallKind::Stream;
+  this->Route.Timeout = std::chrono::seconds(10);
+  this->Route.MaxTargets = 2;
+  this->Route.Services = {{"engines", 1}};
+  this->Team.Name = "team";
+}
+
+void RelayFixture::addTarget(const std::string &Id) {
+  ListedTarget Target;
+  Target.Id = Id;
+  Target.Service = "engines";
+  Target.Address = "10.0.0.1:80";
+  this->Desk.targets().onListed(Target, this->Simulated.now());
+}
+
+void RelayFixture::configure() {
+  auto Config = std::make_shared<RelayConfig>();
+  Config->Version = this->Version++;
+  Config->addRoute(this->Route);
+  Config->addTeam(this->Team, {"key"});
+  RoutedService Service;
+  Service.Name = "engines";
+  Service.TokensPerEvent = 7;
+  Config->addService(Service);
+  this->Desk.setConfig(Config);
+}
+
+RelayCall RelayFixture::makeCall() {
+  RelayCall Call;
+  Call.Id = "call-1";
+  Call.Config = this->Desk.config();
+  Call.Head.Method = "POST";
+  Call.Head.Target = "/chat";
+  Call.Route = Call.Config->findRoute("api.example", "/chat");
+  Call.Team = Call.Config->findTeamByKey("key");
+  Call.ArrivedAt = this->Simulated.now();
+  Call.CallerDeadline = Call.ArrivedAt + std::chrono::seconds(5);
+  return Call;
+}
+
+RelayOutcome RelayFixture::serve(RelayCall Call) {
+  RelayOutcome Outcome;
+  bool IsDone = false;
+  this->Simulated.hooks().Spawn([&] {
+    Outcome = this->Desk.serve(Call, this->makeCaller());
+    IsDone = true;
+  });
+  this->Simulated.runUntil([&] { return IsDone; }, std::chrono::minutes(1));
+  return Outcome;
+}
+
+RelayHooks RelayFixture::makeHooks() {
+  RelayHooks Hooks;
+  Hooks.Tasks = this->Simulated.hooks();
+  Hooks.MakeHead = [this](const RelayCall &Call, const ListedTarget &Target,
+                          Duration TimeLeft,
+                          std::optional<std::uint64_t> ResumeAfter) {
+    this->Seen.push_back({Target.Id, ResumeAfter, TimeLeft, false});
+    return Call.Head;
+  };
+  Hooks.Open = [this](const ListedTarget &, const RelayCall &,
+                      const HttpRequestHead &, const CallerSide &,
+                      TimePoint) -> Result<TargetExchange> {
+    FakeAnswer Answer = this->Answers.front();
+    this->Answers.pop_front();
+    if (Answer.IsUnreachable)
+      return NetError::ConnectFailed;
+    return this->makeExchange(Answer, this->Seen.size() - 1);
+  };
+  Hooks.Judge = [](const HttpResponseHead &Head, const RelayCall &) {
+    return static_cast<AnswerVerdict>(
+        std::stoi(std::string(Head.Headers.find("Verdict").value())));
+  };
+  Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
+                             std::optional<Duration> After) {
+    this->RetryAfter = After;
+    HttpResponseHead Head;
+    Head.Status = Status;
+    return Head;
+  };
+  return Hooks;
+}
+
+TargetExchange RelayFixture::makeExchange(const FakeAnswer &Answer,
+                                          std::size_t Index) {
+  auto Left = std::make_shared<FakeAnswer>(Answer);
+  auto Wait = [this](Duration Span, TimePoint Deadline) -> Result<void> {
+    TimePoint Until = this->Simulated.now() + Span;
+    this->Simulated.hooks().sleepUntil(
+        std::min({Until, Deadline, this->LeavesAt}));
+    if (this->Simulated.now() >= this->LeavesAt)
+      return NetError::Cancelled;
+    if (this->Simulated.now() < Until)
+      return NetError::TimedOut;
+    return success();
+  };
+  TargetExchange Exchange;
+  Exchange.ReadHead = [=](TimePoint Deadline) -> Result<HttpResponseHead> {
+    BOOST_OUTCOME_TRYV(Wait(Left->HeadAfter, Deadline));
+    if (Left->Pieces.empty() && Left->EndsWith)
+      return Left->EndsWith;
+    HttpResponseHead Head;
+    Head.Status = Left->Status;
+    Head.Headers.add("Content-Type", "text/event-stream");
+    Head.Headers.add("Verdict",
+                     std::to_string(static_cast<int>(Left->Verdict)));
+    return Head;
+  };
+  Exchange.ReadBody = [=](TimePoint Deadline) -> Result<BodyPiece> {
+    if (!Left->Pieces.empty()) {
+      auto [After, Bytes] = Left->Pieces.front();
+      BOOST_OUTCOME_TRYV(Wait(After, Deadline));
+      Left->Pieces.erase(Left->Pieces.begin());
+      bool IsLast = Left->Pieces.empty() && !Left->EndsWith && !Left->IsSilent;
+      return BodyPiece{Bytes, IsLast};
+    }
+    if (Left->EndsWith)
+      return Left->EndsWith;
+    if (!Left->IsSilent)
+      return BodyPiece{"", true};
+    BOOST_OUTCOME_TRYV(Wait(std::chrono::hours(1), Deadline));
+    return NetError::TimedOut;
+  };
+  Exchange.NextResponse = [=] { Left->Verdict = AnswerVerdict::Ran; };
+  Exchange.Finish = [] {};
+  Exchange.Abort = [this, Index] { this->Seen[Index].WasAborted = true; };
+  return Exchange;
+}
+
+CallerSide RelayFixture::makeCaller() {
+  CallerSide Caller;
+  Caller.Changed = &this->Changed;
+  Caller.HasLeft = [this] { return this->Simulated.now() >= this->LeavesAt; };
+  Caller.SendWhole = [this](const HttpResponseHead &Head,
+                            std::string_view Bytes) -> Result<void> {
+    this->Status = Head.Status;
+    this->Body = Bytes;
+    this->IsEnded = true;
+    return success();
+  };
+  Caller.BeginStream = [this](const HttpResponseHead &Head) -> Result<void> {
+    this->Status = Head.Status;
+    return success();
+  };
+  Caller.SendPiece = [this](std::string_view Bytes) -> Result<void> {
+    this->Body += Bytes;
+    return success();
+  };
+  Caller.EndStream = [this]() -> Result<void> {
+    this->IsEnded = true;
+    return success();
+  };
+  Caller.BreakStream = [this] { this->IsBroken = true; };
+  return Caller;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Tests/LibWallet/WalletFleet.cpp
@@ -0,0 +1,125 @@
+#include "WalletFleet.h"
+
+namespace bergamothook {
+
+void WalletFleet::reserve(FakeProcess &Of) {
+  Tokens Amount = static_cast<Tokens>(1 + this->Dice.below(20'000));
+  auto Verdict = Of.Purses.reserve("team", Amount, this->Now);
+  if (Verdict) {
+    ++this->Granted;
+    Of.Open.push_back(Amount);
+    Of.SetAside += Amount;
+  } else if (Verdict.error() == WalletError::NotInHand &&
+             this->Dice.below(2) == 0) {
+    Of.Purses.abandon("team", Amount);
+  }
+}
+
+void WalletFleet::settle(FakeProcess &Of) {
+  if (Of.Open.empty())
+    return;
+  Tokens Reserved = Of.Open.front();
+  Of.Open.pop_front();
+  Tokens Spent = static_cast<Tokens>(
+      this->Dice.below(static_cast<std::uint64_t>(Reserved) + 1));
+  Of.Purses.settle("team", Reserved, Spent, this->Now);
+  Of.SetAside -= Reserved;
+  Of.Spent += Spent;
+}
+
+void WalletFleet::round(FakeProcess &Of, bool IsLogWell) {
+  if (IsLogWell || this->Dice.below(4) != 0)
+    Of.Purses.onRead(this->Log.readFrom(Of.Purses.book().end()),
+                     this->Log.end(), this->Now);
+  if (!Of.Purses.isReady())
+    return;
+  auto Records = Of.Purses.planRound(this->Now);
+  if (Records.empty())
+    return;
+  std::uint64_t At = Of.Purses.book().end();
+  switch (IsLogWell ? 0 : this->Dice.below(6)) {
+  case 0:
+  case 1:
+    if (this->Log.appendAt(At, Records))
+      Of.Purses.onAppended(this->Log.end(), this->Now);
+    else
+      Of.Purses.onRefused();
+    return;
+  case 2: // Done, and the answer is lost.
+    this->Log.appendAt(At, Records);
+    Of.Purses.onUnanswered();
+    return;
+  case 3: // The answer is lost, and the append may land seconds later.
+    this->Late.push_back({At, Records});
+    Of.Purses.onUnanswered();
+    return;
+  case 4: // Never done.
+    Of.Purses.onUnanswered();
+    return;
+  default:
+    Of.Purses.onRefused();
+    return;
+  }
+}
+
+void WalletFleet::landLate() {
+  if (this->Late.empty())
+    return;
+  std::size_t Which = this->Dice.below(this->Late.size());
+  this->Log.appendAt(this->Late[Which].At, this->Late[Which].Records);
+  this->Late.erase(this->Late.begin() + static_cast<std::ptrdiff_t>(Which));
+}
+
+void WalletFleet::step() {
+  this->Now += std::chrono::milliseconds(this->Dice.below(200));
+  FakeProcess &Of = *this->Processes[this->Dice.below(this->Processes.size())];
+  if (Of.IsDead)
+    return;
+  switch (this->Dice.below(32)) {
+  case 0:
+    Of.IsDead = this->Processes.size() < 12;
+    if (Of.IsDead)
+      this->start();
+    return;
+  case 1:
+    this->Budget += static_cast<Tokens>(this->Dice.below(50'000));
+    Of.Purses.setBudget("team", this->Budget);
+    return;
+  case 2: // Its records are gone; it reads everything anew.
+    Of.Purses.forgetBook();
+    Of.Purses.onRead(this->Log.readFrom(0), this->Log.end(), this->Now);
+    return;
+  case 3:
+  case 4:
+    this->landLate();
+    return;
+  default:
+    break;
+  }
+  switch (this->Dice.below(4)) {
+  case 0:
+    this->round(Of, false);
+    return;
+  case 1:
+    this->settle(Of);
+    return;
+  default:
+    this->reserve(Of);
+    return;
+  }
+}
+
+void WalletFleet::calm(int Rounds) {
+  this->Late.clear();
+  for (auto &Each : this->Processes)
+    while (!Each->IsDead && !Each->Open.empty())
+      this->settle(*Each);
+  for (int I = 0; I < Rounds; ++I) {
+    this->Now += std::chrono::seconds(1);
+    for (auto &Each : this->Processes)
+      if (!Each->IsDead)
+        this->round(*Each, true);
+  }
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -0,0 +1,159 @@
+#include "WalletFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Begin{1h};
+
+/// Runs one round of \p Of on a log that is well.
+void runRound(Wallet &Of, FakeWalletLog &Log, TimePoint Now) {
+  Of.onRead(Log.readFrom(Of.book().end()), Log.end(), Now);
+  auto Records = Of.planRound(Now);
+  if (Records.empty())
+    return;
+  REQUIRE(Log.appendAt(Of.book().end(), Records));
+  Of.onAppended(Log.end(), Now);
+}
+
+} // namespace
+
+TEST_CASE("no schedule of lost answers, deaths and late appends overspends") {
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    WalletFleet Fleet(Seed);
+    for (int I = 0; I < 4; ++I)
+      Fleet.start();
+    for (int I = 0; I < 1500; ++I) {
+      Fleet.step();
+      CAPTURE(Seed);
+      CAPTURE(I);
+      REQUIRE(Fleet.committed() <= Fleet.Budget);
+    }
+    CHECK(Fleet.Granted > 20);
+  }
+}
+
+TEST_CASE("what is left goes to who waits for it, however it was shattered") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    WalletFleet Fleet(Seed);
+    for (int I = 0; I < 4; ++I)
+      Fleet.start();
+    for (int I = 0; I < 300; ++I)
+      Fleet.step();
+    Fleet.calm(5);
+    Tokens Left = Fleet.Budget;
+    FakeProcess *Waiting = nullptr;
+    for (const auto &Each : Fleet.Processes)
+      if (!Each->IsDead)
+        Waiting = Each.get();
+    REQUIRE(Waiting);
+    for (const auto &Each : Fleet.Processes)
+      Left -= Each->IsDead ? Waiting->Purses.book()
+                                 .shareOf({"team", Each->Purses.self()})
+                                 .Held
+                           : Each->Spent;
+    if (Left < 10'000)
+      continue;
+    bool HasGot = false;
+    for (int I = 0; I < 5 && !HasGot; ++I) {
+      HasGot = Waiting->Purses.reserve("team", Left / 2, Fleet.Now).has_value();
+      Fleet.calm(1);
+      if (!HasGot)
+        Waiting->Purses.abandon("team", Left / 2);
+    }
+    CAPTURE(Seed);
+    CHECK(HasGot);
+  }
+}
+
+TEST_CASE("a frozen process wakes with its share, and no more") {
+  FakeWalletLog Log;
+  Wallet Frozen("a", {});
+  Wallet Other("b", {});
+  Frozen.setBudget("team", 1000);
+  Other.setBudget("team", 1000);
+  runRound(Frozen, Log, Begin);
+  Tokens Held = Frozen.view("team").Held;
+  REQUIRE(Held > 0);
+  Other.onRead(Log.readFrom(0), Log.end(), Begin);
+  CHECK(Other.reserve("team", 1000 - Held, Begin).error() ==
+        WalletError::NotInHand);
+  runRound(Other, Log, Begin + 1s);
+  CHECK(Other.reserve("team", 1000 - Held, Begin + 1s));
+  CHECK(Frozen.reserve("team", Held, Begin + 1h));
+  CHECK_FALSE(Frozen.reserve("team", 1, Begin + 1h));
+}
+
+TEST_CASE("a request is refused for good only on a fresh view of the log") {
+  FakeWalletLog Log;
+  Wallet Purses("a", {});
+  Purses.setBudget("team", 1000);
+  runRound(Purses, Log, Begin);
+  CHECK(Purses.reserve("team", 1001, Begin).error() == WalletError::Exhausted);
+  CHECK(Purses.reserve("team", 1001, Begin + 1min).error() ==
+        WalletError::NotInHand);
+}
+
+TEST_CASE("nothing is taken before the log was read") {
+  Wallet Purses("a", {});
+  Purses.setBudget("team", 1000);
+  CHECK(Purses.reserve("team", 1, Begin).error() == WalletError::NotReady);
+}
+
+TEST_CASE("a stop hands back what is not spent") {
+  FakeWalletLog Log;
+  Wallet Purses("a", {});
+  Purses.setBudget("team", 1'000'000);
+  runRound(Purses, Log, Begin);
+  REQUIRE(Purses.reserve("team", 1000, Begin));
+  Purses.settle("team", 1000, 600, Begin);
+  Purses.beginStop();
+  runRound(Purses, Log, Begin + 1s);
+  CHECK(Purses.book().shareOf({"team", "a"}) == WalletShare{600, 600, 0});
+  CHECK(Purses.planRound(Begin + 1min).empty());
+}
+
+TEST_CASE("tokens in hand cover an outage at the present rate") {
+  // The load: 2,000 tokens a second, then nine seconds without the log.
+  FakeWalletLog Log;
+  Wallet Purses("a", {});
+  Purses.setBudget("team", 1'000'000);
+  TimePoint Now = Begin;
+  auto Spend = [&] {
+    REQUIRE(Purses.reserve("team", 200, Now));
+    Purses.settle("team", 200, 200, Now);
+    Now += 100ms;
+  };
+  runRound(Purses, Log, Now);
+  for (int I = 0; I < 150; ++I) {
+    Spend();
+    if (Purses.isRoundDue(Now))
+      runRound(Purses, Log, Now);
+  }
+  for (int I = 0; I < 90; ++I)
+    Spend();
+}
+
+TEST_CASE("a raised budget is used, and what others hold is not") {
+  FakeWalletLog Log;
+  Wallet First("a", {});
+  Wallet Second("b", {});
+  First.setBudget("team", 1000);
+  Second.setBudget("team", 1000);
+  runRound(First, Log, Begin);
+  CHECK(First.reserve("team", 900, Begin).error() == WalletError::NotInHand);
+  runRound(First, Log, Begin + 1s);
+  REQUIRE(First.reserve("team", 900, Begin + 1s));
+  Second.onRead(Log.readFrom(0), Log.end(), Begin + 1s);
+  CHECK(Second.reserve("team", 500, Begin + 1s).error() ==
+        WalletError::NotInHand);
+  Second.abandon("team", 500);
+  Second.setBudget("team", 2000);
+  CHECK(Second.reserve("team", 500, Begin + 1s).error() ==
+        WalletError::NotInHand);
+  runRound(Second, Log, Begin + 2s);
+  CHECK(Second.reserve("team", 500, Begin + 2s));
+}
--- /dev/null
+++ b/Tests/Platform/HeaderDialectTest.cpp
@@ -0,0 +1,163 @@
+#include "platform/HeaderDialect.h"
+
+#include "platform/ManifestReader.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace bergamothook::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{1h};
+
+RelayConfigPtr makeConfig() {
+  return parseManifest(R"({"version":1,"routes":[
+   {"name":"r","host":"a.example","pathPrefix":"/x/","routeKind":"streaming",
+    "timeoutMs":12000,"sloMs":800,"priority":3,"service":"s","attempts":1,
+    "sticky":true,"resumable":true},
+   {"name":"p","host":"a.example","pathPrefix":"/p/","routeKind":"idempotent",
+    "timeoutMs":800,"sloMs":150,"service":"s","public":true}],
+   "services":[{"name":"s"}],
+   "tenants":[{"name":"t","apiKeys":["key"],"priority":1}]})")
+      .value();
+}
+
+HttpRequestMessage makeRequest() {
+  HttpRequestMessage Message;
+  Message.Head.Method = "POST";
+  Message.Head.Target = "/x/y?b=1&a=2";
+  HeaderList &Headers = Message.Head.Headers;
+  Headers.add("Host", "a.example");
+  Headers.add("X-Bergamothook-Attempt-Id", "id-1");
+  Headers.add("X-Bergamothook-Model", "m");
+  Headers.add("X-Bergamothook-Token-Counts", "1460,80");
+  Headers.add("X-Bergamothook-Prefix-Hash", "5c:800,91:410,e4:250");
+  Headers.add("X-Bergamothook-Deadline-Ms", "3000");
+  Headers.add("Authorization", "Bearer key");
+  Message.Body = "body";
+  return Message;
+}
+
+ListedTarget makeTarget() {
+  ListedTarget Target;
+  Target.Id = "i-1";
+  return Target;
+}
+
+std::vector<std::string> valuesOf(const HttpRequestHead &Head,
+                                  std::string_view Name) {
+  std::vector<std::string> Found;
+  for (const HeaderField &Field : Head.Headers.fields())
+    if (isSameHeader(Field.Name, Name))
+      Found.push_back(Field.Value);
+  return Found;
+}
+
+HttpResponseHead answerOf(unsigned Status, std::vector<HeaderField> Fields) {
+  HttpResponseHead Head;
+  Head.Status = Status;
+  for (const HeaderField &Field : Fields)
+    Head.Headers.add(Field.Name, Field.Value);
+  return Head;
+}
+
+} // namespace
+
+TEST_CASE("a request is decoded into a call") {
+  DecodedCall Decoded = decodeCall(makeConfig(), makeRequest(), Now);
+  REQUIRE(Decoded.RefusalStatus == 0);
+  const RelayCall &Call = Decoded.Call;
+  CHECK(Call.Id == "id-1");
+  CHECK(Call.Team->Name == "t");
+  CHECK(Call.priority() == 1);
+  CHECK(Call.deadline() == Now + 3s);
+  CHECK(Call.PromptTokens == 1460);
+  CHECK(Call.MaxOutputTokens == 80);
+  REQUIRE(Call.Parts.size() == 3);
+  CHECK(Call.Parts[1].Id == "91");
+  CHECK(Call.Parts[1].TokenCount == 410);
+}
+
+TEST_CASE("a request without route, key or configuration is refused") {
+  HttpRequestMessage Message = makeRequest();
+  CHECK(decodeCall(nullptr, Message, Now).RefusalStatus == 503);
+  Message.Head.Target = "/none/";
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 404);
+  Message = makeRequest();
+  Message.Head.Headers.remove("Authorization");
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 401);
+  Message.Head.Headers.add("authorization", "bearer other");
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 401);
+  Message.Head.Target = "/p/";
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
+}
+
+TEST_CASE("what only the relay may set never comes from a caller") {
+  HttpRequestMessage Message = makeRequest();
+  for (const char *Name :
+       {"X-BERGAMOTHOOK-Tenant", "x-bergamothook-tenant",
+        "X-Bergamothook-Expect-Instance", "X-Bergamothook-Expect-Version",
+        "x-bergamothook-pin-ms", "X-Bergamothook-Kv-Hold",
+        "X-Bergamothook-Kv-Backup", "kv-fetch", "KV-FROM",
+        "X-Bergamothook-Request-Priority", "x-bergamothook-deadline-ms"})
+    Message.Head.Headers.add(Name, "forged");
+  Message.Head.Headers.add("X-Other", "1");
+  Message.Head.Headers.add("x-other", "2");
+  RelayCall Call = decodeCall(makeConfig(), Message, Now).Call;
+  HttpRequestHead Head = makeTargetHead(Call, makeTarget(), 1500ms, {});
+  for (const HeaderField &Field : Head.Headers.fields())
+    CHECK(Field.Value != "forged");
+  CHECK(valuesOf(Head, "X-Bergamothook-Tenant") ==
+        std::vector<std::string>{"t"});
+  CHECK(valuesOf(Head, "X-Bergamothook-Expect-Instance") ==
+        std::vector<std::string>{"i-1"});
+  CHECK(valuesOf(Head, "X-Bergamothook-Deadline-Ms") ==
+        std::vector<std::string>{"1500"});
+  CHECK(valuesOf(Head, "X-Bergamothook-Request-Priority") ==
+        std::vector<std::string>{"1"});
+  CHECK(valuesOf(Head, "Authorization").empty());
+  CHECK(valuesOf(Head, "X-Other") == std::vector<std::string>{"1", "2"});
+  CHECK(Head.Target == "/x/y?b=1&a=2");
+  CHECK(valuesOf(Head, "X-Bergamothook-Prefix-Hash").size() == 1);
+}
+
+TEST_CASE("a resume names the last event delivered, else the caller's") {
+  HttpRequestMessage Message = makeRequest();
+  Message.Head.Headers.add("Last-Event-Id", "4");
+  RelayCall Call = decodeCall(makeConfig(), Message, Now).Call;
+  CHECK(valuesOf(makeTargetHead(Call, makeTarget(), 1s, {}), "Last-Event-Id") ==
+        std::vector<std::string>{"4"});
+  CHECK(valuesOf(makeTargetHead(Call, makeTarget(), 1s, 9), "Last-Event-Id") ==
+        std::vector<std::string>{"9"});
+}
+
+TEST_CASE("only a target's own word makes a call not run") {
+  RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
+  auto Judge = [&](unsigned Status, std::vector<HeaderField> Fields) {
+    return judgeAnswer(answerOf(Status, std::move(Fields)), Call);
+  };
+  CHECK(Judge(200, {{"X-Bergamothook-Server-Stamp", "s"}}) ==
+        AnswerVerdict::Ran);
+  CHECK(Judge(200, {}) == AnswerVerdict::Unproven);
+  CHECK(Judge(500, {{"X-Bergamothook-Server-Stamp", "s"}}) ==
+        AnswerVerdict::Ran);
+  CHECK(Judge(503, {{"X-Bergamothook-Not-Executed", "1"}}) ==
+        AnswerVerdict::NotRun);
+  CHECK(Judge(503, {{"X-Bergamothook-Server-Stamp", "s"}}) ==
+        AnswerVerdict::Unproven);
+  CHECK(Judge(429, {}) == AnswerVerdict::Unproven);
+  CHECK(Judge(421, {}) == AnswerVerdict::WrongTarget);
+  CHECK(Judge(200, {{"X-Bergamothook-Attempt-Id", "id-0"},
+                    {"X-Bergamothook-Server-Stamp", "s"}}) ==
+        AnswerVerdict::Foreign);
+}
+
+TEST_CASE("a refusal carries no stamp and says when to come back") {
+  RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
+  HttpResponseHead Head = makeRefusal(503, Call, 1250ms);
+  CHECK(Head.Status == 503);
+  CHECK(Head.Headers.find("Retry-After") == "1.250");
+  CHECK_FALSE(Head.Headers.find("X-Bergamothook-Server-Stamp"));
+}
--- /dev/null
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -0,0 +1,85 @@
+#include "platform/ManifestReader.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace bergamothook::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *Manifest = R"({"version":7,
+ "routes":[
+  {"name":"r-1","host":"a.example","pathPrefix":"/x/","routeKind":"streaming",
+   "timeoutMs":12000,"sloMs":800,"priority":1,
+   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "attempts":2,"public":false,"sticky":true,"resumable":true,
+   "itlTargetMs":300},
+  {"name":"r-2","host":"a.example","pathPrefix":"/y/",
+   "routeKind":"something_new","timeoutMs":800,"sloMs":150,"priority":2,
+   "service":"s2","attempts":1,"public":true,"future":{}}],
+ "services":[{"name":"s1","healthPath":"/h","maxConns":360,"protocol":"h1",
+   "tls":false,"engine":{"slots":64,"stride":7}},
+  {"name":"s2","maxConns":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
+   "idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,
+   "reserved":5668980},{"name":"t2","apiKeys":["k3"]}]})";
+
+} // namespace
+
+TEST_CASE("a manifest is read into the relay's own terms") {
+  auto Read = parseManifest(Manifest);
+  REQUIRE(Read);
+  const RelayConfig &Config = *Read.value();
+  CHECK(Config.Version == 7);
+  CHECK(Config.Limits.MaxBodyBytes == 1000);
+  CHECK(Config.Limits.IdleTimeout == 15s);
+  const RelayRoute *Route = Config.findRoute("a.example", "/x/y");
+  REQUIRE(Route);
+  CHECK(Route->Kind == CallKind::Stream);
+  CHECK(Route->Timeout == 12s);
+  CHECK(Route->Objective == 800ms);
+  CHECK(Route->MaxPause == 300ms);
+  CHECK(Route->MaxTargets == 2);
+  CHECK(Route->IsResumable);
+  CHECK(Route->Services.size() == 2);
+  const RelayRoute *Other = Config.findRoute("a.example", "/y/");
+  REQUIRE(Other);
+  // A kind that is not known is not repeated.
+  CHECK(Other->Kind == CallKind::NonIdempotent);
+  CHECK(Other->IsPublic);
+  REQUIRE(Config.findTeamByKey("k2"));
+  CHECK(Config.findTeamByKey("k2")->Name == "t1");
+  CHECK(Config.findTeamByKey("k2")->Budget == 5668980);
+  CHECK_FALSE(Config.findTeamByKey("k3")->Budget);
+  CHECK_FALSE(Config.findTeamByKey("k4"));
+  CHECK(Config.findService("s1")->TokensPerEvent == 7);
+  CHECK(Config.findService("s2")->EngineSlots == 0);
+}
+
+TEST_CASE("what is no manifest changes nothing") {
+  CHECK_FALSE(parseManifest(""));
+  CHECK_FALSE(parseManifest("[]"));
+  CHECK_FALSE(parseManifest("{\"version\":\"x\"}"));
+  CHECK_FALSE(
+      parseManifest(R"({"version":1,"routes":[{"name":1}],"services":[]})"));
+}
+
+TEST_CASE("an entry of the list names a target, or none") {
+  auto Read = parseTargetEntry(
+      "i-1", R"({"service":"s1","addr":"10.0.0.9:8080","zone":"east",
+      "version":"v1","slots":64,"state":"draining","coldLeftMs":0,"seq":4,
+      "born":1700000000123})");
+  REQUIRE(Read);
+  CHECK(Read.value().Id == "i-1");
+  CHECK(Read.value().IsLeaving);
+  CHECK(Read.value().StartedAt == 1700000000123);
+  for (const char *Text :
+       {"", "\xff\xfe", "[]", R"({"service":"s1"})",
+        R"({"service":"s1","addr":5,"zone":"e","slots":1,"state":"ready"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","slots":1,"state":"odd"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","slots":"1",
+           "state":"ready"})"})
+    CHECK_FALSE(parseTargetEntry("i-1", Text));
+}
--- /dev/null
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -0,0 +1,62 @@
+#include "platform/PlatformSettings.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace bergamothook::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Good = "node=edge-1\n"
+                         "zone=east\n"
+                         "ip=10.1.0.40\n"
+                         "listen.front=10.1.0.40:8227\n"
+                         "listen.ready=10.1.0.40:8220\n"
+                         "internalPorts=7340,7355\n"
+                         "platform.addr=10.200.1.7:8223\n"
+                         "platform.parts=8\n"
+                         "bounds.graceS=8\n"
+                         "bounds.retryBudgetRatio=0.2\n"
+                         "bounds.retryBudgetSlack=52\n"
+                         "bounds.budgetWindowS=10\n"
+                         "bounds.configMs=2000\n"
+                         "bounds.drainMs=2000\n";
+
+std::string without(const std::string &Field) {
+  std::string Text = Good;
+  std::size_t Begin = Text.find(Field + "=");
+  return Text.erase(Begin, Text.find('\n', Begin) + 1 - Begin);
+}
+
+} // namespace
+
+TEST_CASE("settings are read by name, and unknown fields are ignored") {
+  auto Read = parseSettings(Good + "brand.new=1\r\nno equals sign\n\n");
+  REQUIRE(Read);
+  CHECK(Read.value().Host == "edge-1");
+  CHECK(Read.value().FailureDomain == "east");
+  CHECK(Read.value().MetricsAddress == "10.1.0.40:7340");
+  CHECK(Read.value().StoreAddress == "10.200.1.7:8223");
+  CHECK(Read.value().StorePartitions == 8);
+  CHECK(Read.value().StopTime == 8s);
+  CHECK(Read.value().ResendRatio == doctest::Approx(0.2));
+  CHECK(Read.value().ConfigTime == 2s);
+}
+
+TEST_CASE("a field that is missing or no number is named in the fault") {
+  for (const char *Field :
+       {"node", "zone", "ip", "listen.front", "listen.ready", "internalPorts",
+        "platform.addr", "platform.parts", "bounds.graceS",
+        "bounds.retryBudgetRatio", "bounds.configMs"}) {
+    auto Read = parseSettings(without(Field));
+    REQUIRE_FALSE(Read);
+    CHECK(Read.error().Field == Field);
+  }
+  auto Read = parseSettings(without("bounds.graceS") + "bounds.graceS=soon\n");
+  REQUIRE_FALSE(Read);
+  CHECK(Read.error().Field == "bounds.graceS");
+  CHECK(Read.error().Text.find("soon") != std::string::npos);
+  CHECK_FALSE(parseSettings(without("bounds.graceS") + "bounds.graceS=-1\n"));
+  CHECK_FALSE(readSettings("/nonexistent/node.conf"));
+}
