Keep tokens in hand where a team's callers are

Shares now say how fast they spend, and a process keeps its part of the spending, for eleven seconds. Test: one of six hosts gets all requests of a team, then nine seconds without the log.

--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -34,6 +34,7 @@
   if (Own.committed() + Amount <= Own.limit()) {
     Own.SetAside += Amount;
     Own.Largest = std::max(Own.Largest, Amount);
+    this->addToRate(Own, Amount, Now);
     return success();
   }
   if (!this->HasRead)
@@ -53,8 +54,27 @@
   Own.Wanted = std::max<Tokens>(0, Own.Wanted - Amount);
 }
 
-double Wallet::decayed(const Purse &Own, Duration Window, TimePoint Now) {
-  return Own.Rate * std::exp(-secondsOf(Now - Own.RateAt) / secondsOf(Window));
+double Wallet::decayedRate(const Purse &Own, TimePoint Now) const {
+  return Own.Rate * std::exp(-secondsOf(Now - Own.RateAt) /
+                             secondsOf(this->Policy.RateWindow));
+}
+
+double Wallet::rateOf(const Purse &Own, TimePoint Now) const {
+  // The average of a span much shorter than the window is too low by the part
+  // of the window that has not passed.
+  constexpr double LeastSeconds = 1;
+  double Seen = std::max(LeastSeconds, secondsOf(Now - Own.RateSince));
+  return this->decayedRate(Own, Now) /
+         (1 - std::exp(-Seen / secondsOf(this->Policy.RateWindow)));
+}
+
+void Wallet::addToRate(Purse &Own, Tokens Amount, TimePoint Now) const {
+  double Added =
+      static_cast<double>(Amount) / secondsOf(this->Policy.RateWindow);
+  if (Own.Rate <= 0)
+    Own.RateSince = Now;
+  Own.Rate = std::max(0.0, this->decayedRate(Own, Now) + Added);
+  Own.RateAt = Now;
 }
 
 void Wallet::settle(const std::string &Team, Tokens Reserved, Tokens Spent,
@@ -62,9 +82,7 @@
   Purse &Own = this->Purses[Team];
   Own.SetAside -= Reserved;
   Own.Spent += Spent;
-  Own.Rate = decayed(Own, this->Policy.RateWindow, Now) +
-             static_cast<double>(Spent) / secondsOf(this->Policy.RateWindow);
-  Own.RateAt = Now;
+  this->addToRate(Own, Spent - Reserved, Now);
 }
 
 void Wallet::onRead(const std::vector<WalletRecord> &Records, std::uint64_t End,
@@ -107,24 +125,43 @@
 }
 
 bool Wallet::isAwaited(const std::string &Team, TimePoint Now) const {
-  return this->Book.wantedByOthers(Team, this->Self,
-                                   Now - this->Policy.WantedLifetime) > 0;
+  return this->Book
+             .recentOfOthers(Team, this->Self,
+                             Now - this->Policy.WantedLifetime)
+             .Wanted > 0;
+}
+
+Wallet::IdleBounds Wallet::idleBounds(const std::string &Team, const Purse &Own,
+                                      Tokens Free, TimePoint Now) const {
+  TimePoint Since = Now - this->Policy.ProcessLifetime;
+  auto Processes = static_cast<double>(
+      std::max(this->Policy.LeastProcesses, this->Book.processesSince(Since)));
+  auto OthersRate = static_cast<double>(
+      this->Book.recentOfOthers(Team, this->Self, Since).Rate);
+  double OwnRate = this->rateOf(Own, Now);
+  auto PartOfFree = [Free](double Part) {
+    return static_cast<Tokens>(static_cast<double>(Free) * Part);
+  };
+  if (OwnRate + OthersRate < 1) {
+    Tokens Start = PartOfFree(1 / (Processes * this->Policy.StartDivisor));
+    return {Start, Start};
+  }
+  double Least = this->Policy.LeastPart / Processes;
+  double ByRate = (1 - this->Policy.LeastPart - this->Policy.FreePart) *
+                  OwnRate / (OwnRate + OthersRate);
+  return {PartOfFree(Least), PartOfFree(Least + ByRate)};
 }
 
 Tokens Wallet::idleTarget(const std::string &Team, const Purse &Own,
                           Tokens Free, TimePoint Now) const {
   if (this->IsStopping)
     return 0;
-  auto Processes = static_cast<Tokens>(
-      std::max(this->Policy.LeastProcesses,
-               this->Book.processesSince(Now - this->Policy.ProcessLifetime)));
-  Tokens Most = Free / Processes;
+  IdleBounds Bounds = this->idleBounds(Team, Own, Free, Now);
   if (this->isAwaited(Team, Now))
-    return Most / this->Policy.WantedDivisor;
-  double Rate = decayed(Own, this->Policy.RateWindow, Now);
-  Tokens Cover =
-      static_cast<Tokens>(Rate * secondsOf(this->Policy.Cover)) + Own.Largest;
-  return std::clamp(Cover, Most / this->Policy.StartDivisor, Most);
+    return Bounds.Most / this->Policy.WantedDivisor;
+  auto Cover = static_cast<Tokens>(this->rateOf(Own, Now) *
+                                   secondsOf(this->Policy.Cover));
+  return std::clamp(Cover + Own.Largest, Bounds.Least, Bounds.Most);
 }
 
 Tokens Wallet::heldTarget(const std::string &Team, const Purse &Own,
@@ -154,7 +191,8 @@
     return true;
   if ((Own.WantedOnLog > 0) != (this->missing(Team, Own) > 0))
     return true;
-  bool IsShort = Idle < IdleTarget / 2;
+  bool IsShort = static_cast<double>(Idle) <
+                 static_cast<double>(IdleTarget) * this->Policy.RefillBelow;
   bool IsExcess = Idle > 2 * IdleTarget;
   // What others can't see returned, they refuse requests for.
   Tokens Unseen = std::abs(Own.CommittedOnLog - Own.committed());
@@ -192,7 +230,8 @@
     if (!this->needsRecord(Team, Own, Now))
       continue;
     WalletShare Share{this->heldTarget(Team, Own, Now), Own.committed(),
-                      this->missing(Team, Own)};
+                      this->missing(Team, Own),
+                      static_cast<Tokens>(this->rateOf(Own, Now))};
     Own.HeldIfLanded =
         std::min(Own.HeldIfLanded.value_or(Share.Held), Share.Held);
     this->OnWay.push_back({{Team, this->Self}, Share, 0});
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -112,6 +112,8 @@
     /// Tokens a second.
     double Rate = 0;
     TimePoint RateAt{};
+    /// When the spending began.
+    TimePoint RateSince{};
     Tokens CommittedOnLog = 0;
     Tokens WantedOnLog = 0;
 
@@ -119,6 +121,11 @@
     Tokens limit() const;
   };
 
+  struct IdleBounds {
+    Tokens Least = 0;
+    Tokens Most = 0;
+  };
+
   Tokens freeFor(const std::string &Team, const Purse &Own) const;
   Tokens idleTarget(const std::string &Team, const Purse &Own, Tokens Free,
                     TimePoint Now) const;
@@ -131,7 +138,12 @@
                    TimePoint Now) const;
   bool isWanted() const;
   void resolve();
-  static double decayed(const Purse &Own, Duration Window, TimePoint Now);
+  double decayedRate(const Purse &Own, TimePoint Now) const;
+  double rateOf(const Purse &Own, TimePoint Now) const;
+  void addToRate(Purse &Own, Tokens Amount, TimePoint Now) const;
+  /// What this process keeps in hand of what nobody has taken.
+  IdleBounds idleBounds(const std::string &Team, const Purse &Own, Tokens Free,
+                        TimePoint Now) const;
 
   std::string Self;
   WalletPolicy Policy;
--- a/Libraries/LibWallet/WalletBook.cpp
+++ b/Libraries/LibWallet/WalletBook.cpp
@@ -12,6 +12,7 @@
   Sum.Held += Record.Share.Held - Place->second.Share.Held;
   Sum.Committed += Record.Share.Committed - Place->second.Share.Committed;
   Sum.Wanted += Record.Share.Wanted - Place->second.Share.Wanted;
+  Sum.Rate += Record.Share.Rate - Place->second.Share.Rate;
   Place->second = {Record.Share, Record.Offset, Now};
   this->LastRecords[Record.Key.Process] = Now;
 }
@@ -30,7 +31,7 @@
   WalletShare Own = this->shareOf({Team, Self});
   return {Found->second.Held - Own.Held,
           Found->second.Committed - Own.Committed,
-          Found->second.Wanted - Own.Wanted};
+          Found->second.Wanted - Own.Wanted, Found->second.Rate - Own.Rate};
 }
 
 std::size_t WalletBook::processesSince(TimePoint Since) const {
@@ -39,14 +40,17 @@
       [Since](const auto &Last) { return Last.second >= Since; }));
 }
 
-Tokens WalletBook::wantedByOthers(const std::string &Team,
-                                  const std::string &Self,
-                                  TimePoint Since) const {
-  Tokens Sum = 0;
+WalletShare WalletBook::recentOfOthers(const std::string &Team,
+                                       const std::string &Self,
+                                       TimePoint Since) const {
+  WalletShare Sum;
   for (auto Place = this->Entries.lower_bound({Team, ""});
-       Place != this->Entries.end() && Place->first.Team == Team; ++Place)
-    if (Place->first.Process != Self && Place->second.ReadAt >= Since)
-      Sum += Place->second.Share.Wanted;
+       Place != this->Entries.end() && Place->first.Team == Team; ++Place) {
+    if (Place->first.Process == Self || Place->second.ReadAt < Since)
+      continue;
+    Sum.Wanted += Place->second.Share.Wanted;
+    Sum.Rate += Place->second.Share.Rate;
+  }
   return Sum;
 }
 
--- a/Libraries/LibWallet/WalletBook.h
+++ b/Libraries/LibWallet/WalletBook.h
@@ -33,10 +33,11 @@
   WalletShare sumOfOthers(const std::string &Team,
                           const std::string &Self) const;
 
-  /// Sums what processes other than \p Self wait for, by records that were read
-  /// at \p Since or later; a process that died waits for ever.
-  Tokens wantedByOthers(const std::string &Team, const std::string &Self,
-                        TimePoint Since) const;
+  /// Sums what processes other than \p Self wait for and how fast they spend,
+  /// by records that were read at \p Since or later; one that died says the
+  /// same for ever.
+  WalletShare recentOfOthers(const std::string &Team, const std::string &Self,
+                             TimePoint Since) const;
 
   /// Gives the share of one process; nothing on the log is an empty share.
   WalletShare shareOf(const WalletKey &Key) const;
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -15,14 +15,23 @@
 struct WalletPolicy {
   /// The spending that tokens in hand should cover: an outage of the log, or a
   /// cut from it, in which requests are still served.
-  Duration Cover = std::chrono::seconds(9);
-  /// What one process may keep in hand of what nobody has taken is 1 / (number
-  /// of processes), and at most 1 / LeastProcesses.
+  Duration Cover = std::chrono::seconds(11);
+  /// The part of what should be in hand below which more is taken.
+  double RefillBelow = 0.85;
+  /// Of what nobody has taken, each process may keep its part of the spending
+  /// in hand. Callers of a team stay with few hosts, so that equal parts would
+  /// leave most of the tokens where nobody asks for them.
+  /// FreePart is kept by nobody, for requests larger than what is in hand.
+  double FreePart = 0.15;
+  /// What all processes without any spending keep together, for callers who
+  /// move.
+  double LeastPart = 0.1;
+  /// The least number of processes to reckon with.
   std::size_t LeastProcesses = 6;
-  /// A process counts for that while its last record is not older.
+  /// A process counts while its last record is not older.
   Duration ProcessLifetime = std::chrono::seconds(15);
-  /// What a process keeps where nothing was spent yet, as a part of the above.
-  Tokens StartDivisor = 4;
+  /// While nobody has spent, a process keeps 1 / StartDivisor of an equal part.
+  double StartDivisor = 2;
   /// What is left of that while another process waits for tokens, as a part.
   Tokens WantedDivisor = 8;
   /// How long a record says that its process waits for tokens. Some reads of
--- a/Libraries/LibWallet/WalletRecord.cpp
+++ b/Libraries/LibWallet/WalletRecord.cpp
@@ -45,7 +45,8 @@
   } catch (const cereal::Exception &) {
     return std::make_error_code(std::errc::bad_message);
   }
-  if (Share.Held < 0 || Share.Committed < 0 || Share.Wanted < 0)
+  if (Share.Held < 0 || Share.Committed < 0 || Share.Wanted < 0 ||
+      Share.Rate < 0)
     return std::make_error_code(std::errc::bad_message);
   return Share;
 }
--- a/Libraries/LibWallet/WalletRecord.h
+++ b/Libraries/LibWallet/WalletRecord.h
@@ -27,11 +27,14 @@
   /// What requests of the process wait for beyond that. Others that see it keep
   /// less in hand.
   Tokens Wanted = 0;
+  /// How fast the process spends, in tokens a second; decides which part of a
+  /// scarce budget each one may keep in hand.
+  Tokens Rate = 0;
 
   bool operator==(const WalletShare &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Held, this->Committed, this->Wanted);
+    Ar(this->Held, this->Committed, this->Wanted, this->Rate);
   }
 };
 
--- a/Tests/LibWallet/WalletRecordTest.cpp
+++ b/Tests/LibWallet/WalletRecordTest.cpp
@@ -9,7 +9,7 @@
   auto ReadKey = decodeWalletKey(encodeWalletKey(Key));
   REQUIRE(ReadKey);
   CHECK(ReadKey.value() == Key);
-  WalletShare Share{5'000'000'000, 17, 3};
+  WalletShare Share{5'000'000'000, 17, 3, 90};
   auto ReadShare = decodeWalletShare(encodeWalletShare(Share));
   REQUIRE(ReadShare);
   CHECK(ReadShare.value() == Share);
@@ -22,7 +22,7 @@
   CHECK_FALSE(decodeWalletKey("team-a\n"));
   CHECK_FALSE(decodeWalletShare(""));
   CHECK_FALSE(decodeWalletShare("\x02xxxxxxxxxxxxxxxxxx"));
-  std::string Share = encodeWalletShare({1, 1, 1});
+  std::string Share = encodeWalletShare({1, 1, 1, 1});
   CHECK_FALSE(decodeWalletShare(Share.substr(0, Share.size() - 1)));
-  CHECK_FALSE(decodeWalletShare(encodeWalletShare({-1, 0, 0})));
+  CHECK_FALSE(decodeWalletShare(encodeWalletShare({-1, 0, 0, 0})));
 }
--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -113,29 +113,41 @@
   Purses.settle("team", 1000, 600, Begin);
   Purses.beginStop();
   runRound(Purses, Log, Begin + 1s);
-  CHECK(Purses.book().shareOf({"team", "a"}) == WalletShare{600, 600, 0});
+  CHECK(Purses.book().shareOf({"team", "a"}).Held == 600);
+  CHECK(Purses.book().shareOf({"team", "a"}).Committed == 600);
   CHECK(Purses.planRound(Begin + 1min).empty());
 }
 
-TEST_CASE("tokens in hand cover an outage at the present rate") {
-  // The load: 2,000 tokens a second, then nine seconds without the log.
+TEST_CASE("tokens in hand cover an outage where the callers are") {
+  // The load: six hosts, and one of them gets all requests of a team, 2,000
+  // tokens a second, as callers stay with a host. After seven seconds the log
+  // is out for nine. The budget is four times what is spent in all.
   FakeWalletLog Log;
-  Wallet Purses("a", {});
-  Purses.setBudget("team", 1'000'000);
+  std::vector<std::unique_ptr<Wallet>> Fleet;
+  for (const char *Name : {"a", "b", "c", "d", "e", "f"}) {
+    Fleet.push_back(std::make_unique<Wallet>(Name, WalletPolicy{}));
+    Fleet.back()->setBudget("team", 4 * 16 * 2000);
+  }
   TimePoint Now = Begin;
+  Wallet &Busy = *Fleet.front();
+  int Refused = 0;
   auto Spend = [&] {
-    REQUIRE(Purses.reserve("team", 200, Now));
-    Purses.settle("team", 200, 200, Now);
+    if (Busy.reserve("team", 220, Now))
+      Busy.settle("team", 220, 200, Now);
+    else
+      ++Refused;
     Now += 100ms;
   };
-  runRound(Purses, Log, Now);
-  for (int I = 0; I < 150; ++I) {
+  for (int I = 0; I < 70; ++I) {
+    for (const auto &Each : Fleet)
+      if (Each->isRoundDue(Now))
+        runRound(*Each, Log, Now);
     Spend();
-    if (Purses.isRoundDue(Now))
-      runRound(Purses, Log, Now);
   }
+  CHECK(Refused == 0);
   for (int I = 0; I < 90; ++I)
     Spend();
+  CHECK(Refused == 0);
 }
 
 TEST_CASE("a raised budget is used, and what others hold is not") {
