Refuse at once while a team's tokens are out of reach; fewer rounds in vain

A team whose request waited in vain is refused at once for a second, rounds that bring nothing come every 200 ms.

--- a/Libraries/LibRelay/WalletDesk.cpp
+++ b/Libraries/LibRelay/WalletDesk.cpp
@@ -17,6 +17,9 @@
 constexpr Duration LongestWait = std::chrono::milliseconds(600);
 /// How long a request waits between two tries, when nothing tells of a change.
 constexpr Duration TryPause = std::chrono::milliseconds(50);
+/// How long requests of a team are refused at once after one waited in vain;
+/// the next one then waits again, and so asks others to return tokens.
+constexpr Duration StarvedTime = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -36,17 +39,23 @@
   if (IsLost == this->IsLogLost)
     return;
   this->IsLogLost = IsLost;
+  logEvent(IsLost ? LogLevel::Warning : LogLevel::Info,
+           IsLost ? "wallet_log_lost" : "wallet_log_regained",
+           {{"offset", this->Purses.book().end()},
+            {"teams", this->describeTeams()}});
+}
+
+nlohmann::json WalletDesk::describeTeams() const {
   nlohmann::json Teams = nlohmann::json::object();
   for (const std::string &Team : this->Purses.teams()) {
     WalletView Seen = this->Purses.view(Team);
     Teams[Team] = {{"budget", Seen.Budget},
-                   {"in_hand", Seen.Held - Seen.Spent - Seen.SetAside},
+                   {"in_hand", Seen.Limit - Seen.Spent - Seen.SetAside},
                    {"spent", Seen.Spent},
-                   {"others_hold", Seen.Others.Held}};
+                   {"others_hold", Seen.Others.Held},
+                   {"others_committed", Seen.Others.Committed}};
   }
-  logEvent(IsLost ? LogLevel::Warning : LogLevel::Info,
-           IsLost ? "wallet_log_lost" : "wallet_log_regained",
-           {{"offset", this->Purses.book().end()}, {"teams", Teams}});
+  return Teams;
 }
 
 bool WalletDesk::catchUp() {
@@ -67,7 +76,8 @@
   if (!HadRead)
     logEvent(LogLevel::Info, "wallets_read",
              {{"end", Page.value().End},
-              {"processes", this->Purses.book().processes()}});
+              {"processes", this->Purses.book().processes()},
+              {"teams", this->describeTeams()}});
   this->Changed.notify();
   return true;
 }
@@ -108,12 +118,12 @@
       this->runRound();
       continue;
     }
-    if (this->IsStopping && Now >= this->Purses.nextRound(Now)) {
+    if (this->IsStopping && Now >= this->Purses.nextRound()) {
       this->IsDrained = true;
       break;
     }
     std::uint64_t Seen = this->Wanted.generation();
-    TimePoint Next = this->Purses.nextRound(Now);
+    TimePoint Next = this->Purses.nextRound();
     if (Next <= Now)
       Next = Now + IdlePause;
     this->Tasks.WaitOn(this->Wanted, Seen, std::min(Next, Now + IdlePause));
@@ -140,13 +150,18 @@
     auto Verdict = this->Purses.reserve(Team, Amount, this->Tasks.Now());
     if (Verdict || Verdict.error() != WalletError::NotInHand)
       return Verdict;
-    this->Wanted.notify();
     TimePoint Now = this->Tasks.Now();
+    auto Starved = this->StarvedUntil.find(Team);
+    bool IsStarved =
+        Starved != this->StarvedUntil.end() && Now < Starved->second;
     // Without the log no tokens come, so the wait would be for nothing.
-    if (Now >= End || this->IsLogLost || IsGivenUp()) {
+    if (Now >= End || this->IsLogLost || IsStarved || IsGivenUp()) {
       this->Purses.abandon(Team, Amount);
+      if (Now >= End)
+        this->StarvedUntil[Team] = Now + StarvedTime;
       return Verdict;
     }
+    this->Wanted.notify();
     this->Tasks.WaitOn(this->Changed, Seen, std::min(End, Now + TryPause));
     this->Purses.abandon(Team, Amount);
   }
--- a/Libraries/LibRelay/WalletDesk.h
+++ b/Libraries/LibRelay/WalletDesk.h
@@ -8,6 +8,8 @@
 #include "LibWallet/Wallet.h"
 
 #include <functional>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
 
 namespace bergamothook {
 
@@ -72,6 +74,7 @@
   void runRound();
   bool catchUp();
   void noteLog(bool IsLost);
+  nlohmann::json describeTeams() const;
 
   Wallet Purses;
   WalletPolicy Policy;
@@ -79,6 +82,8 @@
   Runtime Tasks;
   Event Wanted;
   Event Changed;
+  /// The teams whose requests wait in vain.
+  std::map<std::string, TimePoint> StarvedUntil;
   /// Set while the last call of the log failed.
   bool IsLogLost = false;
   bool IsStopping = false;
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -207,14 +207,18 @@
                      [](const auto &Entry) { return Entry.second.Wanted > 0; });
 }
 
-TimePoint Wallet::nextRound(TimePoint) const {
-  return this->LastRound + (this->isWanted() || this->IsStopping
-                                ? this->Policy.UrgentInterval
-                                : this->Policy.CalmInterval);
+TimePoint Wallet::nextRound() const {
+  Duration Interval = this->Policy.CalmInterval;
+  if (this->IsStopping)
+    Interval = this->Policy.UrgentInterval;
+  else if (this->isWanted())
+    Interval = this->WasInVain ? this->Policy.VainInterval
+                               : this->Policy.UrgentInterval;
+  return this->LastRound + Interval;
 }
 
 bool Wallet::isRoundDue(TimePoint Now) const {
-  if (Now < this->nextRound(Now))
+  if (Now < this->nextRound())
     return false;
   return this->isWanted() || this->viewAge(Now) >= this->Policy.ReadInterval ||
          std::any_of(this->Purses.begin(), this->Purses.end(),
@@ -225,10 +229,13 @@
 
 std::vector<WalletRecord> Wallet::planRound(TimePoint Now) {
   this->LastRound = Now;
+  this->WasInVain = this->isWanted();
   this->OnWay.clear();
   for (auto &[Team, Own] : this->Purses) {
     if (!this->needsRecord(Team, Own, Now))
       continue;
+    if (Own.Wanted > 0 && this->missing(Team, Own) < Own.Wanted)
+      this->WasInVain = false;
     WalletShare Share{this->heldTarget(Team, Own, Now), Own.committed(),
                       this->missing(Team, Own),
                       static_cast<Tokens>(this->rateOf(Own, Now))};
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -67,7 +67,7 @@
   bool isRoundDue(TimePoint Now) const;
 
   /// Gives the time at which the next round may be due.
-  TimePoint nextRound(TimePoint Now) const;
+  TimePoint nextRound() const;
 
   /// Gives the records of this process that should be on the log. From here on
   /// it spends no more than both the old and the new records allow.
@@ -154,6 +154,8 @@
   std::optional<std::uint64_t> UnresolvedAt;
   TimePoint ReadAt{};
   TimePoint LastRound{};
+  /// Set when the last round brought nothing for who waits.
+  bool WasInVain = false;
   bool HasRead = false;
   bool IsStopping = false;
 };
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -15,7 +15,7 @@
 struct WalletPolicy {
   /// The spending that tokens in hand should cover: an outage of the log, or a
   /// cut from it, in which requests are still served.
-  Duration Cover = std::chrono::seconds(11);
+  Duration Cover = std::chrono::seconds(9);
   /// The part of what should be in hand below which more is taken.
   double RefillBelow = 0.85;
   /// Of what nobody has taken, each process may keep its part of the spending
@@ -47,6 +47,8 @@
   Duration CalmInterval = std::chrono::milliseconds(700);
   /// The least time between two rounds while a request waits for tokens.
   Duration UrgentInterval = std::chrono::milliseconds(15);
+  /// The same where the round before brought nothing: others hold it all.
+  Duration VainInterval = std::chrono::milliseconds(200);
   /// How often the log is read where nothing else asks for it, to see what
   /// others wait for.
   Duration ReadInterval = std::chrono::milliseconds(1000);
