--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -40,6 +40,16 @@
                                               : this->Route->Priority;
   }
 
+  /// The rank by which an engine should take the call up; 0 goes first. Within
+  /// one priority short prompts go before long ones, which take a multiple of a
+  /// short answer's whole objective to read. Answers the load of a few long
+  /// reports beside many short questions.
+  int rankAtEngine() const {
+    constexpr std::int64_t LongPromptTokens = 4000;
+    return 2 * this->priority() +
+           (this->PromptTokens > LongPromptTokens ? 1 : 0);
+  }
+
   /// The time by which the caller must have its whole answer.
   TimePoint deadline() const {
     TimePoint RouteEnd = this->ArrivedAt + this->Route->Timeout;
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -61,7 +61,15 @@
   (cd "$root" && git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h')
 }
 
+# The platform's names stay in platform/, and in its tests.
+check_names() {
+  ! (cd "$root" && git grep -nIiE \
+    'X-Bergamothook-|keyed\.(op|servers|status)|/-/log-|Kv-From|sloMs|routeKind' \
+    -- '*.cpp' '*.h' ':!platform' ':!Tests/Platform')
+}
+
 check_tree() {
+  check_names
   (cd "$root" && sources | xargs clang-format-16 --dry-run -Werror)
   configure "$build"
   (cd "$root" && sources | grep '\.cpp$' |
--- a/Tests/Platform/HeaderDialectTest.cpp
+++ b/Tests/Platform/HeaderDialectTest.cpp
@@ -115,8 +115,14 @@
         std::vector<std::string>{"i-1"});
   CHECK(valuesOf(Head, "X-Bergamothook-Deadline-Ms") ==
         std::vector<std::string>{"1500"});
+  // The team's priority goes before the route's, and a short prompt before a
+  // long one of the same priority.
   CHECK(valuesOf(Head, "X-Bergamothook-Request-Priority") ==
-        std::vector<std::string>{"1"});
+        std::vector<std::string>{"2"});
+  Call.PromptTokens = 12'000;
+  CHECK(valuesOf(makeTargetHead(Call, makeTarget(), 1500ms, {}),
+                 "X-Bergamothook-Request-Priority") ==
+        std::vector<std::string>{"3"});
   CHECK(valuesOf(Head, "Authorization").empty());
   CHECK(valuesOf(Head, "X-Other") == std::vector<std::string>{"1", "2"});
   CHECK(Head.Target == "/x/y?b=1&a=2");
