--- a/Libraries/LibNet/HttpPool.cpp
+++ b/Libraries/LibNet/HttpPool.cpp
@@ -58,8 +58,8 @@
         Each.Connection->close();
       return IsOver;
     });
-    Entry = Entry->second.empty() ? this->ByAddress.erase(Entry)
-                                  : std::next(Entry);
+    Entry =
+        Entry->second.empty() ? this->ByAddress.erase(Entry) : std::next(Entry);
   }
 }
 
--- /dev/null
+++ b/Tests/Platform/StoreStandin.cpp
@@ -0,0 +1,151 @@
+#include "StoreStandin.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace bergamothook {
+
+namespace {
+
+using nlohmann::json;
+using platform::KeyedRecord;
+
+std::map<std::string, std::string> parseQuery(std::string_view Target) {
+  std::map<std::string, std::string> Query;
+  std::size_t Begin = Target.find('?');
+  while (Begin != std::string_view::npos) {
+    std::size_t End = Target.find('&', Begin + 1);
+    std::string_view Pair = Target.substr(Begin + 1, End - Begin - 1);
+    std::size_t Split = Pair.find('=');
+    Query[std::string(Pair.substr(0, Split))] = Pair.substr(Split + 1);
+    Begin = End;
+  }
+  return Query;
+}
+
+std::string bigEndian(std::uint64_t Value) {
+  std::string Out;
+  for (int Shift = 56; Shift >= 0; Shift -= 8)
+    Out.push_back(static_cast<char>(Value >> Shift));
+  return Out;
+}
+
+std::string encodeBase64(const std::string &Bytes) {
+  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Out.resize(static_cast<std::size_t>(Length));
+  return Out;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(NetRuntime &Loop)
+    : Tasks(Loop.hooks()),
+      Port(Loop, {"127.0.0.1:0", 16, 64, {}},
+           [this](const TcpConnection::Handle &From) { this->serve(From); }) {}
+
+void StoreStandin::put(const std::string &Name, std::string_view Key,
+                       std::string_view Value) {
+  this->Topics[Name].Records.push_back(platform::encodeKeyed(Key, Value));
+}
+
+void StoreStandin::compact(const std::string &Name) {
+  Topic &Of = this->Topics[Name];
+  Of.FirstRetained = Of.Records.size();
+}
+
+void StoreStandin::serve(const TcpConnection::Handle &Connection) {
+  Event Changed;
+  Attachment Attached(Connection, Changed);
+  HttpRequestReader Reader(Connection, this->Tasks, Changed);
+  for (;;) {
+    TimePoint Deadline = this->Tasks.Now() + std::chrono::seconds(20);
+    auto Message = Reader.read({}, Deadline, [] {});
+    if (!Message || this->Fault == StoreFault::Refuse)
+      return;
+    Answer Given;
+    if (this->Fault == StoreFault::Busy)
+      Given.Status = 503;
+    else if (this->Fault == StoreFault::Limited)
+      Given.Status = 429;
+    else
+      Given = this->answer(Message.value());
+    if (this->Fault == StoreFault::LoseAnswer)
+      return;
+    HttpResponseHead Head;
+    Head.Status = Given.Status;
+    auto Sent = Connection->write(
+        formatResponseHead(Head, BodyFraming::Length, Given.Body.size()) +
+            Given.Body,
+        Deadline);
+    if (!Sent)
+      return;
+  }
+}
+
+StoreStandin::Answer StoreStandin::answer(const HttpRequestMessage &Message) {
+  const std::string &Target = Message.Head.Target;
+  auto Query = parseQuery(Target);
+  Topic &Of = this->Topics[Query["topic"]];
+  std::string Call = Target.substr(0, Target.find('?'));
+  if (Call == "/-/log-append")
+    return this->append(Of, Query, Message.Body);
+  if (Call == "/-/log-read")
+    return read(Of, Query);
+  if (Call == "/-/log-newest")
+    return newest(Of);
+  return {404, ""};
+}
+
+StoreStandin::Answer
+StoreStandin::append(Topic &To, const std::map<std::string, std::string> &Query,
+                     std::string_view Body) {
+  auto At = Query.find("at");
+  if (At != Query.end() && std::stoull(At->second) != To.Records.size())
+    return {412, json{{"endOffset", To.Records.size()}}.dump()};
+  std::size_t First = To.Records.size();
+  auto Page = platform::parseRecordPage(
+      bigEndian(0) + bigEndian(0) + std::string(Body), 0);
+  for (const std::string &Record : Page.value().Records)
+    To.Records.push_back(Record);
+  return {200,
+          json{{"offset", First}, {"endOffset", To.Records.size()}}.dump()};
+}
+
+StoreStandin::Answer
+StoreStandin::read(const Topic &From,
+                   const std::map<std::string, std::string> &Query) {
+  std::size_t Begin = std::stoull(Query.at("from"));
+  if (Begin < From.FirstRetained)
+    return {410, json{{"firstOffset", From.FirstRetained}}.dump()};
+  std::string Out =
+      bigEndian(From.Records.size()) + bigEndian(From.FirstRetained);
+  for (std::size_t I = Begin; I < From.Records.size(); ++I)
+    Out += platform::frameRecord(From.Records[I]);
+  return {200, Out};
+}
+
+StoreStandin::Answer StoreStandin::newest(const Topic &Of) {
+  std::map<std::string, KeyedRecord> Newest;
+  for (std::size_t I = 0; I < Of.Records.size(); ++I) {
+    KeyedRecord Record = platform::decodeKeyed(Of.Records[I], I).value();
+    if (Record.Value)
+      Newest[Record.Key] = Record;
+    else
+      Newest.erase(Record.Key);
+  }
+  json Entries = json::array();
+  for (const auto &[Key, Record] : Newest)
+    Entries.push_back({{"key", Key},
+                       {"value", encodeBase64(*Record.Value)},
+                       {"offset", Record.Offset}});
+  return {200, json{{"entries", Entries},
+                    {"hasMore", false},
+                    {"endOffset", Of.Records.size()}}
+                   .dump()};
+}
+
+} // namespace bergamothook
