--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -150,6 +150,32 @@
   CHECK(Refused == 0);
 }
 
+TEST_CASE("when all hosts die, half of what was left can still be spent") {
+  // The load: 2,000 tokens a second at one of six hosts, and a budget of which
+  // ten seconds' worth is left when all are killed.
+  FakeWalletLog Log;
+  std::vector<std::unique_ptr<Wallet>> Fleet;
+  constexpr Tokens Budget = 40'000;
+  for (const char *Name : {"a", "b", "c", "d", "e", "f"}) {
+    Fleet.push_back(std::make_unique<Wallet>(Name, WalletPolicy{}));
+    Fleet.back()->setBudget("team", Budget);
+  }
+  TimePoint Now = Begin;
+  Wallet &Busy = *Fleet.front();
+  for (int I = 0; I < 100; ++I, Now += 100ms) {
+    for (const auto &Each : Fleet)
+      if (Each->isRoundDue(Now))
+        runRound(*Each, Log, Now);
+    REQUIRE(Busy.reserve("team", 200, Now));
+    Busy.settle("team", 200, 200, Now);
+  }
+  Tokens Left = Budget - Busy.view("team").Spent;
+  Wallet Next("g", {});
+  Next.setBudget("team", Budget);
+  Next.onRead(Log.readFrom(0), Log.end(), Now);
+  CHECK(Next.view("team").Others.Held <= Budget - Left / 2);
+}
+
 TEST_CASE("a raised budget is used, and what others hold is not") {
   FakeWalletLog Log;
   Wallet First("a", {});
