--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -98,9 +98,8 @@
     bool WasStopping = this->Stop.hasBegun();
     if (WasStopping)
       End = std::min(End, this->Stop.idleEnd());
-    if (Of.Reader.waitForFirstByte(End, [&] {
-          return this->Stop.hasBegun() != WasStopping;
-        }))
+    if (Of.Reader.waitForFirstByte(
+            End, [&] { return this->Stop.hasBegun() != WasStopping; }))
       return true;
     if (Of.Connection->hasEnded() || this->Tasks.Now() >= End)
       return false;
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -21,8 +21,8 @@
   /// Of what nobody has taken, each process may keep its part of the spending
   /// in hand. Callers of a team stay with few hosts, so that equal parts would
   /// leave most of the tokens where nobody asks for them.
-  /// FreePart is in nobody's hand: for requests larger than what is in hand, and
-  /// because what is in hand is lost when all processes die at once.
+  /// FreePart is in nobody's hand: for requests larger than what is in hand,
+  /// and because what is in hand is lost when all processes die at once.
   double FreePart = 0.5;
   /// What all processes without any spending keep together, for callers who
   /// move.
