Let the fibers' scheduler keep the I/O context; simplify the load tests of wallets

Under the sanitizers the scheduler of a thread, which outlives the runtime, used the destroyed I/O context (TestPlatform, at its end).

--- a/Libraries/LibNet/NetRuntime.cpp
+++ b/Libraries/LibNet/NetRuntime.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-NetRuntime::NetRuntime() {
+NetRuntime::NetRuntime()
+    : Context(std::make_shared<boost::asio::io_context>(1)) {
   boost::fibers::use_scheduling_algorithm<detail::NetScheduler>(this->Context);
 }
 
@@ -43,7 +44,7 @@
 }
 
 void NetRuntime::run() {
-  auto Work = boost::asio::make_work_guard(this->Context);
+  auto Work = boost::asio::make_work_guard(*this->Context);
   Runtime Hooks = this->hooks();
   Hooks.waitUntil(this->Stopped, TimePoint::max(),
                   [this] { return this->IsStopping; });
--- a/Libraries/LibNet/NetRuntime.h
+++ b/Libraries/LibNet/NetRuntime.h
@@ -26,10 +26,11 @@
 
   void stop();
 
-  boost::asio::io_context &context() { return this->Context; }
+  boost::asio::io_context &context() { return *this->Context; }
 
 private:
-  boost::asio::io_context Context{1};
+  /// Shared with the scheduler of the thread's fibers, which outlives this.
+  std::shared_ptr<boost::asio::io_context> Context;
   Event Stopped;
   bool IsStopping = false;
 };
--- a/Libraries/LibNet/NetScheduler.cpp
+++ b/Libraries/LibNet/NetScheduler.cpp
@@ -20,12 +20,12 @@
 
 void NetScheduler::suspend_until(
     const std::chrono::steady_clock::time_point &When) noexcept {
-  this->Context.restart();
+  this->Context->restart();
   if (When == std::chrono::steady_clock::time_point::max())
-    this->Context.run_one();
+    this->Context->run_one();
   else
-    this->Context.run_one_until(When);
-  this->Context.poll();
+    this->Context->run_one_until(When);
+  this->Context->poll();
 }
 
 } // namespace bergamothook::detail
--- a/Libraries/LibNet/NetScheduler.h
+++ b/Libraries/LibNet/NetScheduler.h
@@ -9,6 +9,7 @@
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/scheduler.hpp>
+#include <memory>
 
 namespace bergamothook::detail {
 
@@ -16,7 +17,8 @@
 /// none is ready.
 class NetScheduler final : public boost::fibers::algo::algorithm {
 public:
-  explicit NetScheduler(boost::asio::io_context &Context) : Context(Context) {}
+  explicit NetScheduler(std::shared_ptr<boost::asio::io_context> Context)
+      : Context(std::move(Context)) {}
 
   void awakened(boost::fibers::context *Fiber) noexcept override;
   boost::fibers::context *pick_next() noexcept override; // NOLINT
@@ -26,7 +28,7 @@
   void notify() noexcept override {}
 
 private:
-  boost::asio::io_context &Context;
+  std::shared_ptr<boost::asio::io_context> Context;
   boost::fibers::scheduler::ready_queue_type Ready;
 };
 
--- a/Tests/LibWallet/WalletFleet.cpp
+++ b/Tests/LibWallet/WalletFleet.cpp
@@ -132,4 +132,45 @@
       this->round(*Each, true);
 }
 
+void runWalletRound(Wallet &Of, FakeWalletLog &Log, TimePoint Now) {
+  Of.onRead(Log.readFrom(Of.book().end()), Log.end(), Now);
+  auto Records = Of.planRound(Now);
+  if (!Records.empty() && Log.appendAt(Of.book().end(), Records))
+    Of.onAppended(Log.end(), Now);
+}
+
+SteadyLoad::SteadyLoad(int Count, Tokens Budget) {
+  for (int I = 0; I < Count; ++I) {
+    this->Hosts.push_back(
+        std::make_unique<Wallet>("host-" + std::to_string(I), WalletPolicy{}));
+    this->Hosts.back()->setBudget("team", Budget);
+  }
+}
+
+void SteadyLoad::run(Duration Span, bool IsLogWell) {
+  constexpr Tokens Request = 200;
+  Wallet &Busy = *this->Hosts.front();
+  for (TimePoint End = this->Now + Span; this->Now < End;
+       this->Now += std::chrono::milliseconds(100)) {
+    for (const auto &Each : this->Hosts)
+      if (IsLogWell && Each->isRoundDue(this->Now))
+        runWalletRound(*Each, this->Log, this->Now);
+    if (Busy.reserve("team", Request, this->Now))
+      Busy.settle("team", Request, Request, this->Now);
+    else
+      ++this->Refused;
+  }
+}
+
+Tokens SteadyLoad::spent() const {
+  return this->Hosts.front()->view("team").Spent;
+}
+
+Tokens SteadyLoad::heldOnLog() const {
+  Wallet Reader("reader", {});
+  Reader.setBudget("team", 1); // A team without a budget has no view.
+  Reader.onRead(this->Log.readFrom(0), this->Log.end(), this->Now);
+  return Reader.view("team").Others.Held;
+}
+
 } // namespace bergamothook
--- a/Tests/LibWallet/WalletFleet.h
+++ b/Tests/LibWallet/WalletFleet.h
@@ -115,6 +115,30 @@
   std::vector<LateAppend> Late;
 };
 
+/// Hosts of which the first gets all requests of a team: one of 200 tokens each
+/// tenth of a second.
+class SteadyLoad {
+public:
+  SteadyLoad(int Hosts, Tokens Budget);
+
+  /// Serves requests for \p Span, with or without the log.
+  void run(Duration Span, bool IsLogWell);
+
+  Tokens spent() const;
+  /// What all hosts hold by their records on the log.
+  Tokens heldOnLog() const;
+
+  int Refused = 0;
+
+private:
+  FakeWalletLog Log;
+  std::vector<std::unique_ptr<Wallet>> Hosts;
+  TimePoint Now{std::chrono::hours(1)};
+};
+
+/// Runs one round of \p Of on a log that is well.
+void runWalletRound(Wallet &Of, FakeWalletLog &Log, TimePoint Now);
+
 } // namespace bergamothook
 
 #endif
