--- a/Libraries/LibNet/HttpPool.cpp
+++ b/Libraries/LibNet/HttpPool.cpp
@@ -2,6 +2,11 @@
 
 namespace bergamothook {
 
+HttpPool::~HttpPool() {
+  while (!this->ByAddress.empty())
+    this->forget(std::string(this->ByAddress.begin()->first));
+}
+
 TcpConnection::Handle HttpPool::take(const std::string &Address,
                                      Duration MaxIdle, TimePoint Now) {
   auto Found = this->ByAddress.find(Address);
--- a/Libraries/LibNet/HttpPool.h
+++ b/Libraries/LibNet/HttpPool.h
@@ -27,6 +27,11 @@
 public:
   explicit HttpPool(HttpPoolLimits Limits) : Limits(Limits) {}
 
+  /// Closes all idle connections; a read that waits would keep them open.
+  ~HttpPool();
+  HttpPool(const HttpPool &) = delete;
+  HttpPool &operator=(const HttpPool &) = delete;
+
   /// Takes an idle connection that was used within \p MaxIdle.
   TcpConnection::Handle take(const std::string &Address, Duration MaxIdle,
                              TimePoint Now);
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -23,10 +23,11 @@
                          this->Measured);
     this->Loop.hooks().Spawn([&] {
       Task();
+      this->Client.reset();
+      this->Store.stop();
       this->Loop.stop();
     });
     this->Loop.run();
-    this->Store.stop();
   }
 
   NetRuntime Loop;
--- a/Tests/Platform/StoreStandin.cpp
+++ b/Tests/Platform/StoreStandin.cpp
@@ -47,6 +47,12 @@
       Port(Loop, {"127.0.0.1:0", 16, 64, {}},
            [this](const TcpConnection::Handle &From) { this->serve(From); }) {}
 
+void StoreStandin::stop() {
+  this->Port.stop();
+  while (this->Port.connections() > 0)
+    this->Tasks.sleepUntil(this->Tasks.Now() + std::chrono::milliseconds(1));
+}
+
 void StoreStandin::put(const std::string &Name, std::string_view Key,
                        std::string_view Value) {
   this->Topics[Name].Records.push_back(platform::encodeKeyed(Key, Value));
--- a/Tests/Platform/StoreStandin.h
+++ b/Tests/Platform/StoreStandin.h
@@ -31,7 +31,11 @@
   explicit StoreStandin(NetRuntime &Loop);
 
   Result<void> start() { return this->Port.start(); }
-  void stop() { this->Port.stop(); }
+
+  /// Accepts nothing more, and waits for the tasks of all connections, which
+  /// end when their clients close.
+  void stop();
+
   std::string address() const {
     return "127.0.0.1:" + std::to_string(this->Port.port());
   }
