Check that the own answer follows a foreign one; state the charged processor time

The test of a late answer could only show that the foreign bytes were left out; it now has an own answer behind them, which must reach the caller whole.

--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -156,7 +156,10 @@
     BOOST_OUTCOME_TRYV(Wait(std::chrono::hours(1), Deadline));
     return NetError::TimedOut;
   };
-  Exchange.NextResponse = [=] { Left->Verdict = AnswerVerdict::Ran; };
+  Exchange.NextResponse = [=] {
+    Left->Verdict = AnswerVerdict::Ran;
+    Left->Pieces = Left->NextPieces;
+  };
   Exchange.Finish = [] {};
   Exchange.Abort = [this, Index] { this->Seen[Index].WasAborted = true; };
   return Exchange;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -21,6 +21,8 @@
   unsigned Status = 200;
   /// Pieces of the body, each with the time that passes before it.
   std::vector<std::pair<Duration, std::string>> Pieces;
+  /// The body of the next response on the same connection.
+  std::vector<std::pair<Duration, std::string>> NextPieces;
   /// How the connection ends after the pieces; nothing for a whole answer.
   std::error_code EndsWith;
   /// The answer never goes on after the pieces.
--- a/Tests/LibRelay/RelayRunTest.cpp
+++ b/Tests/LibRelay/RelayRunTest.cpp
@@ -171,15 +171,13 @@
 
 TEST_CASE("a late answer to another call is passed over") {
   Relay Fleet;
-  FakeAnswer Answer = whole(1, 2);
+  FakeAnswer Answer = whole(7, 9);
   Answer.Verdict = AnswerVerdict::Foreign;
-  Answer.Pieces.insert(Answer.Pieces.begin(), {1ms, ""});
-  FakeAnswer Own = whole(1, 2);
-  // The fake gives the pieces to the foreign answer and an empty own one, so
-  // nothing of the former may reach the caller.
+  Answer.NextPieces = whole(1, 2).Pieces;
   RelayOutcome Outcome = Fleet.play({Answer});
-  CHECK(Fleet.Body.empty());
-  CHECK(Outcome.Events == 0);
+  CHECK(Outcome.End == RelayEnd::Done);
+  CHECK(Fleet.Body == event(1) + event(2));
+  CHECK(Fleet.Seen.size() == 1);
 }
 
 TEST_CASE("the caller gets its final answer at the deadline") {
