--- /dev/null
+++ b/Libraries/LibRelay/CrashList.cpp
@@ -0,0 +1,90 @@
+#include "LibRelay/CrashList.h"
+
+namespace bergamothook {
+
+CrashList::CrashList(std::string Self, CrashPolicy Policy)
+    : Self(std::move(Self)), Policy(Policy) {}
+
+bool CrashList::mayRun(Hash128 Content, TimePoint Now) const {
+  auto Found = this->Known.find(Content);
+  if (Found == this->Known.end() ||
+      Now - Found->second.LastLoss >= this->Policy.Memory)
+    return true;
+  unsigned Losses = 0;
+  for (const auto &[Process, Count] : Found->second.LossesByProcess)
+    Losses += Count;
+  return Losses < this->Policy.MaxLosses;
+}
+
+void CrashList::onLost(Hash128 Content, const std::string &Target,
+                       TimePoint Now) {
+  if (this->isMassFailure(Target, Now))
+    return;
+  if (this->Known.size() >= this->Policy.MaxContents &&
+      !this->Known.contains(Content))
+    return;
+  Watched &Entry = this->Known[Content];
+  Entry.LastLoss = Now;
+  unsigned Losses = ++Entry.LossesByProcess[this->Self];
+  this->News[{Content, this->Self}] = Losses;
+}
+
+bool CrashList::isMassFailure(const std::string &Target, TimePoint Now) {
+  std::erase_if(this->LostTargets, [&](const auto &Item) {
+    return Now - Item.second >= this->Policy.MassWindow;
+  });
+  this->LostTargets[Target] = Now;
+  return this->LostTargets.size() >= this->Policy.MassTargets;
+}
+
+void CrashList::onAnswered(Hash128 Content) {
+  auto Found = this->Known.find(Content);
+  if (Found == this->Known.end())
+    return;
+  this->takeBack(Content, Found->second);
+  this->Known.erase(Found);
+}
+
+void CrashList::takeBack(Hash128 Content, const Watched &Entry) {
+  for (const auto &[Process, Count] : Entry.LossesByProcess)
+    this->News[{Content, Process}] = 0;
+}
+
+void CrashList::onNote(const CrashNote &Note, TimePoint Now) {
+  if (Note.Losses == 0) {
+    auto Found = this->Known.find(Note.Content);
+    if (Found == this->Known.end())
+      return;
+    Found->second.LossesByProcess.erase(Note.Process);
+    if (Found->second.LossesByProcess.empty())
+      this->Known.erase(Found);
+    return;
+  }
+  // What this process knows of itself is newer than what it reads.
+  if (Note.Process == this->Self ||
+      (this->Known.size() >= this->Policy.MaxContents &&
+       !this->Known.contains(Note.Content)))
+    return;
+  Watched &Entry = this->Known[Note.Content];
+  Entry.LossesByProcess[Note.Process] = Note.Losses;
+  Entry.LastLoss = Now;
+}
+
+void CrashList::expire(TimePoint Now) {
+  std::erase_if(this->Known, [&](const auto &Item) {
+    bool IsOld = Now - Item.second.LastLoss >= this->Policy.Memory;
+    if (IsOld)
+      this->takeBack(Item.first, Item.second);
+    return IsOld;
+  });
+}
+
+std::vector<CrashNote> CrashList::takeNews() {
+  std::vector<CrashNote> Out;
+  for (const auto &[Key, Losses] : this->News)
+    Out.push_back({Key.first, Key.second, Losses});
+  this->News.clear();
+  return Out;
+}
+
+} // namespace bergamothook
--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -58,6 +58,14 @@
                : this->CallerDeadline;
   }
 
+  /// Tells this request from others of the same or another caller, whichever
+  /// attempt it is.
+  Hash128 content() const {
+    std::string Line = this->Head.Method + " " + this->Head.Target + " " +
+                       (this->Team ? this->Team->Name : "");
+    return hash128(this->Body, hash64(Line));
+  }
+
   /// The most that the call can cost its team.
   Tokens worstCase() const {
     return this->PromptTokens + this->MaxOutputTokens;
--- a/Libraries/LibRelay/RelayDesk.cpp
+++ b/Libraries/LibRelay/RelayDesk.cpp
@@ -23,7 +23,9 @@
     : Settings(std::move(Settings)), Hooks(std::move(Hooks)), Wallets(Wallets),
       Measured(Measured), Picker(this->Settings.Picker,
                                  this->Settings.OwnDomain, this->Settings.Seed),
-      Resends(this->Settings.Resends), Dice(this->Settings.Seed + 1) {}
+      Resends(this->Settings.Resends),
+      Crashes(this->Settings.Self, this->Settings.Crashes),
+      Dice(this->Settings.Seed + 1) {}
 
 bool RelayDesk::setConfig(RelayConfigPtr Next) {
   if (this->Config && Next->Version <= this->Config->Version)
--- a/Libraries/LibRelay/RelayDesk.h
+++ b/Libraries/LibRelay/RelayDesk.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_LIBRELAY_RELAYDESK_H
 
 #include "LibObserve/Metrics.h"
+#include "LibRelay/CrashList.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
 #include "LibRelay/ResendBudget.h"
@@ -15,9 +16,12 @@
 namespace bergamothook {
 
 struct RelaySettings {
+  /// Names the process among those of the fleet.
+  std::string Self;
   std::string OwnDomain;
   PickerPolicy Picker;
   ResendPolicy Resends;
+  CrashPolicy Crashes;
   std::uint64_t Seed = 0;
 };
 
@@ -45,6 +49,7 @@
                       std::optional<Duration> RetryAfter = std::nullopt);
 
   TargetDirectory &targets() { return this->Targets; }
+  CrashList &crashes() { return this->Crashes; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
   WalletDesk &wallets() { return this->Wallets; }
@@ -62,6 +67,7 @@
   TargetDirectory Targets;
   TargetPicker Picker;
   ResendBudget Resends;
+  CrashList Crashes;
   Random Dice;
 };
 
--- a/Libraries/LibRelay/RelayRun.cpp
+++ b/Libraries/LibRelay/RelayRun.cpp
@@ -20,6 +20,8 @@
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
 /// Tokens that other hosts hold return within one or two of their rounds.
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
+/// A request that crashes targets is held off for minutes.
+constexpr Duration QuarantineRetryAfter = std::chrono::minutes(1);
 
 bool isEventStream(const HttpResponseHead &Head) {
   auto Type = Head.Headers.find("Content-Type");
@@ -31,7 +33,7 @@
 RelayRun::RelayRun(RelayDesk &Desk, const RelayCall &Call,
                    const CallerSide &Caller)
     : Desk(Desk), Hooks(Desk.hooks()), Call(Call), Caller(Caller),
-      Deadline(Call.deadline()) {}
+      Content(Call.content()), Deadline(Call.deadline()) {}
 
 RelayOutcome RelayRun::run() {
   this->chooseService();
@@ -88,6 +90,8 @@
       return this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
     if (this->now() + LeastTimeForSend >= this->Deadline)
       return this->giveUp(AttemptEnd::OutOfTime);
+    if (!this->Desk.crashes().mayRun(this->Content, this->now()))
+      return this->giveUp(AttemptEnd::Quarantined);
     TargetState *Target = this->chooseTarget();
     if (!Target)
       return this->giveUp(AttemptEnd::NotSent);
@@ -110,6 +114,7 @@
 
 AttemptEnd RelayRun::attempt(const ListedTarget &Target) {
   TargetDirectory &Targets = this->Desk.targets();
+  this->HasEventOfTarget = false;
   Duration TimeLeft = this->Deadline - this->now();
   HttpRequestHead Head =
       this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
@@ -225,6 +230,7 @@
       Run.Bytes += this->Events.rest();
       this->Events.dropRest();
     }
+    this->HasEventOfTarget |= Run.Events > 0;
     if (Run.Events > 0 && this->IsPromptBeingRead) {
       this->IsPromptBeingRead = false;
       this->Desk.targets().onPromptRead(this->Result.Target,
@@ -265,18 +271,23 @@
   switch (End) {
   case AttemptEnd::Done:
     Targets.onGoodAnswer(Id);
+    this->Desk.crashes().onAnswered(this->Content);
     break;
   case AttemptEnd::NotRun:
     Targets.onFull(Id, this->now());
     break;
-  case AttemptEnd::NotSent:
   case AttemptEnd::Lost:
+    if (!this->HasEventOfTarget)
+      this->Desk.crashes().onLost(this->Content, Id, this->now());
+    [[fallthrough]];
+  case AttemptEnd::NotSent:
   case AttemptEnd::Garbled:
     Targets.onFailure(Id, this->now());
     break;
   case AttemptEnd::Failed:
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
+  case AttemptEnd::Quarantined:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::NotRun)
@@ -297,6 +308,7 @@
   case AttemptEnd::Done:
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
+  case AttemptEnd::Quarantined:
     return false;
   case AttemptEnd::NotSent:
     // Nothing arrived anywhere, so it is no resend.
@@ -333,12 +345,17 @@
   if (MayHaveRun) {
     if (End == AttemptEnd::OutOfTime)
       return this->refuse(504, RelayEnd::Unknown, RelayReason::DeadlinePassed);
+    if (End == AttemptEnd::Quarantined)
+      return this->refuse(502, RelayEnd::Unknown, RelayReason::Quarantined);
     return this->refuse(502, RelayEnd::Unknown,
                         End == AttemptEnd::Garbled ? RelayReason::TargetGarbled
                                                    : RelayReason::TargetLost);
   }
   if (End == AttemptEnd::OutOfTime)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::DeadlinePassed);
+  if (End == AttemptEnd::Quarantined)
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::Quarantined,
+                        QuarantineRetryAfter);
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
--- a/Libraries/LibRelay/RelayRun.h
+++ b/Libraries/LibRelay/RelayRun.h
@@ -25,6 +25,8 @@
   Garbled,
   /// The deadline passed.
   OutOfTime,
+  /// The request crashed targets before, so it is sent to none.
+  Quarantined,
   CallerLeft,
 };
 
@@ -59,6 +61,8 @@
   const RelayHooks &Hooks;
   const RelayCall &Call;
   const CallerSide &Caller;
+  /// What tells the request from others, whichever attempt it is.
+  Hash128 Content;
   TimePoint Deadline;
   RelayOutcome Result;
   std::string Service;
@@ -67,6 +71,8 @@
   std::set<std::string> Excluded;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPromptBeingRead = false;
+  /// The present target gave an event, so the request did not crash it.
+  bool HasEventOfTarget = false;
   EventSplitter Events;
   bool HasBegun = false;
   bool HasReserved = false;
--- a/Libraries/LibTask/RealRuntime.cpp
+++ b/Libraries/LibTask/RealRuntime.cpp
@@ -1,5 +1,7 @@
 #include "LibTask/RealRuntime.h"
 
+#include "LibTask/TaskStack.h"
+
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/fixedsize_stack.hpp>
 #include <mutex>
@@ -9,7 +11,6 @@
 namespace {
 
 constexpr std::size_t InboxCapacity = 16384;
-constexpr std::size_t TaskStackBytes = 256 * 1024;
 constexpr Duration StopPollInterval = std::chrono::milliseconds(200);
 
 void waitOnRealClock(Event &Signal, std::uint64_t Seen, TimePoint Deadline) {
@@ -50,7 +51,7 @@
 
 void RealRuntime::spawn(std::function<void()> Task) {
   boost::fibers::fiber(std::allocator_arg,
-                       boost::fibers::fixedsize_stack(TaskStackBytes),
+                       boost::fibers::fixedsize_stack(detail::TaskStackBytes),
                        std::move(Task))
       .detach();
 }
--- /dev/null
+++ b/Libraries/LibTask/TaskStack.h
@@ -0,0 +1,16 @@
+/// \file
+/// The stack of one task, the same on real and on virtual time.
+
+#ifndef BERGAMOTHOOK_LIBTASK_TASKSTACK_H
+#define BERGAMOTHOOK_LIBTASK_TASKSTACK_H
+
+#include <cstddef>
+
+namespace bergamothook::detail {
+
+/// Bytes; pages take memory only once they are touched.
+inline constexpr std::size_t TaskStackBytes = 256 * 1024;
+
+} // namespace bergamothook::detail
+
+#endif
--- a/Libraries/LibTask/VirtualRuntime.cpp
+++ b/Libraries/LibTask/VirtualRuntime.cpp
@@ -1,5 +1,6 @@
 #include "LibTask/VirtualRuntime.h"
 
+#include "LibTask/TaskStack.h"
 #include "LibTask/VirtualScheduler.h"
 
 #include <boost/fiber/fiber.hpp>
@@ -9,10 +10,6 @@
 
 namespace bergamothook {
 
-namespace {
-constexpr std::size_t TaskStackBytes = 256 * 1024;
-} // namespace
-
 VirtualRuntime::VirtualRuntime() {
   detail::VirtualScheduler::installOnThread();
 }
@@ -51,7 +48,7 @@
 
 void VirtualRuntime::spawn(std::function<void()> Task) {
   boost::fibers::fiber(std::allocator_arg,
-                       boost::fibers::fixedsize_stack(TaskStackBytes),
+                       boost::fibers::fixedsize_stack(detail::TaskStackBytes),
                        std::move(Task))
       .detach();
 }
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -5,6 +5,7 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 build=$root/Build
 jobs=${BERGAMOTHOOK_JOBS:-$(nproc)}
+unity=(-DCMAKE_UNITY_BUILD=ON -DCMAKE_UNITY_BUILD_BATCH_SIZE=6)
 
 usage() {
   cat <<'TEXT'
@@ -48,8 +49,10 @@
   cmake -S "$root" -B "$1" -G Ninja "${@:2}" >/dev/null
 }
 
+# Files are compiled several at a time, since most of the time goes into library
+# headers that they share.
 build_tree() {
-  configure "$build"
+  configure "$build" "${unity[@]}"
   cmake --build "$build" -j "$jobs" | tail -3
 }
 
@@ -68,12 +71,17 @@
     -- '*.cpp' '*.h' ':!platform' ':!Tests/Platform')
 }
 
+# The linter reads each file for itself, which also finds missing includes.
+lint_tree() {
+  configure "$root/BuildLint"
+  (cd "$root" && sources | grep '\.cpp$' |
+    xargs -P "$jobs" -n 2 clang-tidy-16 --quiet -p "$root/BuildLint" 2>/dev/null)
+}
+
 check_tree() {
   check_names
   (cd "$root" && sources | xargs clang-format-16 --dry-run -Werror)
-  configure "$build"
-  (cd "$root" && sources | grep '\.cpp$' |
-    xargs -P "$jobs" -n 2 clang-tidy-16 --quiet -p "$build" 2>/dev/null)
+  lint_tree
 }
 
 command=${1:-help}
@@ -118,7 +126,8 @@
   ;;
 sanitize)
   install_packages
-  configure "$root/BuildSanitize" -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-O1 -DBERGAMOTHOOK_SANITIZE=ON
+  configure "$root/BuildSanitize" -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-O1 -DBERGAMOTHOOK_SANITIZE=ON \
+    "${unity[@]}"
   cmake --build "$root/BuildSanitize" -j "$jobs"
   run_tests "$root/BuildSanitize"
   ;;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -71,10 +71,12 @@
       TargetFeed(this->Store, this->Tasks,
                  {std::string(wire::TargetTopic), TargetWait, TargetPause},
                  this->targetHooks()),
+      Crashes(this->Store, this->Tasks, this->Desk.crashes()),
       Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
 RelaySettings RelayService::relaySettings(std::uint64_t Seed) const {
   RelaySettings Chosen;
+  Chosen.Self = this->Self;
   Chosen.OwnDomain = this->Settings.FailureDomain;
   Chosen.Resends = {this->Settings.ResendWindow,
                     this->Settings.ResendRatio * ResendShare,
@@ -187,6 +189,8 @@
   auto IsStopped = [this] { return this->IsStopped; };
   this->Tasks.Spawn([this, IsStopped] { this->ConfigFeed.run(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->TargetFeed.run(IsStopped); });
+  this->Tasks.Spawn([this, IsStopped] { this->Crashes.runReader(IsStopped); });
+  this->Tasks.Spawn([this, IsStopped] { this->Crashes.runWriter(IsStopped); });
   this->Tasks.Spawn([this] { this->Wallets.run(); });
   this->Tasks.Spawn([this, IsStopped] { this->Dialer.runExpiry(IsStopped); });
   this->Tasks.Spawn([this] { this->runHousekeeping(); });
@@ -201,6 +205,7 @@
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Desk.targets().expire(this->Tasks.Now());
+    this->Desk.crashes().expire(this->Tasks.Now());
     this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
   }
 }
@@ -224,6 +229,8 @@
                      static_cast<double>(this->Server.connections()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
+  this->Measured.set("relay_contents_watched",
+                     static_cast<double>(this->Desk.crashes().size()));
   this->Measured.set("relay_resends_refused",
                      static_cast<double>(this->Desk.resends().refused()));
   return {200, "text/plain", this->Measured.toPrometheusText()};
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -8,6 +8,7 @@
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
+#include "platform/CrashNews.h"
 #include "platform/PlatformSettings.h"
 #include "platform/StoreFeed.h"
 
@@ -56,6 +57,7 @@
   StatusServer MetricsServer;
   platform::StoreFeed ConfigFeed;
   platform::StoreFeed TargetFeed;
+  platform::CrashNews Crashes;
   boost::asio::signal_set Signals;
   bool HasTargets = false;
   bool IsStopping = false;
--- a/Tests/LibOutcome/Depends.cmake
+++ b/Tests/LibOutcome/Depends.cmake
@@ -1,1 +1,2 @@
 list(APPEND DEPENDS LibReplay LibStandin)
+set(SEPARATE_UNITS ON)
--- /dev/null
+++ b/Tests/LibRelay/CrashListTest.cpp
@@ -0,0 +1,84 @@
+#include "LibRelay/CrashList.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Hash128 Bad = hash128("bad");
+const Hash128 Good = hash128("good");
+const TimePoint Start{};
+
+/// Some processes that hear each other at once.
+struct Fleet {
+  explicit Fleet(int Size) {
+    for (int I = 0; I < Size; ++I)
+      this->Hosts.emplace_back("host" + std::to_string(I), CrashPolicy{});
+  }
+
+  void tell(TimePoint Now) {
+    for (CrashList &Teller : this->Hosts)
+      for (const CrashNote &Note : Teller.takeNews())
+        for (CrashList &Hearer : this->Hosts)
+          Hearer.onNote(Note, Now);
+  }
+
+  std::vector<CrashList> Hosts;
+};
+
+} // namespace
+
+TEST_CASE("a content that lost three targets on any hosts is sent nowhere") {
+  Fleet Relays(4);
+  for (int I = 0; I < 3; ++I) {
+    for (CrashList &Host : Relays.Hosts)
+      CHECK(Host.mayRun(Bad, Start));
+    Relays.Hosts[I].onLost(Bad, "t" + std::to_string(I), Start + I * 10s);
+    Relays.tell(Start + I * 10s);
+  }
+  for (CrashList &Host : Relays.Hosts) {
+    CHECK_FALSE(Host.mayRun(Bad, Start + 21s));
+    CHECK(Host.mayRun(Good, Start + 21s));
+  }
+}
+
+TEST_CASE("an answer clears a content everywhere") {
+  Fleet Relays(2);
+  Relays.Hosts[0].onLost(Good, "a", Start);
+  Relays.Hosts[1].onLost(Good, "b", Start);
+  Relays.tell(Start);
+  Relays.Hosts[0].onAnswered(Good);
+  Relays.tell(Start);
+  for (CrashList &Host : Relays.Hosts)
+    CHECK(Host.size() == 0);
+  Relays.Hosts[1].onLost(Good, "c", Start + 10s);
+  Relays.tell(Start + 10s);
+  CHECK(Relays.Hosts[0].mayRun(Good, Start + 10s));
+}
+
+TEST_CASE("many targets lost at once are nobody's fault") {
+  CrashList List("host", {});
+  for (int I = 0; I < 20; ++I)
+    List.onLost(hash128("q" + std::to_string(I)), "t" + std::to_string(I),
+                Start + I * 10ms);
+  List.onLost(Good, "t1", Start + 300ms);
+  List.onLost(Good, "t2", Start + 310ms);
+  List.onLost(Good, "t3", Start + 320ms);
+  CHECK(List.mayRun(Good, Start + 400ms));
+}
+
+TEST_CASE(
+    "a content is forgotten after a while, and its notes are taken back") {
+  CrashList List("host", {});
+  for (int I = 0; I < 3; ++I)
+    List.onLost(Bad, "a", Start);
+  CHECK(List.takeNews() == std::vector<CrashNote>{{Bad, "host", 3}});
+  CHECK(List.takeNews().empty());
+  CHECK_FALSE(List.mayRun(Bad, Start + 299s));
+  CHECK(List.mayRun(Bad, Start + 300s));
+  List.expire(Start + 300s);
+  CHECK(List.size() == 0);
+  CHECK(List.takeNews() == std::vector<CrashNote>{{Bad, "host", 0}});
+}
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -27,7 +27,7 @@
 
 RelayFixture::RelayFixture()
     : Wallets("p", {}, makeCalmLog(), this->Simulated.hooks()),
-      Desk({"domain", {}, {}, 1}, this->makeHooks(), this->Wallets,
+      Desk({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(), this->Wallets,
            this->Measured) {
   startLogging("test", "test", LogLevel::Error);
   this->Route.Name = "route";
--- a/Tests/LibRelay/RelayRunTest.cpp
+++ b/Tests/LibRelay/RelayRunTest.cpp
@@ -280,3 +280,34 @@
   CHECK_FALSE(Fleet.Desk.setConfig(Older));
   CHECK(Fleet.Desk.config() == Present);
 }
+
+TEST_CASE("a request that crashes targets stops after the third") {
+  Relay Fleet;
+  Fleet.addTarget("d");
+  Fleet.setKind(CallKind::Stream, true);
+  Fleet.Route.MaxTargets = 4;
+  Fleet.configure();
+  RelayOutcome First = Fleet.play({cut(1, 0), cut(1, 0), cut(1, 0), cut(1, 0)});
+  CHECK(First.Sends == 3);
+  CHECK(First.Reason == RelayReason::Quarantined);
+  CHECK(First.End == RelayEnd::Unknown);
+
+  RelayOutcome Again = Fleet.play({whole(1, 3)});
+  CHECK(Again.Sends == 0);
+  CHECK(Again.End == RelayEnd::NotRun);
+  CHECK(Fleet.Status == 503);
+
+  RelayCall Other = Fleet.makeCall();
+  Other.Body += " ";
+  Fleet.Answers = {whole(1, 3)};
+  CHECK(Fleet.serve(Other).End == RelayEnd::Done);
+}
+
+TEST_CASE("a target lost within a stream is not blamed on the request") {
+  Relay Fleet;
+  Fleet.setKind(CallKind::Stream, true);
+  Fleet.Route.MaxTargets = 3;
+  Fleet.configure();
+  Fleet.play({cut(1, 2), cut(3, 4), cut(5, 6)});
+  CHECK(Fleet.Desk.crashes().size() == 0);
+}
--- /dev/null
+++ b/Tests/LibStandin/Depends.cmake
@@ -0,0 +1,1 @@
+set(SEPARATE_UNITS ON)
--- a/Tests/LibStream/Depends.cmake
+++ b/Tests/LibStream/Depends.cmake
@@ -1,1 +1,2 @@
 list(APPEND DEPENDS LibStandin)
+set(SEPARATE_UNITS ON)
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -1,5 +1,5 @@
 #include "LibObserve/StructuredLog.h"
-#include "StoreStandin.h"
+#include "PlatformFixture.h"
 #include "platform/StoreFeed.h"
 #include "platform/WalletStore.h"
 #include "platform/WireNames.h"
@@ -10,36 +10,8 @@
 using namespace bergamothook::platform;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A store and its client in one process.
-struct Platform {
-  Platform() { startLogging("test", "test", LogLevel::Error); }
-
-  /// Runs \p Task to its end beside the store.
-  void play(const std::function<void()> &Task) {
-    REQUIRE(this->Store.start());
-    this->Client.emplace(this->Loop, this->Store.address(), StoreLimits{},
-                         this->Measured);
-    this->Loop.hooks().Spawn([&] {
-      Task();
-      this->Client.reset();
-      this->Store.stop();
-      this->Loop.stop();
-    });
-    this->Loop.run();
-  }
-
-  NetRuntime Loop;
-  Metrics Measured;
-  StoreStandin Store{Loop};
-  std::optional<StoreClient> Client;
-};
-
-} // namespace
-
 TEST_CASE("an append lands at the offset stated, or not at all") {
-  Platform Site;
+  PlatformFixture Site;
   Site.play([&] {
     StoreClient &Client = *Site.Client;
     CHECK(Client.append("work", 0, {"a", "b"}, 0).value() == 2);
@@ -53,7 +25,7 @@
 }
 
 TEST_CASE("each answer of the store says what was done") {
-  Platform Site;
+  PlatformFixture Site;
   Site.play([&] {
     StoreClient &Client = *Site.Client;
     auto ErrorWith = [&](StoreFault Fault) {
@@ -73,7 +45,7 @@
 }
 
 TEST_CASE("wallets go through the store and back") {
-  Platform Site;
+  PlatformFixture Site;
   Site.play([&] {
     WalletLog Log = makeWalletLog(*Site.Client);
     WalletRecord Record{{"team", "host#1"}, {100, 40, 3, 7}, 0};
@@ -96,13 +68,13 @@
 }
 
 TEST_CASE("nothing is taken from budgets beside a record that can't be read") {
-  Platform Site;
+  PlatformFixture Site;
   Site.Store.put(std::string(wire::WalletTopic), "team\nhost#1", "\x09later");
   Site.play([&] { CHECK_FALSE(makeWalletLog(*Site.Client).ReadNewest()); });
 }
 
 TEST_CASE("a feed gives the whole topic, then news, also over a hole") {
-  Platform Site;
+  PlatformFixture Site;
   Site.Store.put("keyed.x", "a", "1");
   Site.Store.put("keyed.x", "a", "2");
   std::vector<std::string> Seen;
--- a/Utilities/Bench/Depends.cmake
+++ b/Utilities/Bench/Depends.cmake
@@ -4,3 +4,5 @@
   get_filename_component(Library ${Folder} NAME)
   list(APPEND DEPENDS ${Library})
 endforeach()
+# Each experiment registers itself under the same local name.
+set(SEPARATE_UNITS ON)
