Write the log on a thread of its own, within lines and bytes a second

Cause: the relay wrote its log on the thread that serves the calls, so a reader of the log that stops reading stopped the host, and a retry storm wrote as many lines as there were refusals. Lines now wait in bounded memory for a thread that writes them; a token bucket bounds lines and bytes a second, calm lines leave half of it to failures, and what is dropped is told by event once a second.

The unit build found two types named LogLimits; the new one is LogVolume.

--- /dev/null
+++ b/Libraries/LibObserve/LogBound.h
@@ -0,0 +1,63 @@
+/// \file
+/// Decides which log lines are written when there are more than the bound
+/// allows.
+
+#ifndef BERGAMOTHOOK_LIBOBSERVE_LOGBOUND_H
+#define BERGAMOTHOOK_LIBOBSERVE_LOGBOUND_H
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace bergamothook {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+struct LogVolume {
+  /// What a process may write in the long run: about one refused call in each
+  /// line, at a few times the calls that one host serves in a second.
+  double LinesPerSecond = 500;
+  double BytesPerSecond = 256 * 1024;
+  /// What may come at once after a calm time.
+  Duration Burst = std::chrono::seconds(2);
+  /// Lines that wait to be written, while the reader of the log is slow.
+  std::size_t WaitingBytes = 1024 * 1024;
+};
+
+/// Lines of the names that were not written, by the name of the event.
+using DroppedLines = std::map<std::string, std::uint64_t>;
+
+/// A token bucket of lines and one of bytes. Lines below LogLevel::Warning are
+/// dropped while less than half is left, so that a flood of them leaves room
+/// for refusals and failures. Answers the load of a retry storm.
+class LogBound {
+public:
+  LogBound(LogVolume Limits, TimePoint Now);
+
+  /// Tells whether a line may be written, and takes its part if so.
+  bool admit(LogLevel Level, std::size_t Bytes, TimePoint Now);
+
+  /// Counts a line that was not written, whatever the reason.
+  void countDropped(std::string_view Event);
+
+  /// Gives what was dropped since the last call, at most once a second; empty
+  /// if there is nothing to tell.
+  DroppedLines takeDropped(TimePoint Now);
+
+private:
+  void refill(TimePoint Now);
+
+  LogVolume Limits;
+  double Lines;
+  double Bytes;
+  TimePoint RefilledAt;
+  TimePoint ToldAt;
+  DroppedLines Dropped;
+};
+
+} // namespace bergamothook
+
+#endif
--- a/Libraries/LibObserve/StructuredLog.cpp
+++ b/Libraries/LibObserve/StructuredLog.cpp
@@ -1,8 +1,10 @@
 #include "LibObserve/StructuredLog.h"
 
 #include "LibBase/Time.h"
+#include "LibObserve/LogWriter.h"
 
 #include <easylogging++.h>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 INITIALIZE_EASYLOGGINGPP
@@ -53,6 +55,47 @@
   }
 }
 
+/// The bound and the thread behind the lines of this process.
+struct BoundedLog {
+  explicit BoundedLog(LogVolume Limits)
+      : Bound(Limits, readMonotonicClock()),
+        Writer(Limits.WaitingBytes, writeLine) {}
+
+  std::mutex Guard;
+  LogBound Bound;
+  LogWriter Writer;
+};
+
+std::unique_ptr<BoundedLog> &boundedLog() {
+  static std::unique_ptr<BoundedLog> Present;
+  return Present;
+}
+
+std::string formatLine(LogLevel Level, std::string_view Event,
+                       const nlohmann::json &Fields) {
+  const LogIdentity &Present = identity();
+  nlohmann::json Line = Fields;
+  Line["time_ms"] = readWallClock().time_since_epoch().count();
+  Line["level"] = nameOf(Level);
+  Line["event"] = Event;
+  Line["service"] = Present.Service;
+  Line["host"] = Present.Host;
+  return Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void putBounded(BoundedLog &Log, LogLevel Level, std::string_view Event,
+                std::string Line) {
+  TimePoint Now = readMonotonicClock();
+  std::lock_guard Lock(Log.Guard);
+  if (DroppedLines Dropped = Log.Bound.takeDropped(Now); !Dropped.empty())
+    Log.Writer.put(LogLevel::Warning,
+                   formatLine(LogLevel::Warning, "log_lines_dropped",
+                              {{"by_event", Dropped}}));
+  if (!Log.Bound.admit(Level, Line.size(), Now) ||
+      !Log.Writer.put(Level, std::move(Line)))
+    Log.Bound.countDropped(Event);
+}
+
 } // namespace
 
 void startLogging(std::string_view Service, std::string_view Host,
@@ -68,17 +111,22 @@
 
 void logEvent(LogLevel Level, std::string_view Event,
               const nlohmann::json &Fields) {
-  const LogIdentity &Present = identity();
-  if (Level < Present.Lowest)
+  if (Level < identity().Lowest)
     return;
-  nlohmann::json Line = Fields;
-  Line["time_ms"] = readWallClock().time_since_epoch().count();
-  Line["level"] = nameOf(Level);
-  Line["event"] = Event;
-  Line["service"] = Present.Service;
-  Line["host"] = Present.Host;
-  writeLine(Level, Line.dump(-1, ' ', false,
-                             nlohmann::json::error_handler_t::replace));
+  std::string Line = formatLine(Level, Event, Fields);
+  if (BoundedLog *Log = boundedLog().get())
+    putBounded(*Log, Level, Event, std::move(Line));
+  else
+    writeLine(Level, Line);
+}
+
+void startLogWriter(LogVolume Limits) {
+  boundedLog() = std::make_unique<BoundedLog>(Limits);
+}
+
+void drainLog(Duration Timeout) {
+  if (BoundedLog *Log = boundedLog().get())
+    Log->Writer.drain(Timeout);
 }
 
 Result<LogLevel> logLevelOfName(std::string_view Name) {
--- a/Libraries/LibObserve/StructuredLog.h
+++ b/Libraries/LibObserve/StructuredLog.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_LIBOBSERVE_STRUCTUREDLOG_H
 
 #include "LibBase/Result.h"
+#include "LibObserve/LogBound.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -13,12 +14,17 @@
 
 namespace bergamothook {
 
-enum class LogLevel { Debug, Info, Warning, Error };
-
 /// Prepares easylogging++ for this process. Call it once, before any line.
 void startLogging(std::string_view Service, std::string_view Host,
                   LogLevel Lowest);
 
+/// Lets a thread of its own write the lines from now on, no more than \p Limits
+/// allow. What is dropped is counted and told in lines "log_lines_dropped".
+void startLogWriter(LogVolume Limits);
+
+/// Waits until the lines so far are written, for \p Timeout at the most.
+void drainLog(Duration Timeout);
+
 /// Writes one line with the name of the event and its fields.
 void logEvent(LogLevel Level, std::string_view Event,
               const nlohmann::json &Fields);
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -5,7 +5,7 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 build=$root/Build
 jobs=${BERGAMOTHOOK_JOBS:-$(nproc)}
-unity=(-DCMAKE_UNITY_BUILD=ON -DCMAKE_UNITY_BUILD_BATCH_SIZE=6)
+unity=(-DCMAKE_UNITY_BUILD=ON -DCMAKE_UNITY_BUILD_BATCH_SIZE=5)
 
 usage() {
   cat <<'TEXT'
--- a/Services/Relay/Main.cpp
+++ b/Services/Relay/Main.cpp
@@ -17,6 +17,8 @@
 using namespace bergamothook;
 
 constexpr int ExitUsage = 2;
+/// For the last lines; a reader that is stuck must not hold up the exit.
+constexpr Duration LogDrainTime = std::chrono::milliseconds(300);
 
 void printUsage(std::ostream &Out) {
   Out << "Usage: bergamothook-relay [--settings FILE] [--check]\n"
@@ -36,6 +38,7 @@
 
 int serve(const std::string &Path, const platform::PlatformSettings &Settings) {
   startLogging("bergamothook-relay", Settings.Host, LogLevel::Info);
+  startLogWriter({});
   std::random_device Entropy;
   std::uint64_t Seed =
       (static_cast<std::uint64_t>(Entropy()) << 32) | Entropy();
@@ -47,10 +50,11 @@
     logEvent(LogLevel::Error, "start_failed",
              {{"reason", Started.error().message()},
               {"front", Settings.FrontAddress}});
+    drainLog(LogDrainTime);
     std::quick_exit(EXIT_FAILURE);
   }
   Loop.run();
-  std::cout.flush();
+  drainLog(LogDrainTime);
   std::quick_exit(EXIT_SUCCESS);
 }
 
