--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -27,8 +27,8 @@
 
 RelayFixture::RelayFixture()
     : Wallets("p", {}, makeCalmLog(), this->Simulated.hooks()),
-      Desk({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(), this->Wallets,
-           this->Measured) {
+      Desk({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(),
+           this->Wallets, this->Measured) {
   startLogging("test", "test", LogLevel::Error);
   this->Route.Name = "route";
   this->Route.Host = "api.example";
