Refuse a prompt whose tokens can't be read where there is a budget

Cause: token counts that were missing, unreadable, or given twice were taken for zero, so nothing was set aside and a team could spend beyond its budget. Such a call now gets 400 on a route with prompts for a team with a budget. The test failed before.

--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -18,6 +18,8 @@
     return "no route matches";
   case RelayReason::BadKey:
     return "the key is not known";
+  case RelayReason::BadTokenCounts:
+    return "the request does not state its tokens";
   case RelayReason::BudgetExhausted:
     return "the budget does not cover the request";
   case RelayReason::BudgetNotInHand:
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -32,6 +32,7 @@
   NoConfig = 1,
   NoRoute,
   BadKey,
+  BadTokenCounts,
   BudgetExhausted,
   BudgetNotInHand,
   NoTarget,
--- a/Tests/Platform/HeaderDialectTest.cpp
+++ b/Tests/Platform/HeaderDialectTest.cpp
@@ -20,7 +20,8 @@
    {"name":"p","host":"a.example","pathPrefix":"/p/","routeKind":"idempotent",
     "timeoutMs":800,"sloMs":150,"service":"s","public":true}],
    "services":[{"name":"s"}],
-   "tenants":[{"name":"t","apiKeys":["key"],"priority":1}]})")
+   "tenants":[{"name":"t","apiKeys":["key"],"priority":1},
+    {"name":"b","apiKeys":["paid"],"reserved":5000}]})")
       .value();
 }
 
@@ -94,6 +95,30 @@
   CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
 }
 
+TEST_CASE("a request whose cost can't be read is no charge to a budget") {
+  for (const char *Counts :
+       {"", "1460", "1460,", ",80", "1460,many", "-1,80", "1460,80x"}) {
+    CAPTURE(Counts);
+    HttpRequestMessage Message = makeRequest();
+    Message.Head.Headers.remove("X-Bergamothook-Token-Counts");
+    if (*Counts)
+      Message.Head.Headers.add("X-Bergamothook-Token-Counts", Counts);
+    // Nothing is set aside where there is no budget.
+    CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
+    Message.Head.Headers.remove("Authorization");
+    Message.Head.Headers.add("Authorization", "Bearer paid");
+    DecodedCall Decoded = decodeCall(makeConfig(), Message, Now);
+    CHECK(Decoded.RefusalStatus == 400);
+    CHECK(Decoded.Reason == RelayReason::BadTokenCounts);
+  }
+  HttpRequestMessage Message = makeRequest();
+  Message.Head.Headers.remove("Authorization");
+  Message.Head.Headers.add("Authorization", "Bearer paid");
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
+  Message.Head.Headers.add("X-Bergamothook-Token-Counts", "1,1");
+  CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 400);
+}
+
 TEST_CASE("what only the relay may set never comes from a caller") {
   HttpRequestMessage Message = makeRequest();
   for (const char *Name :
