Lend tokens between hosts; one home a failure domain for each partition of teams

Cause: each host held its own share of each budget. At 195 hosts a share is smaller than one request, so that 30 to 43% of the requests with a budget were refused while engines idled; all wrote into one partition of the store. Ruled out: engines full (5 of 13,358 arrivals).

Change: LibLoan. Teams are divided into the store's partitions; one host a failure domain holds tokens of a partition and lends them for one request at a time over datagrams sealed by LibPeer. Hosts find each other through the store (FleetNews). The fleet's slack of resends is divided by the hosts known, in place of a constant of 24.

Conclusion: tokens are in reach while the store is; in cuts from it and after a loss of all hosts what homes have in hand decides.

--- /dev/null
+++ b/Libraries/LibLoan/LoanMessages.cpp
@@ -0,0 +1,21 @@
+#include "LibLoan/LoanMessages.h"
+
+namespace bergamothook {
+
+const char *nameOf(LoanVerdict Value) {
+  switch (Value) {
+  case LoanVerdict::Granted:
+    return "granted";
+  case LoanVerdict::Waiting:
+    return "waiting";
+  case LoanVerdict::NotInHand:
+    return "not_in_hand";
+  case LoanVerdict::Exhausted:
+    return "exhausted";
+  case LoanVerdict::Leaving:
+    return "leaving";
+  }
+  return "unknown";
+}
+
+} // namespace bergamothook
--- a/Libraries/LibRelay/WalletDesk.cpp
+++ b/Libraries/LibLoan/WalletDesk.cpp
@@ -1,4 +1,4 @@
-#include "LibRelay/WalletDesk.h"
+#include "LibLoan/WalletDesk.h"
 
 #include "LibObserve/StructuredLog.h"
 
@@ -20,6 +20,10 @@
 /// How long requests of a team are refused at once after one waited in vain;
 /// the next one then waits again, and so asks others to return tokens.
 constexpr Duration StarvedTime = std::chrono::milliseconds(1000);
+/// How long the log is followed after tokens were last asked for.
+constexpr Duration ActiveTime = std::chrono::seconds(10);
+/// The longest sleep of a task whose wallet is not in use.
+constexpr Duration UnusedPause = std::chrono::minutes(10);
 
 } // namespace
 
@@ -31,7 +35,8 @@
 bool WalletDesk::setBudget(const std::string &Team, Tokens Budget) {
   if (!this->Purses.setBudget(Team, Budget))
     return false;
-  this->Wanted.notify();
+  if (this->IsHolder)
+    this->Wanted.notify();
   return true;
 }
 
@@ -111,9 +116,43 @@
   this->Tasks.sleepUntil(this->Tasks.Now() + RetryPause);
 }
 
+bool WalletDesk::isActive(TimePoint Now) const {
+  return (this->IsHolder && !this->IsStopping && this->Purses.hasTeams()) ||
+         Now < this->ActiveUntil || this->Purses.isInUse();
+}
+
+void WalletDesk::wake() {
+  this->ActiveUntil = this->Tasks.Now() + ActiveTime;
+  this->Wanted.notify();
+}
+
+void WalletDesk::setHolders(bool IsOneOfThem, std::size_t Count) {
+  bool IsNew = IsOneOfThem && !this->IsHolder;
+  this->IsHolder = IsOneOfThem;
+  this->Purses.setHolders(IsOneOfThem, Count);
+  if (IsNew)
+    this->Wanted.notify();
+}
+
+Result<void> WalletDesk::reserveNow(const std::string &Team, Tokens Amount) {
+  auto Verdict = this->Purses.reserve(Team, Amount, this->Tasks.Now());
+  if (!Verdict && Verdict.error() == WalletError::NotInHand)
+    this->Purses.abandon(Team, Amount);
+  return Verdict;
+}
+
 void WalletDesk::run() {
   while (!this->IsDrained) {
     TimePoint Now = this->Tasks.Now();
+    if (!this->isActive(Now)) {
+      if (this->IsStopping) {
+        this->IsDrained = true;
+        break;
+      }
+      this->Tasks.WaitOn(this->Wanted, this->Wanted.generation(),
+                         Now + UnusedPause);
+      continue;
+    }
     if (!this->Purses.isReady() || this->Purses.isRoundDue(Now)) {
       this->runRound();
       continue;
@@ -131,10 +170,14 @@
   this->Changed.notify();
 }
 
-void WalletDesk::stop(TimePoint Deadline) {
+void WalletDesk::beginStop() {
   this->Purses.beginStop();
   this->IsStopping = true;
   this->Wanted.notify();
+}
+
+void WalletDesk::stop(TimePoint Deadline) {
+  this->beginStop();
   this->Tasks.waitUntil(this->Changed, Deadline,
                         [this] { return this->IsDrained; });
   this->IsDrained = true;
@@ -148,22 +191,25 @@
   for (;;) {
     std::uint64_t Seen = this->Changed.generation();
     auto Verdict = this->Purses.reserve(Team, Amount, this->Tasks.Now());
-    if (Verdict || Verdict.error() != WalletError::NotInHand)
+    if (Verdict || Verdict.error() == WalletError::Exhausted)
       return Verdict;
+    bool IsCounted = Verdict.error() == WalletError::NotInHand;
+    this->wake();
     TimePoint Now = this->Tasks.Now();
     auto Starved = this->StarvedUntil.find(Team);
     bool IsStarved =
         Starved != this->StarvedUntil.end() && Now < Starved->second;
     // Without the log no tokens come, so the wait would be for nothing.
     if (Now >= End || this->IsLogLost || IsStarved || IsGivenUp()) {
-      this->Purses.abandon(Team, Amount);
+      if (IsCounted)
+        this->Purses.abandon(Team, Amount);
       if (Now >= End)
         this->StarvedUntil[Team] = Now + StarvedTime;
       return Verdict;
     }
-    this->Wanted.notify();
     this->Tasks.WaitOn(this->Changed, Seen, std::min(End, Now + TryPause));
-    this->Purses.abandon(Team, Amount);
+    if (IsCounted)
+      this->Purses.abandon(Team, Amount);
   }
 }
 
--- a/Libraries/LibRelay/WalletDesk.h
+++ b/Libraries/LibLoan/WalletDesk.h
@@ -1,8 +1,8 @@
 /// \file
 /// Runs the rounds of a wallet on the log, and lets requests wait for tokens.
 
-#ifndef BERGAMOTHOOK_LIBRELAY_WALLETDESK_H
-#define BERGAMOTHOOK_LIBRELAY_WALLETDESK_H
+#ifndef BERGAMOTHOOK_LIBLOAN_WALLETDESK_H
+#define BERGAMOTHOOK_LIBLOAN_WALLETDESK_H
 
 #include "LibTask/Runtime.h"
 #include "LibWallet/Wallet.h"
@@ -43,8 +43,9 @@
       AppendAt;
 };
 
-/// The wallet of one host with its task. All calls come from tasks of one
-/// runtime.
+/// One wallet with its task. It reads and writes the log only while its tokens
+/// are asked for here, or this process is to keep some ahead of need. All calls
+/// come from tasks of one runtime.
 class WalletDesk {
 public:
   WalletDesk(std::string Self, WalletPolicy Policy, WalletLog Log,
@@ -53,6 +54,9 @@
   /// Reads the log and runs rounds until stop(). A task of its own.
   void run();
 
+  /// Hands back what is in hand, without waiting for it.
+  void beginStop();
+
   /// Hands back what is in hand; waits until that is on the log, at most until
   /// \p Deadline.
   void stop(TimePoint Deadline);
@@ -63,8 +67,18 @@
                        TimePoint Deadline,
                        const std::function<bool()> &IsGivenUp);
 
+  /// Sets tokens aside if they are in hand, without waiting.
+  Result<void> reserveNow(const std::string &Team, Tokens Amount);
+
   void settle(const std::string &Team, Tokens Reserved, Tokens Spent);
 
+  /// States whether this process keeps tokens ahead of need, and how many
+  /// processes do so.
+  void setHolders(bool IsHolder, std::size_t Holders);
+
+  /// Tells whether calls of the log succeed, as far as is known.
+  bool isLogLost() const { return this->IsLogLost; }
+
   /// \returns whether that is another budget than before.
   bool setBudget(const std::string &Team, Tokens Budget);
 
@@ -74,6 +88,8 @@
   void runRound();
   bool catchUp();
   void noteLog(bool IsLost);
+  bool isActive(TimePoint Now) const;
+  void wake();
   nlohmann::json describeTeams() const;
 
   Wallet Purses;
@@ -85,6 +101,9 @@
   std::map<std::string, TimePoint> StarvedUntil;
   /// Set while the last call of the log failed.
   bool IsLogLost = false;
+  bool IsHolder = false;
+  /// Until when the log is followed because tokens were asked for.
+  TimePoint ActiveUntil{};
   bool IsStopping = false;
   bool IsDrained = false;
 };
--- a/Libraries/LibRelay/RelayDesk.cpp
+++ b/Libraries/LibRelay/RelayDesk.cpp
@@ -19,10 +19,11 @@
 } // namespace
 
 RelayDesk::RelayDesk(RelaySettings Settings, RelayHooks Hooks,
-                     WalletDesk &Wallets, Metrics &Measured)
-    : Settings(std::move(Settings)), Hooks(std::move(Hooks)), Wallets(Wallets),
-      Measured(Measured), Picker(this->Settings.Picker,
-                                 this->Settings.OwnDomain, this->Settings.Seed),
+                     TokenDesk &Tokens, Metrics &Measured)
+    : Settings(std::move(Settings)), Hooks(std::move(Hooks)),
+      TokenSource(Tokens), Measured(Measured),
+      Picker(this->Settings.Picker, this->Settings.OwnDomain,
+             this->Settings.Seed),
       Resends(this->Settings.Resends),
       Crashes(this->Settings.Self, this->Settings.Crashes),
       Dice(this->Settings.Seed + 1) {}
@@ -31,7 +32,7 @@
   if (this->Config && Next->Version <= this->Config->Version)
     return false;
   for (const auto &[Name, Team] : Next->teams())
-    if (Team.Budget && this->Wallets.setBudget(Name, *Team.Budget))
+    if (Team.Budget && this->TokenSource.setBudget(Name, *Team.Budget))
       logEvent(LogLevel::Info, "budget_changed",
                {{"team", Name},
                 {"tokens", *Team.Budget},
--- a/Libraries/LibRelay/RelayDesk.h
+++ b/Libraries/LibRelay/RelayDesk.h
@@ -5,13 +5,13 @@
 #ifndef BERGAMOTHOOK_LIBRELAY_RELAYDESK_H
 #define BERGAMOTHOOK_LIBRELAY_RELAYDESK_H
 
+#include "LibLoan/TokenDesk.h"
 #include "LibObserve/Metrics.h"
 #include "LibRelay/CrashList.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
 #include "LibRelay/ResendBudget.h"
 #include "LibRelay/TargetPicker.h"
-#include "LibRelay/WalletDesk.h"
 
 namespace bergamothook {
 
@@ -25,11 +25,11 @@
   std::uint64_t Seed = 0;
 };
 
-/// All calls come from tasks of one runtime. The wallets and the metrics
-/// outlive it.
+/// All calls come from tasks of one runtime. The token desk and the
+/// metrics outlive it.
 class RelayDesk {
 public:
-  RelayDesk(RelaySettings Settings, RelayHooks Hooks, WalletDesk &Wallets,
+  RelayDesk(RelaySettings Settings, RelayHooks Hooks, TokenDesk &Tokens,
             Metrics &Measured);
 
   /// Puts a version of the configuration in force. \returns false for one that
@@ -52,7 +52,7 @@
   CrashList &crashes() { return this->Crashes; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
-  WalletDesk &wallets() { return this->Wallets; }
+  TokenDesk &tokens() { return this->TokenSource; }
   const RelayHooks &hooks() const { return this->Hooks; }
   Random &dice() { return this->Dice; }
 
@@ -61,7 +61,7 @@
 
   RelaySettings Settings;
   RelayHooks Hooks;
-  WalletDesk &Wallets;
+  TokenDesk &TokenSource;
   Metrics &Measured;
   RelayConfigPtr Config;
   TargetDirectory Targets;
--- a/Libraries/LibRelay/RelayRun.cpp
+++ b/Libraries/LibRelay/RelayRun.cpp
@@ -66,11 +66,11 @@
   Tokens Amount = this->Call.worstCase();
   if (!this->Call.Team || !this->Call.Team->Budget || Amount == 0)
     return true;
-  auto Verdict = this->Desk.wallets().reserve(
+  auto Verdict = this->Desk.tokens().reserve(
       this->Call.Team->Name, Amount, this->Deadline, this->Caller.HasLeft);
   this->Result.TokensWait = this->now() - this->Call.ArrivedAt;
   if (Verdict) {
-    this->HasReserved = true;
+    this->Hold = std::move(Verdict).value();
     return true;
   }
   if (this->Caller.HasLeft())
@@ -383,7 +383,7 @@
 }
 
 void RelayRun::settle() {
-  if (!this->HasReserved)
+  if (!this->Hold)
     return;
   Tokens Spent = 0;
   if (this->TargetsThatMayHaveRun > 0)
@@ -392,8 +392,7 @@
                              static_cast<Tokens>(this->Result.Events) *
                                  this->TokensPerEvent);
   this->Result.TokensCharged = Spent;
-  this->Desk.wallets().settle(this->Call.Team->Name, this->Call.worstCase(),
-                              Spent);
+  this->Desk.tokens().settle(*this->Hold, Spent);
 }
 
 } // namespace bergamothook::detail
--- a/Libraries/LibRelay/RelayRun.h
+++ b/Libraries/LibRelay/RelayRun.h
@@ -75,7 +75,8 @@
   bool HasEventOfTarget = false;
   EventSplitter Events;
   bool HasBegun = false;
-  bool HasReserved = false;
+  /// The tokens set aside for the call.
+  std::optional<TokenHold> Hold;
   /// The failure that a target reported, to be handed on if nothing better
   /// comes.
   std::optional<std::pair<HttpResponseHead, std::string>> Reported;
--- a/Libraries/LibRelay/ResendBudget.cpp
+++ b/Libraries/LibRelay/ResendBudget.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/ResendBudget.h"
 
+#include <algorithm>
+
 namespace bergamothook {
 
 void ResendBudget::forgetOld(std::deque<TimePoint> &Times,
@@ -14,13 +16,17 @@
   Of.Requests.push_back(Now);
 }
 
+void ResendBudget::setHosts(std::size_t Count) {
+  this->Hosts = std::max<std::size_t>(1, Count);
+}
+
 bool ResendBudget::tryResend(const std::string &Service, TimePoint Now) {
   Counts &Of = this->Services[Service];
   this->forgetOld(Of.Requests, Now);
   this->forgetOld(Of.Resends, Now);
   double Allowed =
       this->Policy.Ratio * static_cast<double>(Of.Requests.size()) +
-      this->Policy.Slack;
+      this->Policy.FleetSlack / static_cast<double>(this->Hosts);
   if (static_cast<double>(Of.Resends.size()) + 1 > Allowed) {
     ++this->Refused;
     return false;
--- a/Libraries/LibRelay/ResendBudget.h
+++ b/Libraries/LibRelay/ResendBudget.h
@@ -20,8 +20,9 @@
   /// Resends for each request of this host. Below the fleet's bound, since
   /// windows of hosts and of observers do not begin at the same moment.
   double Ratio = 0.15;
-  /// Resends beyond that; this host's part of what the fleet is granted.
-  double Slack = 2;
+  /// Resends beyond that which the whole fleet is granted; each host has an
+  /// equal part.
+  double FleetSlack = 2;
 };
 
 /// The counts of one host, by service. Not thread-safe.
@@ -32,6 +33,9 @@
   /// Counts a request for \p Service.
   void onRequest(const std::string &Service, TimePoint Now);
 
+  /// States how many hosts share the fleet's part.
+  void setHosts(std::size_t Count);
+
   /// Takes one resend. \returns false when there is none.
   [[nodiscard]] bool tryResend(const std::string &Service, TimePoint Now);
 
@@ -47,6 +51,7 @@
 
   ResendPolicy Policy;
   std::map<std::string, Counts> Services;
+  std::size_t Hosts = 1;
   std::uint64_t Refused = 0;
 };
 
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -127,7 +127,7 @@
                                       Tokens Free, TimePoint Now) const {
   TimePoint Since = Now - this->Policy.ProcessLifetime;
   auto Processes = static_cast<double>(
-      std::max(this->Policy.LeastProcesses, this->Book.processesSince(Since)));
+      std::max(this->Holders, this->Book.processesSince(Since)));
   auto OthersRate = static_cast<double>(
       this->Book.recentOfOthers(Team, this->Self, Since).Rate);
   double OwnRate = this->rateOf(Own, Now);
@@ -135,10 +135,12 @@
     return static_cast<Tokens>(static_cast<double>(Free) * Part);
   };
   if (OwnRate + OthersRate < 1) {
-    Tokens Start = PartOfFree(1 / (Processes * this->Policy.StartDivisor));
+    Tokens Start = this->IsHolder
+                       ? PartOfFree(1 / (Processes * this->Policy.StartDivisor))
+                       : 0;
     return {Start, Start};
   }
-  double Least = this->Policy.LeastPart / Processes;
+  double Least = this->IsHolder ? this->Policy.LeastPart / Processes : 0;
   double ByRate = (1 - this->Policy.LeastPart - this->Policy.FreePart) *
                   OwnRate / (OwnRate + OthersRate);
   return {PartOfFree(Least), PartOfFree(Least + ByRate)};
@@ -256,6 +258,20 @@
 
 void Wallet::onUnanswered() { this->OnWay.clear(); }
 
+void Wallet::setHolders(bool IsOneOfThem, std::size_t Count) {
+  this->IsHolder = IsOneOfThem;
+  this->Holders = std::max<std::size_t>(1, Count);
+}
+
+bool Wallet::isInUse() const {
+  return std::any_of(this->Purses.begin(), this->Purses.end(),
+                     [](const auto &Entry) {
+                       const Purse &Own = Entry.second;
+                       return Own.SetAside > 0 || Own.Wanted > 0 ||
+                              Own.limit() > Own.Spent || Own.WantedOnLog > 0;
+                     });
+}
+
 void Wallet::beginStop() { this->IsStopping = true; }
 
 WalletView Wallet::view(const std::string &Team) const {
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -83,6 +83,13 @@
   /// Nobody knows; reading or writing behind them will tell.
   void onUnanswered();
 
+  /// States whether this process keeps tokens ahead of need, and how many
+  /// processes do so. One that does not gives back what is not asked for.
+  void setHolders(bool IsHolder, std::size_t Holders);
+
+  /// Tells whether anything is in hand, set aside or waited for.
+  bool isInUse() const;
+
   /// Hands back everything that is not spent or set aside; nothing more is
   /// taken.
   void beginStop();
@@ -94,6 +101,8 @@
   /// Tells how long ago the log was read to its end.
   Duration viewAge(TimePoint Now) const { return Now - this->ReadAt; }
 
+  bool hasTeams() const { return !this->Purses.empty(); }
+
   WalletView view(const std::string &Team) const;
   std::vector<std::string> teams() const;
 
@@ -154,6 +163,9 @@
   std::optional<std::uint64_t> UnresolvedAt;
   TimePoint ReadAt{};
   TimePoint LastRound{};
+  /// The processes that keep tokens ahead of need.
+  std::size_t Holders = 1;
+  bool IsHolder = true;
   /// Set when the last round brought nothing for who waits.
   bool WasInVain = false;
   bool HasRead = false;
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -24,14 +24,11 @@
   /// FreePart is in nobody's hand: for requests larger than what is in hand,
   /// and because what is in hand is lost when all processes die at once.
   double FreePart = 0.5;
-  /// What all processes without any spending keep together, for callers who
-  /// move.
+  /// What all holders without any spending keep together, for callers who move.
   double LeastPart = 0.05;
-  /// The least number of processes to reckon with.
-  std::size_t LeastProcesses = 6;
   /// A process counts while its last record is not older.
   Duration ProcessLifetime = std::chrono::seconds(15);
-  /// While nobody has spent, a process keeps 1 / StartDivisor of an equal part.
+  /// While nobody has spent, a holder keeps 1 / StartDivisor of an equal part.
   double StartDivisor = 2;
   /// What is left of that while another process waits for tokens, as a part.
   Tokens WantedDivisor = 8;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -7,7 +7,9 @@
 #include "platform/WireNames.h"
 
 #include <csignal>
+#include <cstdio>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace bergamothook {
 
@@ -24,14 +26,14 @@
 constexpr Duration TargetWait = std::chrono::milliseconds(500);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(200);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
-/// For handing budgets back, which is one round on the store.
+/// What is kept of the time before the kill for handing budgets back, which is
+/// one round on the store.
 constexpr Duration WalletStopTime = std::chrono::milliseconds(250);
+/// What is kept of it for loans: borrowers settle them until then.
+constexpr Duration LoanStopTime = std::chrono::milliseconds(600);
 /// The part of the fleet's bound on resends that hosts share by their own
 /// requests: windows of hosts and of the fleet do not begin together.
 constexpr double ResendShare = 0.85;
-/// The hosts among which the rest of the bound is divided when the fleet's size
-/// is not known: more than the fleets that the bound is stated for.
-constexpr double ResendHosts = 24;
 /// Descriptors that are not for callers: targets, the store, the ports.
 constexpr std::size_t MaxCallerConnections = 2500;
 constexpr int CallerBacklog = 1024;
@@ -40,6 +42,19 @@
   return Host + "#" + std::to_string(Seed);
 }
 
+/// Makes a key of 32 bytes in hexadecimal digits.
+std::string makeFleetKey() {
+  constexpr int Words = 8;
+  std::random_device Entropy;
+  std::string Key;
+  for (int I = 0; I < Words; ++I) {
+    char Digits[9];
+    std::snprintf(Digits, sizeof(Digits), "%08x", Entropy());
+    Key += Digits;
+  }
+  return Key;
+}
+
 } // namespace
 
 RelayService::RelayService(NetRuntime &Loop, std::string SettingsPath,
@@ -49,10 +64,14 @@
       Settings(std::move(Settings)),
       Self(makeProcessName(this->Settings.Host, Seed)),
       Store(Loop, this->Settings.StoreAddress, {}, this->Measured),
-      Wallets(this->Self, {}, platform::makeWalletLog(this->Store),
-              this->Tasks),
+      TokenSource(this->ownEntry(Seed), this->Self, {}, this->tokenHooks(),
+                  this->Measured, Seed),
+      PeerPort(Loop, this->Settings.PeerAddress,
+               [this](std::string Bytes) {
+                 this->TokenSource.received(std::move(Bytes));
+               }),
       Dialer(Loop, {}), Desk(this->relaySettings(Seed), this->relayHooks(),
-                             this->Wallets, this->Measured),
+                             this->TokenSource, this->Measured),
       Server(Loop, this->serverSettings(), this->Desk,
              [this](HttpRequestMessage Message, TimePoint Now) {
                return platform::decodeCall(this->Desk.config(),
@@ -72,6 +91,7 @@
                  {std::string(wire::TargetTopic), TargetWait, TargetPause},
                  this->targetHooks()),
       Crashes(this->Store, this->Tasks, this->Desk.crashes()),
+      Fleet(this->Store, this->Tasks, this->TokenSource.roster()),
       Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
 RelaySettings RelayService::relaySettings(std::uint64_t Seed) const {
@@ -80,11 +100,41 @@
   Chosen.OwnDomain = this->Settings.FailureDomain;
   Chosen.Resends = {this->Settings.ResendWindow,
                     this->Settings.ResendRatio * ResendShare,
-                    this->Settings.ResendSlack / ResendHosts};
+                    this->Settings.ResendSlack * ResendShare};
   Chosen.Seed = Seed;
   return Chosen;
 }
 
+RosterHost RelayService::ownEntry(std::uint64_t Seed) const {
+  return {this->Settings.Host, this->Settings.FailureDomain,
+          this->Settings.PeerAddress, Seed};
+}
+
+TokenHooks RelayService::tokenHooks() {
+  TokenHooks Hooks;
+  Hooks.Tasks = this->Tasks;
+  Hooks.MakeLog = [this](unsigned Partition) {
+    return platform::makeWalletLog(this->Store, Partition);
+  };
+  Hooks.SendDatagram = [this](const std::string &Address, std::string Bytes) {
+    this->PeerPort.send(Address, Bytes);
+  };
+  return Hooks;
+}
+
+/// Agrees with the fleet on what must be alike, and then holds and lends
+/// tokens.
+void RelayService::joinFleet() {
+  auto Founding =
+      this->Fleet.found(makeFleetKey(), this->Settings.StorePartitions,
+                        [this] { return this->IsStopped; });
+  if (!Founding)
+    return;
+  logEvent(LogLevel::Info, "fleet_joined",
+           {{"partitions", Founding->Partitions}});
+  this->TokenSource.begin(*Founding);
+}
+
 RelayServerSettings RelayService::serverSettings() const {
   RelayServerSettings Chosen;
   Chosen.Listen = {
@@ -186,12 +236,16 @@
   BOOST_OUTCOME_TRYV(this->Server.start());
   BOOST_OUTCOME_TRYV(this->ReadyServer.start());
   BOOST_OUTCOME_TRYV(this->MetricsServer.start());
+  BOOST_OUTCOME_TRYV(this->PeerPort.start());
   auto IsStopped = [this] { return this->IsStopped; };
   this->Tasks.Spawn([this, IsStopped] { this->ConfigFeed.run(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->TargetFeed.run(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Crashes.runReader(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Crashes.runWriter(IsStopped); });
-  this->Tasks.Spawn([this] { this->Wallets.run(); });
+  this->Tasks.Spawn([this, IsStopped] { this->Fleet.runReader(IsStopped); });
+  this->Tasks.Spawn([this, IsStopped] { this->Fleet.runWriter(IsStopped); });
+  this->Tasks.Spawn([this] { this->joinFleet(); });
+  this->Tasks.Spawn([this] { this->TokenSource.run(); });
   this->Tasks.Spawn([this, IsStopped] { this->Dialer.runExpiry(IsStopped); });
   this->Tasks.Spawn([this] { this->runHousekeeping(); });
   this->waitForSignal();
@@ -206,6 +260,7 @@
   while (!this->IsStopped) {
     this->Desk.targets().expire(this->Tasks.Now());
     this->Desk.crashes().expire(this->Tasks.Now());
+    this->Desk.resends().setHosts(this->TokenSource.roster().hosts());
     this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
   }
 }
@@ -233,6 +288,9 @@
                      static_cast<double>(this->Desk.crashes().size()));
   this->Measured.set("relay_resends_refused",
                      static_cast<double>(this->Desk.resends().refused()));
+  this->Measured.set("peer_datagrams_lost_here",
+                     static_cast<double>(this->PeerPort.lostHere()));
+  this->TokenSource.measure();
   return {200, "text/plain", this->Measured.toPrometheusText()};
 }
 
@@ -261,16 +319,22 @@
 }
 
 void RelayService::stop() {
+  TimePoint KilledAt = this->Tasks.Now() + this->Settings.StopTime;
   this->IsStopping = true;
   logEvent(LogLevel::Info, "stopping",
-           {{"in_progress", this->Server.inProgress()}});
+           {{"in_progress", this->Server.inProgress()},
+            {"loans_open", this->TokenSource.loans().open()}});
+  this->TokenSource.beginStop();
+  this->Tasks.Spawn([this] { this->Fleet.leave(); });
   this->Server.beginStop(this->Settings.StopTime);
   while (!this->Server.mayEnd())
     this->Tasks.sleepUntil(this->Tasks.Now() + StopCheckInterval);
   std::size_t Cut = this->Server.inProgress();
   this->Server.stopListening();
-  this->Wallets.stop(this->Tasks.Now() + WalletStopTime);
-  logEvent(LogLevel::Info, "stopped", {{"cut_off", Cut}});
+  this->TokenSource.stop(KilledAt - LoanStopTime, KilledAt - WalletStopTime);
+  logEvent(
+      LogLevel::Info, "stopped",
+      {{"cut_off", Cut}, {"loans_open", this->TokenSource.loans().open()}});
   this->IsStopped = true;
   this->Loop.stop();
 }
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -5,10 +5,12 @@
 #ifndef BERGAMOTHOOK_SERVICES_RELAY_RELAYSERVICE_H
 #define BERGAMOTHOOK_SERVICES_RELAY_RELAYSERVICE_H
 
+#include "LibNet/DatagramSocket.h"
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
 #include "platform/CrashNews.h"
+#include "platform/FleetNews.h"
 #include "platform/PlatformSettings.h"
 #include "platform/StoreFeed.h"
 
@@ -28,6 +30,9 @@
 
 private:
   RelayHooks relayHooks();
+  RosterHost ownEntry(std::uint64_t Seed) const;
+  TokenHooks tokenHooks();
+  void joinFleet();
   RelaySettings relaySettings(std::uint64_t Seed) const;
   RelayServerSettings serverSettings() const;
   platform::FeedHooks configHooks();
@@ -49,7 +54,8 @@
   std::string Self;
   Metrics Measured;
   platform::StoreClient Store;
-  WalletDesk Wallets;
+  TokenDesk TokenSource;
+  DatagramSocket PeerPort;
   TargetDialer Dialer;
   RelayDesk Desk;
   RelayServer Server;
@@ -58,6 +64,7 @@
   platform::StoreFeed ConfigFeed;
   platform::StoreFeed TargetFeed;
   platform::CrashNews Crashes;
+  platform::FleetNews Fleet;
   boost::asio::signal_set Signals;
   bool HasTargets = false;
   bool IsStopping = false;
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -50,7 +50,7 @@
   ResendPolicy Policy;
   Policy.Window = 10s;
   Policy.Ratio = 0.2;
-  Policy.Slack = 2;
+  Policy.FleetSlack = 2;
   ResendBudget Budget(Policy);
   int Made = 0;
   TimePoint Now = Begin;
@@ -69,6 +69,23 @@
   CHECK(Budget.tryResend("orders", Now));
 }
 
+TEST_CASE("hosts together stay within the fleet's resends, however many") {
+  for (std::size_t Hosts : {6, 195, 300}) {
+    ResendPolicy Policy;
+    Policy.Ratio = 0;
+    Policy.FleetSlack = 430;
+    int Made = 0;
+    for (std::size_t Host = 0; Host < Hosts; ++Host) {
+      ResendBudget Budget(Policy);
+      Budget.setHosts(Hosts);
+      for (int I = 0; I < 500; ++I)
+        Made += Budget.tryResend("engines", Begin) ? 1 : 0;
+    }
+    CHECK(Made <= 430);
+    CHECK(Made >= 195);
+  }
+}
+
 TEST_CASE("a target that leaves or is removed gets no new calls") {
   TargetDirectory Targets;
   Targets.onListed(targetOf("a"), Begin);
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 RelayFixture::RelayFixture()
-    : Wallets("p", {}, makeCalmLog(), this->Simulated.hooks()),
+    : Wallets({"host", "domain", "", 1}, "p", {}, this->tokenHooks(),
+              this->Measured, 1),
       Desk({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(),
            this->Wallets, this->Measured) {
   startLogging("test", "test", LogLevel::Error);
@@ -40,6 +41,14 @@
   this->Team.Name = "team";
 }
 
+TokenHooks RelayFixture::tokenHooks() {
+  TokenHooks Hooks;
+  Hooks.Tasks = this->Simulated.hooks();
+  Hooks.MakeLog = [](unsigned) { return makeCalmLog(); };
+  Hooks.SendDatagram = [](const std::string &, const std::string &) {};
+  return Hooks;
+}
+
 void RelayFixture::addTarget(const std::string &Id) {
   ListedTarget Target;
   Target.Id = Id;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -74,11 +74,12 @@
 
   VirtualRuntime Simulated;
   Metrics Measured;
-  WalletDesk Wallets;
+  TokenDesk Wallets;
   RelayDesk Desk;
 
 private:
   RelayHooks makeHooks();
+  TokenHooks tokenHooks();
   CallerSide makeCaller();
   TargetExchange makeExchange(const FakeAnswer &Answer, std::size_t Index);
 
--- a/Tests/LibRelay/RelayRunTest.cpp
+++ b/Tests/LibRelay/RelayRunTest.cpp
@@ -230,8 +230,10 @@
   Relay Fleet;
   Fleet.Team.Budget = 10'000;
   Fleet.setKind(CallKind::Stream, true);
+  Fleet.Wallets.begin({KeyRing(), 1});
   Fleet.Simulated.hooks().Spawn([&] { Fleet.Wallets.run(); });
-  Fleet.Simulated.runFor(2s);
+  Fleet.Simulated.runFor(4s);
+  const Wallet &Purses = Fleet.Wallets.walletOf("team")->wallet();
   Fleet.Answers = {cut(1, 2), whole(3, 4)};
   RelayCall Call = Fleet.makeCall();
   Call.PromptTokens = 1000;
@@ -239,8 +241,8 @@
   RelayOutcome Outcome = Fleet.serve(Call);
   CHECK(Outcome.End == RelayEnd::Done);
   CHECK(Outcome.TokensCharged == 1000 + 4 * 7);
-  CHECK(Fleet.Wallets.wallet().view("team").Spent == 1028);
-  CHECK(Fleet.Wallets.wallet().view("team").SetAside == 0);
+  CHECK(Purses.view("team").Spent == 1028);
+  CHECK(Purses.view("team").SetAside == 0);
   Fleet.Answers = {verdict(AnswerVerdict::NotRun), unreachable(), unreachable(),
                    unreachable()};
   Call = Fleet.makeCall();
@@ -250,10 +252,12 @@
   Call.PromptTokens = 9'000;
   Fleet.serve(Call);
   CHECK(Fleet.Status == 402);
-  Fleet.Simulated.hooks().Spawn(
-      [&] { Fleet.Wallets.stop(Fleet.Simulated.now() + 1s); });
+  Fleet.Simulated.hooks().Spawn([&] {
+    TimePoint Now = Fleet.Simulated.now();
+    Fleet.Wallets.stop(Now, Now + 1s);
+  });
   Fleet.Simulated.runFor(3s);
-  CHECK(Fleet.Wallets.wallet().view("team").Held == 1028);
+  CHECK(Purses.view("team").Held == 1028);
 }
 
 TEST_CASE(
--- a/Tests/LibWallet/WalletFleet.cpp
+++ b/Tests/LibWallet/WalletFleet.cpp
@@ -144,6 +144,7 @@
     this->Hosts.push_back(
         std::make_unique<Wallet>("host-" + std::to_string(I), WalletPolicy{}));
     this->Hosts.back()->setBudget("team", Budget);
+    this->Hosts.back()->setHolders(true, static_cast<std::size_t>(Count));
   }
 }
 
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -47,7 +47,7 @@
 TEST_CASE("wallets go through the store and back") {
   PlatformFixture Site;
   Site.play([&] {
-    WalletLog Log = makeWalletLog(*Site.Client);
+    WalletLog Log = makeWalletLog(*Site.Client, 0);
     WalletRecord Record{{"team", "host#1"}, {100, 40, 3, 7}, 0};
     CHECK(Log.AppendAt(0, {Record}) == WalletAppend::Done);
     CHECK(Log.AppendAt(0, {Record}) == WalletAppend::Moved);
@@ -70,7 +70,7 @@
 TEST_CASE("nothing is taken from budgets beside a record that can't be read") {
   PlatformFixture Site;
   Site.Store.put(std::string(wire::WalletTopic), "team\nhost#1", "\x09later");
-  Site.play([&] { CHECK_FALSE(makeWalletLog(*Site.Client).ReadNewest()); });
+  Site.play([&] { CHECK_FALSE(makeWalletLog(*Site.Client, 0).ReadNewest()); });
 }
 
 TEST_CASE("a feed gives the whole topic, then news, also over a hole") {
