--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -116,11 +116,10 @@
   return std::max<Tokens>(0, *Own.Budget - OthersHold - Own.committed());
 }
 
-bool Wallet::isAwaited(const std::string &Team, TimePoint Now) const {
+Tokens Wallet::wantedByOthers(const std::string &Team, TimePoint Now) const {
   return this->Book
-             .recentOfOthers(Team, this->Self,
-                             Now - this->Policy.WantedLifetime)
-             .Wanted > 0;
+      .recentOfOthers(Team, this->Self, Now - this->Policy.WantedLifetime)
+      .Wanted;
 }
 
 Wallet::IdleBounds Wallet::idleBounds(const std::string &Team, const Purse &Own,
@@ -140,10 +139,17 @@
                        : 0;
     return {Start, Start};
   }
+  // Against what stays in nobody's hand. Free holds the own idle tokens too, so
+  // that x of the former is x / (1 + x) of the latter.
+  auto Against = [&](double Part) {
+    double Ratio = Part / this->Policy.FreePart;
+    return PartOfFree(Ratio / (1 + Ratio));
+  };
   double Least = this->IsHolder ? this->Policy.LeastPart / Processes : 0;
-  double ByRate = (1 - this->Policy.LeastPart - this->Policy.FreePart) *
+  // Idle holders give back only what is over twice their part.
+  double ByRate = (1 - 2 * this->Policy.LeastPart - this->Policy.FreePart) *
                   OwnRate / (OwnRate + OthersRate);
-  return {PartOfFree(Least), PartOfFree(Least + ByRate)};
+  return {Against(Least), Against(Least + ByRate)};
 }
 
 Tokens Wallet::idleTarget(const std::string &Team, const Purse &Own,
@@ -151,11 +157,13 @@
   if (this->IsStopping)
     return 0;
   IdleBounds Bounds = this->idleBounds(Team, Own, Free, Now);
-  if (this->isAwaited(Team, Now))
-    return Bounds.Most / this->Policy.WantedDivisor;
   auto Cover = static_cast<Tokens>(this->rateOf(Own, Now) *
                                    secondsOf(this->Policy.Cover));
-  return std::clamp(Cover + Own.Largest, Bounds.Least, Bounds.Most);
+  Tokens Calm = std::clamp(Cover + Own.Largest, Bounds.Least, Bounds.Most);
+  // What others wait for is given up, but not all that is in hand with it.
+  Tokens Kept = std::max(Calm - this->wantedByOthers(Team, Now),
+                         Bounds.Most / this->Policy.WantedDivisor);
+  return std::min(Calm, Kept);
 }
 
 Tokens Wallet::heldTarget(const std::string &Team, const Purse &Own,
@@ -190,7 +198,7 @@
   bool IsExcess = Idle > 2 * IdleTarget;
   // What others can't see returned, they refuse requests for.
   Tokens Unseen = std::abs(Own.CommittedOnLog - Own.committed());
-  bool IsAwaited = this->isAwaited(Team, Now);
+  bool IsAwaited = this->wantedByOthers(Team, Now) > 0;
   Tokens MostUnseen =
       IsAwaited ? 0 : Own.Budget.value_or(0) / this->Policy.UnseenDivisor;
   return IsShort || IsExcess || Unseen > MostUnseen;
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -138,7 +138,8 @@
   Tokens freeFor(const std::string &Team, const Purse &Own) const;
   Tokens idleTarget(const std::string &Team, const Purse &Own, Tokens Free,
                     TimePoint Now) const;
-  bool isAwaited(const std::string &Team, TimePoint Now) const;
+  /// What requests of other processes lately waited for.
+  Tokens wantedByOthers(const std::string &Team, TimePoint Now) const;
   /// What requests wait for and nobody but other processes has.
   Tokens missing(const std::string &Team, const Purse &Own) const;
   Tokens heldTarget(const std::string &Team, const Purse &Own,
@@ -150,7 +151,7 @@
   double decayedRate(const Purse &Own, TimePoint Now) const;
   double rateOf(const Purse &Own, TimePoint Now) const;
   void addToRate(Purse &Own, Tokens Amount, TimePoint Now) const;
-  /// What this process keeps in hand of what nobody has taken.
+  /// What this process keeps in hand of what no other has taken.
   IdleBounds idleBounds(const std::string &Team, const Purse &Own, Tokens Free,
                         TimePoint Now) const;
 
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -18,19 +18,19 @@
   Duration Cover = std::chrono::seconds(11);
   /// The part of what should be in hand below which more is taken.
   double RefillBelow = 0.85;
-  /// Of what nobody has taken, each process may keep its part of the spending
-  /// in hand. Callers of a team stay with few hosts, so that equal parts would
-  /// leave most of the tokens where nobody asks for them.
+  /// Of what is left, each holder may keep its part of the spending in hand.
+  /// Equal parts would leave most of the tokens where nobody asks for them.
   /// FreePart is in nobody's hand: for requests larger than what is in hand,
   /// and because what is in hand is lost when all processes die at once.
-  double FreePart = 0.5;
+  double FreePart = 0.6;
   /// What all holders without any spending keep together, for callers who move.
   double LeastPart = 0.05;
   /// A process counts while its last record is not older.
   Duration ProcessLifetime = std::chrono::seconds(15);
   /// While nobody has spent, a holder keeps 1 / StartDivisor of an equal part.
   double StartDivisor = 2;
-  /// What is left of that while another process waits for tokens, as a part.
+  /// The least that is kept of that while another process waits for tokens, as
+  /// a part.
   Tokens WantedDivisor = 8;
   /// How long a record says that its process waits for tokens. Some reads of
   /// the log; the requests themselves wait shorter.
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -75,7 +75,7 @@
 lint_tree() {
   configure "$root/BuildLint"
   (cd "$root" && sources | grep '\.cpp$' |
-    xargs -P "$jobs" -n 1 clang-tidy-16 --quiet -p "$root/BuildLint" 2>/dev/null)
+    xargs -P "$jobs" -n 1 "$root/Meta/lint.sh" "$root/BuildLint")
 }
 
 check_tree() {
--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -151,3 +151,58 @@
   runWalletRound(Second, Log, Begin + 2s);
   CHECK(Second.reserve("team", 500, Begin + 2s));
 }
+
+TEST_CASE("the same part of what is left is in hand, however many hold it") {
+  // The load: all holders spend alike, and what is left is worth few seconds.
+  for (int Count : {1, 3, 5}) {
+    FakeWalletLog Log;
+    std::vector<std::unique_ptr<Wallet>> Holders;
+    constexpr Tokens Budget = 300'000;
+    for (int I = 0; I < Count; ++I) {
+      Holders.push_back(
+          std::make_unique<Wallet>(std::to_string(I), WalletPolicy{}));
+      Holders.back()->setBudget("team", Budget);
+      Holders.back()->setHolders(true, static_cast<std::size_t>(Count));
+    }
+    TimePoint Now = Begin;
+    for (int Round = 0; Round < 80; ++Round, Now += 100ms)
+      for (const auto &Each : Holders) {
+        if (Each->isRoundDue(Now))
+          runWalletRound(*Each, Log, Now);
+        Tokens Amount = 2'000 / Count;
+        if (Each->reserve("team", Amount, Now))
+          Each->settle("team", Amount, Amount, Now);
+      }
+    Tokens Spent = 0;
+    Tokens InHand = 0;
+    for (const auto &Each : Holders) {
+      Spent += Each->view("team").Spent;
+      InHand += Each->view("team").Limit - Each->view("team").Spent;
+    }
+    CAPTURE(Count);
+    CHECK(InHand * 100 > (Budget - Spent) * 27);
+    CHECK(InHand * 100 <= (Budget - Spent) * 50);
+  }
+}
+
+TEST_CASE("a request that waits elsewhere takes what it needs, not all") {
+  FakeWalletLog Log;
+  Wallet Holder("a", {});
+  Wallet Waiting("b", {});
+  Holder.setBudget("team", 100'000);
+  Waiting.setBudget("team", 100'000);
+  Holder.setHolders(true, 1);
+  Waiting.setHolders(false, 1);
+  runWalletRound(Holder, Log, Begin);
+  REQUIRE(Holder.view("team").Held == 50'000);
+  // 5,000 more than nobody has.
+  Waiting.onRead(Log.readFrom(0), Log.end(), Begin);
+  CHECK_FALSE(Waiting.reserve("team", 55'000, Begin));
+  runWalletRound(Waiting, Log, Begin + 1s);
+  runWalletRound(Holder, Log, Begin + 1s);
+  // A quarter of what is free now, as two hold, less what the other lacks.
+  CHECK(Holder.view("team").Held == 7'500);
+  runWalletRound(Waiting, Log, Begin + 2s);
+  Waiting.abandon("team", 55'000);
+  CHECK(Waiting.reserve("team", 55'000, Begin + 2s));
+}
