Give up connections that send bytes without end

Cause: an event without end was held back without bound until the deadline (and searched anew for its end with each piece), a late answer to another call and interim heads were read as long as they came, and a head without end filled the connection's buffer and then waited for bytes that could not come. Change: 256 KiB an event, 1 MiB of foreign answers, 16 interim heads, 32 KiB a head; then the target counts as garbling and the caller gets its answer. A lender looks for tokens for 150 ms in place of 250, so that a request reaches the homes that have the log within its wait. Tests failed first: 25 MB forwarded or read for 4 s; 2,000 interim heads taken.

--- a/Libraries/LibLoan/TokenDesk.h
+++ b/Libraries/LibLoan/TokenDesk.h
@@ -38,7 +38,7 @@
   ReturnPolicy Returns;
   /// How long a lender may look for tokens for one request: some rounds of a
   /// log that is well.
-  Duration LenderWait = std::chrono::milliseconds(250);
+  Duration LenderWait = std::chrono::milliseconds(150);
   /// The longest that a request waits for tokens of all homes together.
   Duration LongestWait = std::chrono::milliseconds(600);
   /// When an ask is repeated. Some round trips of hosts with little processor
@@ -53,7 +53,7 @@
   /// hosts that start together do not know each other at once.
   Duration HomeSettling = std::chrono::seconds(2);
   /// How long a home that had too few tokens is not asked for as many again.
-  Duration RefusalLifetime = std::chrono::milliseconds(200);
+  Duration RefusalLifetime = std::chrono::milliseconds(400);
 };
 
 struct TokenHooks {
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -120,6 +120,16 @@
   return Out;
 }
 
+namespace {
+
+/// Less than a connection holds of what was not read, so that a head without
+/// end is seen as one before reading stops.
+constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024;
+/// Heads of the class 1xx that are passed over before an answer.
+constexpr unsigned MaxInterimHeads = 16;
+
+} // namespace
+
 struct HttpResponseReader::State {
   std::optional<http::response_parser<http::string_body>> Parser;
   bool HasNoBody = false;
@@ -128,7 +138,7 @@
   void restart() {
     this->Parser.emplace();
     this->Parser->eager(true);
-    this->Parser->header_limit(64 * 1024);
+    this->Parser->header_limit(MaxResponseHeadBytes);
     this->Parser->body_limit(std::uint64_t{1} << 40);
     this->Parser->skip(this->HasNoBody);
   }
@@ -192,7 +202,7 @@
 Result<HttpResponseHead>
 HttpResponseReader::readHead(TimePoint Deadline,
                              const std::function<bool()> &IsGivenUp) {
-  for (;;) {
+  for (unsigned Interim = 0; Interim <= MaxInterimHeads; ++Interim) {
     while (!this->Present->Parser->is_header_done()) {
       BOOST_OUTCOME_TRYV(this->advance(Deadline, IsGivenUp));
     }
@@ -212,6 +222,8 @@
       Head.Length = *Length;
     return Head;
   }
+  this->Present->IsBroken = true;
+  return NetError::Malformed;
 }
 
 Result<BodyPiece>
--- a/Libraries/LibRelay/EventSplitter.h
+++ b/Libraries/LibRelay/EventSplitter.h
@@ -17,6 +17,9 @@
   std::uint32_t Events = 0;
 };
 
+/// The largest event that is held back. An event carries a few tokens.
+constexpr std::size_t MaxEventBytes = 256 * 1024;
+
 /// Holds back an event until its last byte has come, so that the part of an
 /// event that a target left behind never reaches a caller.
 class EventSplitter {
@@ -32,6 +35,9 @@
   /// The number of the last whole event.
   std::optional<std::uint64_t> lastId() const { return this->LastId; }
 
+  /// Tells whether the event that is held back is larger than any may be.
+  bool isOverlong() const { return this->Rest.size() > MaxEventBytes; }
+
   /// Tells whether an event came whose number does not follow the last one.
   bool hasGap() const { return this->HasGap; }
 
--- a/Libraries/LibRelay/RelayRun.cpp
+++ b/Libraries/LibRelay/RelayRun.cpp
@@ -11,6 +11,8 @@
 constexpr unsigned MaxSends = 4;
 /// The largest body that is held back until it is whole.
 constexpr std::size_t MaxWholeBytes = 8 * 1024 * 1024;
+/// What is read of late answers to other calls before a connection is given up.
+constexpr std::size_t MaxForeignBytes = 1024 * 1024;
 /// Less time than this is not worth a send: no target answers in it.
 constexpr Duration LeastTimeForSend = std::chrono::milliseconds(20);
 /// When to come back after a refusal for want of room or of a target: targets
@@ -148,7 +150,23 @@
   return AttemptEnd::Lost;
 }
 
+std::optional<AttemptEnd> RelayRun::passOver(TargetExchange &Exchange,
+                                             std::size_t &Passed) const {
+  for (;;) {
+    auto Piece = Exchange.ReadBody(this->Deadline);
+    if (!Piece)
+      return this->endOf(Piece.error());
+    // Also counts an answer without a body, so that their number is bounded.
+    Passed += std::max<std::size_t>(Piece.value().Bytes.size(), 1024);
+    if (Passed > MaxForeignBytes)
+      return AttemptEnd::Garbled;
+    if (Piece.value().IsLast)
+      return std::nullopt;
+  }
+}
+
 AttemptEnd RelayRun::readAnswer(TargetExchange &Exchange) {
+  std::size_t ForeignBytes = 0;
   for (;;) {
     auto Head = Exchange.ReadHead(this->Deadline);
     if (!Head) {
@@ -167,13 +185,9 @@
       Exchange.Abort();
       return AttemptEnd::Garbled;
     case AnswerVerdict::Foreign:
-      for (bool IsLast = false; !IsLast;) {
-        auto Piece = Exchange.ReadBody(this->Deadline);
-        if (!Piece) {
-          Exchange.Abort();
-          return this->endOf(Piece.error());
-        }
-        IsLast = Piece.value().IsLast;
+      if (auto Failure = this->passOver(Exchange, ForeignBytes)) {
+        Exchange.Abort();
+        return *Failure;
       }
       Exchange.NextResponse();
       continue;
@@ -221,7 +235,7 @@
       return this->endOf(Piece.error());
     }
     EventRun Run = this->Events.take(Piece.value().Bytes);
-    if (this->Events.hasGap()) {
+    if (this->Events.hasGap() || this->Events.isOverlong()) {
       Exchange.Abort();
       return AttemptEnd::Garbled;
     }
--- a/Libraries/LibRelay/RelayRun.h
+++ b/Libraries/LibRelay/RelayRun.h
@@ -42,6 +42,10 @@
   void chooseService();
   TargetState *chooseTarget();
   AttemptEnd attempt(const ListedTarget &Target);
+  /// Reads the answer to another call. \returns why the connection is of no
+  /// more use.
+  std::optional<AttemptEnd> passOver(TargetExchange &Exchange,
+                                     std::size_t &Passed) const;
   AttemptEnd readAnswer(TargetExchange &Exchange);
   AttemptEnd relayWhole(TargetExchange &Exchange, HttpResponseHead Head);
   AttemptEnd relayStream(TargetExchange &Exchange, HttpResponseHead Head);
--- a/Tests/LibNet/HttpReaderTest.cpp
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -222,6 +222,28 @@
   CHECK(Answer.Failure == NetError::Malformed);
 }
 
+TEST_CASE("a head without end is no answer") {
+  Pair Interim;
+  std::string Heads;
+  for (int I = 0; I < 2000; ++I)
+    Heads += "HTTP/1.1 100 Continue\r\n\r\n";
+  auto Answer = Interim.readAnswer(
+      Heads + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  CHECK(Answer.Failure == NetError::Malformed);
+  Pair Line;
+  Answer =
+      Line.readAnswer("HTTP/1.1 200 OK\r\nX: " + std::string(300'000, 'a'));
+  CHECK(Answer.Failure == NetError::Malformed);
+  Pair Fields;
+  Answer = Fields.readAnswer("HTTP/1.1 200 OK\r\n" + [] {
+    std::string Many;
+    for (int I = 0; I < 20'000; ++I)
+      Many += "X: a\r\n";
+    return Many;
+  }());
+  CHECK(Answer.Failure == NetError::Malformed);
+}
+
 TEST_CASE("bytes behind an answer keep its connection from being used again") {
   Pair Extra;
   auto Answer = Extra.readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
--- a/Tests/LibRelay/RelayRunTest.cpp
+++ b/Tests/LibRelay/RelayRunTest.cpp
@@ -180,6 +180,26 @@
   CHECK(Fleet.Seen.size() == 1);
 }
 
+TEST_CASE("bytes without end that are no answer are not read to the deadline") {
+  Relay Fleet;
+  Fleet.setKind(CallKind::NonIdempotent);
+  FakeAnswer Endless;
+  for (int I = 0; I < 400; ++I)
+    Endless.Pieces.emplace_back(10ms, std::string(64 * 1024, 'x'));
+  SUBCASE("in an event") {}
+  SUBCASE("in the answer to another call") {
+    Endless.Verdict = AnswerVerdict::Foreign;
+  }
+  TimePoint Begin = Fleet.Simulated.now();
+  RelayOutcome Outcome = Fleet.play({Endless});
+  CHECK(Outcome.End == RelayEnd::Unknown);
+  CHECK(Outcome.Reason == RelayReason::TargetGarbled);
+  CHECK(Fleet.Status == 502);
+  CHECK(Fleet.Body.size() < 1000);
+  CHECK(Fleet.Seen[0].WasAborted);
+  CHECK(Fleet.Simulated.now() - Begin < 2s);
+}
+
 TEST_CASE("the caller gets its final answer at the deadline") {
   SUBCASE("of the route, before any event") {
     Relay Fleet;
