--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -37,6 +37,7 @@
   CHECK(Read.value().Host == "edge-1");
   CHECK(Read.value().FailureDomain == "east");
   CHECK(Read.value().MetricsAddress == "10.1.0.40:7340");
+  CHECK(Read.value().PeerAddress == "10.1.0.40:7341");
   CHECK(Read.value().StoreAddress == "10.200.1.7:8223");
   CHECK(Read.value().StorePartitions == 8);
   CHECK(Read.value().StopTime == 8s);
@@ -58,5 +59,8 @@
   CHECK(Read.error().Field == "bounds.graceS");
   CHECK(Read.error().Text.find("soon") != std::string::npos);
   CHECK_FALSE(parseSettings(without("bounds.graceS") + "bounds.graceS=-1\n"));
+  for (const char *Ports : {"7340", "7340,7340", "7340,70000", "7355,7340"})
+    CHECK_FALSE(parseSettings(without("internalPorts") +
+                              "internalPorts=" + Ports + "\n"));
   CHECK_FALSE(readSettings("/nonexistent/node.conf"));
 }
