--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -39,8 +39,8 @@
   /// may differ from what its last record says. Ten processes are then wrong by
   /// less than the three per cent that are the room at the end of a budget.
   Tokens UnseenDivisor = 400;
-  /// The time constant of the rate of spending. A home sees a request of a small
-  /// team once in some seconds.
+  /// The time constant of the rate of spending. A home sees a request of a
+  /// small team once in some seconds.
   Duration RateWindow = std::chrono::seconds(12);
   /// The least time between two rounds that nobody waits for.
   Duration CalmInterval = std::chrono::milliseconds(700);
