Mend a use of an ended ask; keep less in hand the less is left

Cause: the sanitizer found that the answer of an ask was read after its entry was erased, for a metric's label. Change: the verdict is copied first; below 0.4 of a budget the part in hand shrinks with what is left.

--- a/Libraries/LibLoan/TokenDesk.cpp
+++ b/Libraries/LibLoan/TokenDesk.cpp
@@ -270,13 +270,14 @@
   PendingAsk &Asked = this->Asks[Ask.Number];
   HomeAnswer Given = this->awaitAnswer(
       Lender, Ask, Asked, Begin + Wait + AnswerAllowance, IsGivenUp);
-  bool IsAnswered = Asked.Verdict != LoanVerdict::Waiting;
+  LoanVerdict Verdict = Asked.Verdict;
   Hold.Lender = Asked.Lender;
   this->Asks.erase(Ask.Number);
-  this->Measured.count(std::string("loans_asked_total{answer=\"") +
-                       (IsAnswered                    ? nameOf(Asked.Verdict)
+  bool IsAnswered = Verdict != LoanVerdict::Waiting;
+  const char *Outcome = IsAnswered                    ? nameOf(Verdict)
                         : Given == HomeAnswer::Silent ? "silent"
-                                                      : "late") +
+                                                      : "late";
+  this->Measured.count(std::string("loans_asked_total{answer=\"") + Outcome +
                        "\"}");
   if (Given == HomeAnswer::Granted)
     Hold.Number = Ask.Number;
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -141,8 +141,13 @@
   }
   // Against what stays in nobody's hand. Free holds the own idle tokens too, so
   // that x of the former is x / (1 + x) of the latter.
+  double Plenty =
+      std::min(1.0, static_cast<double>(Free) /
+                        (static_cast<double>(Own.Budget.value_or(0)) *
+                             this->Policy.ScarceBelow +
+                         1));
   auto Against = [&](double Part) {
-    double Ratio = Part / this->Policy.FreePart;
+    double Ratio = Plenty * Part / this->Policy.FreePart;
     return PartOfFree(Ratio / (1 + Ratio));
   };
   double Least = this->IsHolder ? this->Policy.LeastPart / Processes : 0;
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -23,6 +23,9 @@
   /// FreePart is in nobody's hand: for requests larger than what is in hand,
   /// and because what is in hand is lost when all processes die at once.
   double FreePart = 0.65;
+  /// The part of a budget below which the part in hand shrinks with what is
+  /// left: a loss of all processes would leave nothing to go on with.
+  double ScarceBelow = 0.4;
   /// What all holders without any spending keep together, for callers who move.
   double LeastPart = 0.05;
   /// A process counts while its last record is not older.
--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -206,3 +206,29 @@
   Waiting.abandon("team", 55'000);
   CHECK(Waiting.reserve("team", 55'000, Begin + 2s));
 }
+
+TEST_CASE("the less is left, the smaller the part of it that is in hand") {
+  // The load: one holder that spends 4,000 tokens a second to the end of the
+  // budget. What it has in hand is lost when it dies.
+  FakeWalletLog Log;
+  Wallet Holder("a", {});
+  constexpr Tokens Budget = 200'000;
+  Holder.setBudget("team", Budget);
+  double PartAtHalf = 0;
+  double PartAtTenth = 0;
+  for (TimePoint Now = Begin; Now < Begin + 60s; Now += 100ms) {
+    if (Holder.isRoundDue(Now))
+      runWalletRound(Holder, Log, Now);
+    if (Holder.reserve("team", 400, Now))
+      Holder.settle("team", 400, 400, Now);
+    WalletView Seen = Holder.view("team");
+    auto Left = static_cast<double>(Budget - Seen.Spent);
+    double Part = static_cast<double>(Seen.Held - Seen.Spent) / Left;
+    if (Left > Budget * 0.5)
+      PartAtHalf = Part;
+    if (Left > Budget * 0.1)
+      PartAtTenth = Part;
+  }
+  CHECK(PartAtHalf > 0.2);
+  CHECK(PartAtTenth < 0.15);
+}
