--- a/Libraries/LibLoan/TokenDesk.cpp
+++ b/Libraries/LibLoan/TokenDesk.cpp
@@ -154,7 +154,8 @@
     Asked.insert(Home);
     bool IsOwn = Home == this->Roster.self().id();
     if (this->isRefused(Team, Home, Amount)) {
-      IsLogLost = true; // Perhaps.
+      // It may have said so because its log was lost; a successor will tell.
+      IsLogLost = true;
       Answers.push_back("not in hand a moment ago");
       continue;
     }
