Log and count what is sent to targets that state a limit

Logs and metrics could not tell the hypotheses on the exceeded limit apart: no line says that a target states a limit, which host knows of it, or whether what it gets are first sends, resends or resumed streams.

LibRateLimit holds what a target states (StatedLimit). An answer that lifts or raises a limit counts only if its request was sent after the current limit was received, since answers on different connections overtake each other. The relay logs target_limit_changed and, every 4 s, target_limit_use with the sends by kind; metrics count both. platform/ reads the field. What is sent does not change.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -1,6 +1,9 @@
 #include "LibRelay/RelayCallHandler.h"
 
 #include "LibNet/NetError.h"
+#include "LibObserve/StructuredLog.h"
+
+#include <nlohmann/json.hpp>
 
 namespace bergamothook::detail {
 
@@ -119,7 +122,8 @@
 AttemptEnd RelayCallHandler::attempt(const ListedTarget &Target) {
   TargetDirectory &Targets = this->Dispatcher.targets();
   this->HasTargetSentEvent = false;
-  Duration TimeLeft = this->Deadline - this->now();
+  TimePoint StartedAt = this->now();
+  Duration TimeLeft = this->Deadline - StartedAt;
   HttpRequestHead Head =
       this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
@@ -127,12 +131,11 @@
   auto Opened =
       this->Hooks.Open(Target, this->Call, Head, this->Caller, this->Deadline);
   AttemptEnd End = AttemptEnd::NotSent;
-  if (Opened) {
-    ++this->Outcome.Sends;
-    End = this->readResponse(Opened.value());
-  } else if (Opened.error() != NetError::ConnectFailed) {
+  if (Opened || Opened.error() != NetError::ConnectFailed) {
+    this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
     ++this->Outcome.Sends;
-    End = this->attemptEndOf(Opened.error());
+    End = Opened ? this->readResponse(Opened.value(), Target, StartedAt)
+                 : this->attemptEndOf(Opened.error());
   }
   if (this->IsPrefillPending)
     Targets.onPrefillDone(Target.Id, this->Call.PromptTokens);
@@ -169,7 +172,27 @@
   }
 }
 
-AttemptEnd RelayCallHandler::readResponse(TargetExchange &Exchange) {
+SendKind RelayCallHandler::sendKind() const {
+  if (this->HasStreamStarted)
+    return SendKind::Resumption;
+  return this->Outcome.Sends == 0 ? SendKind::First : SendKind::Resend;
+}
+
+void RelayCallHandler::recordRateLimit(const HttpResponseHead &Head,
+                                       const ListedTarget &Target,
+                                       TimePoint SentAt) {
+  auto PerSecond = this->Hooks.ReadRateLimit(Head);
+  if (PerSecond)
+    this->Dispatcher.limiter().onAnswer(Target.runKey(), PerSecond.value(),
+                                        SentAt, this->now());
+  else
+    logEvent(LogLevel::Warning, "target_limit_unreadable",
+             {{"target", Target.Id}, {"reason", PerSecond.error().message()}});
+}
+
+AttemptEnd RelayCallHandler::readResponse(TargetExchange &Exchange,
+                                          const ListedTarget &Target,
+                                          TimePoint SentAt) {
   std::size_t StaleBytes = 0;
   for (;;) {
     auto Head = Exchange.ReadHead(this->Deadline);
@@ -183,6 +206,7 @@
       this->Dispatcher.targets().onReplaced(this->Outcome.Target);
       return AttemptEnd::NotRun;
     case ResponseVerdict::NotRun:
+      this->recordRateLimit(Head.value(), Target, SentAt);
       Exchange.Finish();
       return AttemptEnd::NotRun;
     case ResponseVerdict::Unverified:
@@ -196,6 +220,7 @@
       Exchange.NextResponse();
       continue;
     case ResponseVerdict::Ran:
+      this->recordRateLimit(Head.value(), Target, SentAt);
       if (isEventStream(Head.value()))
         return this->relayStream(Exchange, std::move(Head.value()));
       return this->relayBuffered(Exchange, std::move(Head.value()));
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -47,7 +47,11 @@
   /// connection can no longer be used, if it cannot.
   std::optional<AttemptEnd> discardStaleBody(TargetExchange &Exchange,
                                              std::size_t &DiscardedBytes) const;
-  AttemptEnd readResponse(TargetExchange &Exchange);
+  SendKind sendKind() const;
+  void recordRateLimit(const HttpResponseHead &Head, const ListedTarget &Target,
+                       TimePoint SentAt);
+  AttemptEnd readResponse(TargetExchange &Exchange, const ListedTarget &Target,
+                          TimePoint SentAt);
   AttemptEnd relayBuffered(TargetExchange &Exchange, HttpResponseHead Head);
   AttemptEnd relayStream(TargetExchange &Exchange, HttpResponseHead Head);
   AttemptEnd attemptEndOf(std::error_code Failure) const;
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -25,7 +25,7 @@
       TokenSource(Tokens), Stats(Stats),
       Picker(this->Settings.Picker, this->Settings.OwnDomain,
              this->Settings.Seed),
-      Resends(this->Settings.Resends),
+      Limiter(Stats), Resends(this->Settings.Resends),
       Quarantine(this->Settings.Self, this->Settings.Quarantine),
       Rng(this->Settings.Seed + 1) {}
 
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -7,6 +7,7 @@
 
 #include "LibLoan/TokenBroker.h"
 #include "LibObserve/Metrics.h"
+#include "LibRateLimit/TargetLimiter.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
 #include "LibRelay/RequestQuarantine.h"
@@ -50,6 +51,7 @@
 
   TargetDirectory &targets() { return this->Targets; }
   RequestQuarantine &quarantine() { return this->Quarantine; }
+  TargetLimiter &limiter() { return this->Limiter; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
   TokenBroker &tokens() { return this->TokenSource; }
@@ -66,6 +68,7 @@
   RelayConfigPtr Config;
   TargetDirectory Targets;
   TargetPicker Picker;
+  TargetLimiter Limiter;
   ResendBudget Resends;
   RequestQuarantine Quarantine;
   Random Rng;
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -85,6 +85,12 @@
                                 const RelayCall &Call)>
       Classify;
 
+  /// Reads the limit that a target states in an answer, in requests per second
+  /// from all hosts together; nothing if it states none. Fails if the field
+  /// can't be read.
+  std::function<Result<std::optional<double>>(const HttpResponseHead &Head)>
+      ReadRateLimit;
+
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
   std::function<HttpResponseHead(unsigned Status, const RelayCall &Call,
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -29,6 +29,11 @@
   /// same identifier has no knowledge of the earlier one's work.
   std::int64_t StartedAt = 0;
 
+  /// Addresses this run of the target, also among runs with one identifier.
+  std::string runKey() const {
+    return this->Id + "#" + std::to_string(this->StartedAt);
+  }
+
   bool operator==(const ListedTarget &) const = default;
 };
 
--- a/Meta/bergamothook.sh
+++ b/Meta/bergamothook.sh
@@ -67,7 +67,7 @@
 # The platform's names stay in platform/, and in its tests.
 check_names() {
   ! (cd "$root" && git grep -nIiE \
-    'X-Bergamothook-|keyed\.(op|servers|status)|/-/log-|Kv-From|sloMs|routeKind' \
+    'X-Bergamothook-|Server-Limit|keyed\.(op|servers|status)|/-/log-|Kv-From|sloMs|routeKind' \
     -- '*.cpp' '*.h' ':!platform' ':!Tests/Platform')
 }
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -156,6 +156,7 @@
   };
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
+  Hooks.ReadRateLimit = platform::readRateLimit;
   Hooks.MakeRefusal = platform::makeRefusal;
   return Hooks;
 }
@@ -266,6 +267,7 @@
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
     this->Dispatcher.quarantine().expire(this->Tasks.Now());
+    this->Dispatcher.limiter().reportUse(this->Tasks.Now());
     this->Dispatcher.resends().setHosts(this->TokenSource.roster().hosts());
     this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
   }
@@ -294,6 +296,9 @@
                      static_cast<double>(this->Dispatcher.quarantine().size()));
   this->Measured.set("relay_resends_refused",
                      static_cast<double>(this->Dispatcher.resends().refused()));
+  this->Measured.set(
+      "limited_targets",
+      static_cast<double>(this->Dispatcher.limiter().limitedTargets()));
   this->Measured.set("peer_datagrams_lost_here",
                      static_cast<double>(this->PeerSocket.sendFailures()));
   this->TokenSource.measure();
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -1,30 +1,10 @@
 #include "RelayFixture.h"
 
+#include "EmptyWalletLog.h"
 #include "LibObserve/StructuredLog.h"
 
 namespace bergamothook {
 
-namespace {
-
-/// A log without records that accepts every append.
-WalletLog makeEmptyLog() {
-  auto End = std::make_shared<std::uint64_t>(0);
-  WalletLog Log;
-  Log.Read = [End](std::uint64_t) -> Result<WalletPage> {
-    return WalletPage{{}, *End};
-  };
-  Log.ReadNewest = [End]() -> Result<WalletPage> {
-    return WalletPage{{}, *End};
-  };
-  Log.AppendAt = [End](std::uint64_t, const std::vector<WalletRecord> &Added) {
-    *End += Added.size();
-    return WalletAppend::Done;
-  };
-  return Log;
-}
-
-} // namespace
-
 RelayFixture::RelayFixture()
     : Wallets({"host", "domain", "", 1}, "p", {}, this->tokenHooks(),
               this->Stats, 1),
@@ -115,6 +95,9 @@
     return static_cast<ResponseVerdict>(
         std::stoi(std::string(Head.Headers.find("Verdict").value())));
   };
+  Hooks.ReadRateLimit = [](const HttpResponseHead &) {
+    return std::optional<double>();
+  };
   Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
                              std::optional<Duration> After) {
     this->RetryAfter = After;
