Keep all hosts together within the rate limit that a target states

Two targets in trouble got twice the requests that they had said to take: 21 in 4 s at a limit of 2.3 a second, 19 at 2.

Cause: no part of the relay read the limit. A limiter in each host would have kept the fault, n times the limit from n hosts: a bound on something that hosts share can't be kept by each host alone.

Evidence: the limit changed nothing in what the two targets got from the second in which it was stated.

Change: LibRateLimit. The limit is divided into shares that listed hosts hold by rendezvous hashing. Holders lease them to one host at a time, which grants a permit for each send. Whatever hosts believe of each other, the rates that they grant add up to the limit at most; a partition, a dead host or a restart costs shares, never adds any. No call of the store is made.

--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -1,12 +1,13 @@
 /// \file
 /// The time types used throughout the project. Decision code takes the current
-/// time as an argument; only readMonotonicClock() and readWallClock() read a
+/// time as an argument; only the functions named read...Clock() read a
 /// clock.
 
 #ifndef BERGAMOTHOOK_LIBBASE_TIME_H
 #define BERGAMOTHOOK_LIBBASE_TIME_H
 
 #include <chrono>
+#include <ctime>
 
 namespace bergamothook {
 
@@ -29,6 +30,15 @@
       std::chrono::steady_clock::now());
 }
 
+/// Like readMonotonicClock(), but counts the time during which the machine was
+/// suspended. For leases, which end for others in that time.
+inline TimePoint readLeaseClock() {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return TimePoint(std::chrono::seconds(Now.tv_sec) +
+                   std::chrono::nanoseconds(Now.tv_nsec));
+}
+
 inline WallTime readWallClock() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
--- a/Libraries/LibLoan/HostRoster.cpp
+++ b/Libraries/LibLoan/HostRoster.cpp
@@ -1,9 +1,17 @@
 #include "LibLoan/HostRoster.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bergamothook {
 
+namespace {
+
+/// How long firstHosts() can include a removed host.
+constexpr Duration RemovedHostMemory = std::chrono::minutes(1);
+
+} // namespace
+
 HostRoster::HostRoster(RosterHost Self, RosterPolicy Policy)
     : Self(std::move(Self)), Policy(Policy) {
   this->put(this->Self);
@@ -20,26 +28,46 @@
   this->CachedHomes.clear();
 }
 
-void HostRoster::replaceAll(const std::vector<RosterHost> &Listed) {
+void HostRoster::replaceAll(const std::vector<RosterHost> &Listed,
+                            TimePoint Now) {
   std::set<HostId> Present{this->Self.id()};
   for (const RosterHost &Host : Listed) {
     Present.insert(Host.id());
     this->put(Host);
   }
-  std::erase_if(this->Hosts, [&](const auto &Each) {
-    return !Present.contains(Each.first);
-  });
+  std::vector<HostId> Absent;
+  for (const auto &[Id, Each] : this->Hosts)
+    if (!Present.contains(Id))
+      Absent.push_back(Id);
+  for (HostId Host : Absent)
+    this->forget(Host, Now);
   this->CachedHomes.clear();
 }
 
-void HostRoster::remove(const std::string &Name) {
+void HostRoster::remove(const std::string &Name, TimePoint Now) {
   auto Host = idOfName<HostId>(Name);
   if (Host == this->Self.id())
     return;
-  this->Hosts.erase(Host);
+  this->forget(Host, Now);
   this->CachedHomes.clear();
 }
 
+void HostRoster::forget(HostId Host, TimePoint Now) {
+  std::erase_if(this->RemovedHosts, [Now](const auto &Each) {
+    return Now - Each.second.second > RemovedHostMemory;
+  });
+  auto Found = this->Hosts.find(Host);
+  if (Found == this->Hosts.end())
+    return;
+  this->RemovedHosts[Host] = {Found->second.Host.Name, Now};
+  this->Hosts.erase(Found);
+}
+
+void HostRoster::setSettled(TimePoint Now) {
+  if (!this->SettledAt)
+    this->SettledAt = Now;
+}
+
 void HostRoster::startProbing(Entry &HostEntry, Duration ProbeInterval,
                               TimePoint Now) {
   HostEntry.IsSilent = true;
@@ -130,6 +158,60 @@
   return !Homes.empty() && Homes.front() == this->Self.id();
 }
 
+std::vector<HostId> HostRoster::firstHosts(std::string_view Key,
+                                           std::size_t Count,
+                                           TimePoint RemovedAfter) const {
+  std::uint64_t Seed = hash64(Key);
+  std::vector<std::pair<std::uint64_t, HostId>> Ranked;
+  for (const auto &[Id, Each] : this->Hosts)
+    Ranked.emplace_back(hash64(Each.Host.Name, Seed), Id);
+  for (const auto &[Id, Removed] : this->RemovedHosts)
+    if (Removed.second > RemovedAfter && !this->Hosts.contains(Id))
+      Ranked.emplace_back(hash64(Removed.first, Seed), Id);
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<HostId> First;
+  for (const auto &[Rank, Id] : Ranked)
+    if (First.size() < Count)
+      First.push_back(Id);
+  return First;
+}
+
+HostId HostRoster::firstResponsive(std::string_view Key) const {
+  std::uint64_t Seed = hash64(Key);
+  std::optional<std::pair<std::uint64_t, HostId>> Best;
+  for (const auto &[Id, Each] : this->Hosts) {
+    if (Each.IsSilent || (this->IsStopping && Id == this->Self.id()))
+      continue;
+    std::pair Candidate{hash64(Each.Host.Name, Seed), Id};
+    Best = Best ? std::min(*Best, Candidate) : Candidate;
+  }
+  return Best ? Best->second : this->Self.id();
+}
+
+bool HostRoster::ranksBefore(std::string_view Key, HostId Left,
+                             HostId Right) const {
+  std::uint64_t Seed = hash64(Key);
+  auto RankOf = [&](HostId Host) {
+    const RosterHost *Found = this->find(Host);
+    return std::tuple(!Found, Found ? hash64(Found->Name, Seed) : 0, Host);
+  };
+  return RankOf(Left) < RankOf(Right);
+}
+
+bool HostRoster::isResponsive(HostId Host) const {
+  auto Found = this->Hosts.find(Host);
+  return Found != this->Hosts.end() && !Found->second.IsSilent &&
+         !(this->IsStopping && Host == this->Self.id());
+}
+
+std::vector<HostId> HostRoster::otherResponsiveHosts() const {
+  std::vector<HostId> Others;
+  for (const auto &[Id, Each] : this->Hosts)
+    if (!Each.IsSilent && Id != this->Self.id())
+      Others.push_back(Id);
+  return Others;
+}
+
 std::vector<HostId> HostRoster::takeDueProbes(TimePoint Now) {
   std::vector<HostId> Due;
   for (auto &[Id, Each] : this->Hosts) {
--- a/Libraries/LibLoan/HostRoster.h
+++ b/Libraries/LibLoan/HostRoster.h
@@ -9,8 +9,10 @@
 #include "LibBase/Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bergamothook {
@@ -50,10 +52,17 @@
   void put(const RosterHost &Host);
 
   /// Replaces the entries of all hosts.
-  void replaceAll(const std::vector<RosterHost> &Hosts);
+  void replaceAll(const std::vector<RosterHost> &Hosts, TimePoint Now);
 
   /// Removes a host that left. Never removes the entry of this host.
-  void remove(const std::string &Name);
+  void remove(const std::string &Name, TimePoint Now);
+
+  /// Records that every host that started with this one has had the time to
+  /// register. Until then, the number of hosts is not known.
+  void setSettled(TimePoint Now);
+
+  /// \returns when setSettled() was first called.
+  const std::optional<TimePoint> &settledAt() const { return this->SettledAt; }
 
   /// Marks a host that did not answer. \returns false if it already was silent,
   /// is unknown or is this host.
@@ -79,6 +88,26 @@
 
   bool isHome(unsigned Partition);
 
+  /// \returns the first \p Count hosts in the order of rendezvous hashing for
+  /// \p Key, silent ones included. Hosts removed later than \p RemovedAfter are
+  /// included too.
+  std::vector<HostId> firstHosts(std::string_view Key, std::size_t Count,
+                                 TimePoint RemovedAfter) const;
+
+  /// \returns the responsive host that ranks first for \p Key; this host, if
+  /// there is no other.
+  HostId firstResponsive(std::string_view Key) const;
+
+  /// \returns whether \p Left ranks before \p Right for \p Key. Unknown hosts
+  /// rank last.
+  bool ranksBefore(std::string_view Key, HostId Left, HostId Right) const;
+
+  /// \returns whether a host is listed, not silent and not leaving.
+  bool isResponsive(HostId Host) const;
+
+  /// \returns the responsive hosts other than this one.
+  std::vector<HostId> otherResponsiveHosts() const;
+
   /// \returns the silent hosts that are due for a probe, and schedules their
   /// next one.
   std::vector<HostId> takeDueProbes(TimePoint Now);
@@ -103,6 +132,7 @@
     Duration ProbeInterval{};
   };
 
+  void forget(HostId Host, TimePoint Now);
   void startProbing(Entry &HostEntry, Duration ProbeInterval, TimePoint Now);
 
   RosterHost Self;
@@ -110,6 +140,9 @@
   std::map<HostId, Entry> Hosts;
   /// Homes by partition, computed since the last change.
   std::map<unsigned, std::vector<HostId>> CachedHomes;
+  /// Hosts that were removed recently, with their names and times.
+  std::map<HostId, std::pair<std::string, TimePoint>> RemovedHosts;
+  std::optional<TimePoint> SettledAt;
   bool IsStopping = false;
 };
 
--- a/Libraries/LibLoan/TokenBroker.cpp
+++ b/Libraries/LibLoan/TokenBroker.cpp
@@ -339,6 +339,20 @@
   this->updateHomes();
 }
 
+void TokenBroker::markHostResponsive(HostId Host) {
+  if (!this->Roster.markResponsive(Host))
+    return;
+  const RosterHost *Found = this->Roster.find(Host);
+  logEvent(LogLevel::Info, "host_heard",
+           {{"host", Found ? Found->Name : "removed"}});
+}
+
+void TokenBroker::sendMessage(HostId To, std::uint16_t Kind,
+                              std::string_view Body) {
+  if (this->Peers)
+    this->Peers->send(To, Kind, Body);
+}
+
 void TokenBroker::settle(const TokenReservation &Reservation, Tokens Spent) {
   if (!Reservation.Number) {
     this->walletOf(Reservation.Team)
@@ -376,17 +390,21 @@
         BOOST_OUTCOME_TRY(Read, decodeMessage<Message>(Body));
         if (!Read.isValid())
           return PeerError::Malformed;
-        if (this->Roster.markResponsive(From.Host)) {
-          const RosterHost *Found = this->Roster.find(From.Host);
-          logEvent(LogLevel::Info, "host_heard",
-                   {{"host", Found ? Found->Name : "removed"}});
-        }
+        this->markHostResponsive(From.Host);
         Take(From, Read);
         return success();
       });
 }
 
 void TokenBroker::setHandlers() {
+  for (const auto &[Kind, Callback] : this->OtherHandlers)
+    this->Peers->setHandler(
+        Kind,
+        [this, Callback = Callback](const Incarnation &From,
+                                    std::string_view Body) -> Result<void> {
+          this->markHostResponsive(From.Host);
+          return Callback(From, Body);
+        });
   this->handle<LoanRequest>(
       LoanMessageKind::Request,
       [this](const Incarnation &From, const LoanRequest &Request) {
--- a/Libraries/LibLoan/TokenBroker.h
+++ b/Libraries/LibLoan/TokenBroker.h
@@ -113,6 +113,18 @@
   /// \returns whether the budget changed.
   bool setBudget(const std::string &Team, Tokens Budget);
 
+  /// Sets the handler of a message kind that is not about tokens. Must be
+  /// called before begin().
+  void setMessageHandler(std::uint16_t Kind, PeerNode::Handler Callback) {
+    this->OtherHandlers[Kind] = std::move(Callback);
+  }
+
+  /// Sends a message that may be lost. Dropped before begin().
+  void sendMessage(HostId To, std::uint16_t Kind, std::string_view Body);
+
+  /// Marks a host that did not answer, for all protocols between hosts.
+  void markHostSilent(HostId Host);
+
   /// Handles a datagram from another host.
   void received(std::string Bytes);
 
@@ -174,7 +186,7 @@
   template <typename Message>
   void send(HostId To, LoanMessageKind Kind, const Message &Body);
 
-  void markHostSilent(HostId Host);
+  void markHostResponsive(HostId Host);
   void updateHomes();
   void sendDueMessages();
 
@@ -192,6 +204,7 @@
   std::map<unsigned, WalletService> Wallets;
   /// When this host became home of a partition.
   std::map<unsigned, TimePoint> HomeSince;
+  std::map<std::uint16_t, PeerNode::Handler> OtherHandlers;
   std::optional<PeerNode> Peers;
   std::map<std::uint64_t, PendingRequest> PendingRequests;
   /// By team and home.
--- /dev/null
+++ b/Libraries/LibRateLimit/LimitMessages.h
@@ -0,0 +1,154 @@
+/// \file
+/// Messages between hosts about the limits of targets. Every message may be
+/// lost, delayed or duplicated.
+
+#ifndef BERGAMOTHOOK_LIBRATELIMIT_LIMITMESSAGES_H
+#define BERGAMOTHOOK_LIBRATELIMIT_LIMITMESSAGES_H
+
+#include "LibPeer/PeerSessionManager.h"
+#include "LibRateLimit/StatedLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamothook {
+
+/// Message kinds in the protocol between hosts.
+enum class LimitMessageKind : std::uint16_t {
+  PermitRequest = FirstMessageKind + 96,
+  PermitResponse,
+  ShareRequest,
+  ShareLease,
+  ShareRelease,
+};
+
+/// Maximum length in bytes of the key of a target in a message.
+constexpr std::size_t MaxTargetKey = 512;
+
+/// A limit and the age of the observation, since hosts have no common clock.
+struct LimitNews {
+  bool IsLimited = false;
+  double PerSecond = 0;
+  std::uint64_t AgeMicroseconds = 0;
+
+  static LimitNews of(const LimitObservation &Observed, TimePoint Now) {
+    auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::max(Duration::zero(), Now - Observed.At));
+    return {Observed.PerSecond.has_value(), Observed.PerSecond.value_or(0),
+            static_cast<std::uint64_t>(Age.count())};
+  }
+
+  LimitObservation observedBefore(TimePoint Now) const {
+    return {this->IsLimited ? std::optional(this->PerSecond) : std::nullopt,
+            Now - std::chrono::microseconds(this->AgeMicroseconds)};
+  }
+
+  bool isValid() const {
+    constexpr std::uint64_t MaxAge = std::uint64_t{1} << 52;
+    return std::isfinite(this->PerSecond) && this->PerSecond >= 0 &&
+           this->AgeMicroseconds < MaxAge;
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->IsLimited, this->PerSecond, this->AgeMicroseconds);
+  }
+};
+
+/// Asks the home of a limit for a permit for one request.
+struct PermitRequest {
+  std::uint64_t Number = 0;
+  std::string Target;
+  LimitNews News;
+
+  bool isValid() const {
+    return this->Target.size() <= MaxTargetKey && this->News.isValid();
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->Target, this->News);
+  }
+};
+
+enum class PermitStatus : std::uint8_t {
+  Granted,
+  /// The limit is used up.
+  Refused,
+  /// Another host is the home of this limit.
+  NotHome,
+  /// The host is stopping.
+  Leaving,
+};
+
+struct PermitResponse {
+  std::uint64_t Number = 0;
+  PermitStatus Status = PermitStatus::Refused;
+  /// The fields of PermitRefusal.
+  std::uint64_t RetryAfterMicroseconds = 0;
+  std::uint64_t AskAgainMicroseconds = 0;
+  std::uint64_t ReturnIntervalMicroseconds = 0;
+  LimitNews News;
+
+  bool isValid() const {
+    constexpr std::uint64_t MaxPause = 3'600'000'000;
+    return this->Status <= PermitStatus::Leaving &&
+           this->RetryAfterMicroseconds <= MaxPause &&
+           this->AskAgainMicroseconds <= MaxPause &&
+           this->ReturnIntervalMicroseconds <= MaxPause && this->News.isValid();
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->Status, this->RetryAfterMicroseconds,
+       this->AskAgainMicroseconds, this->ReturnIntervalMicroseconds,
+       this->News);
+  }
+};
+
+/// Tells a host of a limit, and requests its share if it has one.
+struct ShareRequest {
+  std::uint64_t Round = 0;
+  std::string Target;
+  LimitNews News;
+
+  bool isValid() const {
+    return this->Target.size() <= MaxTargetKey && this->News.isValid();
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Round, this->Target, this->News);
+  }
+};
+
+/// Leases a share in answer to a ShareRequest, or only tells a newer limit.
+struct ShareLease {
+  std::uint64_t Round = 0;
+  std::string Target;
+  bool IsLeased = false;
+  /// The number of shares as the holder counts them.
+  std::uint32_t Holders = 1;
+  LimitNews News;
+
+  bool isValid() const {
+    return this->Target.size() <= MaxTargetKey && this->Holders > 0 &&
+           this->News.isValid();
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Round, this->Target, this->IsLeased, this->Holders, this->News);
+  }
+};
+
+/// Ends a lease early, unless it was renewed after \p Round.
+struct ShareRelease {
+  std::uint64_t Round = 0;
+  std::string Target;
+
+  bool isValid() const { return this->Target.size() <= MaxTargetKey; }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Round, this->Target);
+  }
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Libraries/LibRateLimit/LimitPool.cpp
@@ -0,0 +1,123 @@
+#include "LibRateLimit/LimitPool.h"
+
+#include <algorithm>
+
+namespace bergamothook {
+
+namespace {
+
+/// How long a host that asked counts as a competitor for permits.
+constexpr Duration AskerLifetime = std::chrono::seconds(2);
+/// The longest pause between two requests of one host, unless the number of
+/// hosts makes it longer. A limit that is raised takes effect within it.
+constexpr Duration MaxAskPause = std::chrono::seconds(1);
+/// Assumed wait for a permit while this host has no share.
+constexpr Duration NoShareRetryAfter = std::chrono::seconds(1);
+/// The rate at a target that accepts nothing: only an answer can tell that it
+/// accepts requests again.
+constexpr double MinPerSecond = 0.05;
+
+Duration durationOf(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+void LimitPool::setLimit(double PerSecond, TimePoint Now) {
+  this->advance(Now);
+  this->Limit = std::max(PerSecond, MinPerSecond);
+  this->updateRate(Now);
+}
+
+void LimitPool::beginRound(std::uint64_t Round, TimePoint Now) {
+  this->advance(Now);
+  std::erase_if(this->Rounds, [&](const auto &Each) {
+    return Now - Each.second >= this->Policy.LeaseUse;
+  });
+  this->Rounds[Round] = Now;
+  bool IsFirst = this->RoundsBegun++ < this->Policy.FirstRenewals;
+  this->NextRound = Now + (IsFirst ? this->Policy.FirstRenewalInterval
+                                   : this->Policy.RenewalInterval);
+}
+
+void LimitPool::onLease(HostId Holder, std::uint64_t Round,
+                        std::size_t HolderCount, TimePoint Now) {
+  this->advance(Now);
+  auto Begun = this->Rounds.find(Round);
+  if (Begun == this->Rounds.end())
+    return;
+  // The holder leased it after the request was sent, so its lease ends later.
+  TimePoint Until = Begun->second + this->Policy.LeaseUse;
+  if (Until <= Now)
+    return;
+  Lease &Held = this->Leases[Holder];
+  Held = {std::max(Held.UsableUntil, Until), HolderCount};
+  this->updateRate(Now);
+}
+
+bool LimitPool::take(HostId Asker, TimePoint Now) {
+  this->Askers[Asker] = Now;
+  this->LastAsk = Now;
+  this->advance(Now);
+  return this->Bucket.take(Now);
+}
+
+PermitRefusal LimitPool::refusal(TimePoint Now) {
+  std::erase_if(this->Askers, [Now](const auto &Each) {
+    return Now - Each.second >= AskerLifetime;
+  });
+  double Competitors = std::max<double>(1, this->Askers.size());
+  Duration MinPause = durationOf(Competitors / this->Policy.MaxAsksPerSecond);
+  auto UntilNext = this->Bucket.untilNext(Now);
+  PermitRefusal Refusal;
+  Refusal.RetryAfter = UntilNext.value_or(NoShareRetryAfter);
+  Refusal.AskAgainAfter =
+      std::max(MinPause, std::min(Refusal.RetryAfter, MaxAskPause));
+  double Rate = this->Bucket.rate();
+  Refusal.ReturnInterval =
+      Rate > 0 ? durationOf(Competitors / Rate) : NoShareRetryAfter;
+  return Refusal;
+}
+
+double LimitPool::share(TimePoint Now) {
+  this->advance(Now);
+  return this->currentShare();
+}
+
+std::vector<HostId> LimitPool::holders(TimePoint Now) {
+  this->advance(Now);
+  std::vector<HostId> Valid;
+  for (const auto &[Holder, Held] : this->Leases)
+    Valid.push_back(Holder);
+  return Valid;
+}
+
+/// Ends leases at their times, so that each yields permits until its end only.
+void LimitPool::advance(TimePoint Now) {
+  for (;;) {
+    auto First = std::min_element(this->Leases.begin(), this->Leases.end(),
+                                  [](const auto &Left, const auto &Right) {
+                                    return Left.second.UsableUntil <
+                                           Right.second.UsableUntil;
+                                  });
+    if (First == this->Leases.end() || First->second.UsableUntil > Now)
+      return;
+    TimePoint EndedAt = First->second.UsableUntil;
+    this->Leases.erase(First);
+    this->updateRate(EndedAt);
+  }
+}
+
+double LimitPool::currentShare() const {
+  double Sum = 0;
+  for (const auto &[Holder, Held] : this->Leases)
+    Sum += 1 / static_cast<double>(Held.Holders);
+  return std::min(Sum, 1.0);
+}
+
+void LimitPool::updateRate(TimePoint Now) {
+  this->Bucket.setRate(this->Limit * this->currentShare(), Now);
+}
+
+} // namespace bergamothook
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -100,9 +100,16 @@
       return this->finishFailed(AttemptEnd::Quarantined);
     TargetState *Target = this->chooseTarget();
     if (!Target)
-      return this->finishFailed(AttemptEnd::NotSent);
+      return this->finishFailed(this->rateLimitedTargets().empty()
+                                    ? AttemptEnd::NotSent
+                                    : AttemptEnd::RateLimited);
     ListedTarget Chosen = Target->Listed;
     this->Outcome.Target = Chosen.Id;
+    if (!this->acquirePermit(Chosen)) {
+      this->Excluded.insert(Chosen.Id);
+      continue;
+    }
+    ++this->Attempts;
     AttemptEnd End = this->attempt(Chosen);
     this->recordAttempt(Chosen.Id, End);
     if (End == AttemptEnd::Done)
@@ -119,6 +126,26 @@
                                         this->Excluded, this->now());
 }
 
+bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
+  PermitDecision Permit =
+      this->Dispatcher.limiter().acquire(Target.runKey(), this->Caller.HasLeft);
+  if (Permit.IsGranted)
+    return true;
+  this->Dispatcher.targets().onRateLimited(Target.Id,
+                                           this->now() + Permit.AskAgainAfter);
+  this->RefusedPermits.insert(Target.runKey());
+  return false;
+}
+
+std::vector<std::string> RelayCallHandler::rateLimitedTargets() {
+  std::set<std::string> Keys = this->RefusedPermits;
+  for (const TargetState *Target :
+       this->Dispatcher.targets().usable(this->Service))
+    if (Target->RateLimitedUntil > this->now())
+      Keys.insert(Target->Listed.runKey());
+  return {Keys.begin(), Keys.end()};
+}
+
 AttemptEnd RelayCallHandler::attempt(const ListedTarget &Target) {
   TargetDirectory &Targets = this->Dispatcher.targets();
   this->HasTargetSentEvent = false;
@@ -333,6 +360,7 @@
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
   case AttemptEnd::Quarantined:
+  case AttemptEnd::RateLimited:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::NotRun)
@@ -354,10 +382,11 @@
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
   case AttemptEnd::Quarantined:
+  case AttemptEnd::RateLimited:
     return false;
   case AttemptEnd::NotSent:
     // No byte was sent, so this does not count as a resend.
-    return this->Excluded.size() + 1 < MaxSends;
+    return this->Attempts < MaxSends;
   case AttemptEnd::NotRun:
     break;
   case AttemptEnd::Failed:
@@ -407,9 +436,13 @@
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
+  if (End == AttemptEnd::RateLimited)
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::RateLimited,
+                        this->Dispatcher.limiter().scheduleReturn(
+                            this->rateLimitedTargets(), this->now()));
   this->refuse(503, RelayEnd::NotRun,
-               this->Excluded.empty() ? RelayReason::NoTarget
-                                      : RelayReason::TargetUnreachable,
+               this->Attempts == 0 ? RelayReason::NoTarget
+                                   : RelayReason::TargetUnreachable,
                NoTargetRetryAfter);
 }
 
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -27,6 +27,8 @@
   OutOfTime,
   /// The request crashed targets before, so it is not sent.
   Quarantined,
+  /// All targets that are left are at their rate limits.
+  RateLimited,
   CallerLeft,
 };
 
@@ -42,6 +44,12 @@
   void runAttempts();
   void chooseService();
   TargetState *chooseTarget();
+  /// Requests a permit to send the call to \p Target if that one states a rate
+  /// limit.
+  bool acquirePermit(const ListedTarget &Target);
+  /// \returns the keys of the targets that are at their rate limits, or were
+  /// when this call was to be sent to them.
+  std::vector<std::string> rateLimitedTargets();
   AttemptEnd attempt(const ListedTarget &Target);
   /// Reads and discards the body of a stale response. \returns why the
   /// connection can no longer be used, if it cannot.
@@ -78,6 +86,9 @@
   std::uint32_t TokensPerEvent = 1;
   /// Targets that are not tried again.
   std::set<std::string> Excluded;
+  /// Keys of the targets for which this call got no permit.
+  std::set<std::string> RefusedPermits;
+  unsigned Attempts = 0;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPrefillPending = false;
   /// The current target sent an event, so the request did not crash it.
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -25,10 +25,28 @@
       TokenSource(Tokens), Stats(Stats),
       Picker(this->Settings.Picker, this->Settings.OwnDomain,
              this->Settings.Seed),
-      Limiter(Stats), Resends(this->Settings.Resends),
+      Limiter(this->Settings.Limiter, this->limiterHooks(), Tokens.roster(),
+              Stats),
+      Resends(this->Settings.Resends),
       Quarantine(this->Settings.Self, this->Settings.Quarantine),
       Rng(this->Settings.Seed + 1) {}
 
+LimiterHooks RelayDispatcher::limiterHooks() {
+  LimiterHooks Chosen;
+  Chosen.Tasks = this->Hooks.Tasks;
+  Chosen.LeaseClock = this->Hooks.LeaseClock;
+  Chosen.Send = [this](HostId To, std::uint16_t Kind, std::string_view Body) {
+    this->TokenSource.sendMessage(To, Kind, Body);
+  };
+  Chosen.SetHandler = [this](std::uint16_t Kind, PeerNode::Handler Callback) {
+    this->TokenSource.setMessageHandler(Kind, std::move(Callback));
+  };
+  Chosen.MarkSilent = [this](HostId Host) {
+    this->TokenSource.markHostSilent(Host);
+  };
+  return Chosen;
+}
+
 bool RelayDispatcher::setConfig(RelayConfigPtr Next) {
   if (this->Config && Next->Version <= this->Config->Version)
     return false;
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -24,6 +24,7 @@
   ResendPolicy Resends;
   QuarantinePolicy Quarantine;
   std::uint64_t Seed = 0;
+  LimiterPolicy Limiter = {};
 };
 
 /// All member functions are called from tasks of one runtime. The token broker
@@ -59,6 +60,7 @@
   Random &rng() { return this->Rng; }
 
 private:
+  LimiterHooks limiterHooks();
   void record(const RelayCall &Call, const RelayOutcome &Outcome);
 
   RelaySettings Settings;
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -65,6 +65,10 @@
 struct RelayHooks {
   Runtime Tasks;
 
+  /// Like Tasks.Now, but counts the time during which the machine was
+  /// suspended.
+  std::function<TimePoint()> LeaseClock;
+
   /// Connects to a target and sends it the call. NetError::ConnectFailed
   /// guarantees that no byte was sent.
   std::function<Result<TargetExchange>(
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -46,6 +46,8 @@
     return "the targets can't answer in time";
   case RelayReason::Stopping:
     return "the host is stopping";
+  case RelayReason::RateLimited:
+    return "the targets are at their rate limits";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -47,6 +47,7 @@
   Quarantined,
   Overloaded,
   Stopping,
+  RateLimited,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -19,6 +19,7 @@
     State.ConsecutiveFailures = 0;
     State.BackoffUntil = {};
     State.FullUntil = {};
+    State.RateLimitedUntil = {};
   }
   State.Listed = Target;
   State.MissingSince.reset();
@@ -81,6 +82,12 @@
   return Found == this->Targets.end() ? nullptr : &Found->second;
 }
 
+bool TargetDirectory::isListed(const std::string &RunKey) const {
+  auto Found = this->Targets.find(RunKey.substr(0, RunKey.rfind('#')));
+  return Found != this->Targets.end() && !Found->second.IsRetired &&
+         Found->second.Listed.runKey() == RunKey;
+}
+
 void TargetDirectory::onStarted(const std::string &Id,
                                 std::int64_t PromptTokens) {
   if (TargetState *State = this->find(Id)) {
@@ -126,6 +133,11 @@
     State->FullUntil = Now + this->Policy.FullDuration;
 }
 
+void TargetDirectory::onRateLimited(const std::string &Id, TimePoint Until) {
+  if (TargetState *State = this->find(Id))
+    State->RateLimitedUntil = Until;
+}
+
 void TargetDirectory::onReplaced(const std::string &Id) {
   if (TargetState *State = this->find(Id))
     State->IsRetired = true;
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -52,6 +52,8 @@
   /// The target reported that its queue is full; until this time, other targets
   /// are preferred.
   TimePoint FullUntil{};
+  /// The target's rate limit is used up: no new calls before.
+  TimePoint RateLimitedUntil{};
   /// Set while the list does not contain the target. If the list was
   /// unavailable shortly before, the removal may be spurious.
   std::optional<TimePoint> MissingSince;
@@ -101,6 +103,9 @@
 
   TargetState *find(const std::string &Id);
 
+  /// \returns whether \p RunKey addresses a target that may receive new calls.
+  bool isListed(const std::string &RunKey) const;
+
   void onStarted(const std::string &Id, std::int64_t PromptTokens);
   /// The first event was received, or the call ended before it.
   void onPrefillDone(const std::string &Id, std::int64_t PromptTokens);
@@ -108,6 +113,7 @@
   void onSuccess(const std::string &Id);
   void onFailure(const std::string &Id, TimePoint Now);
   void onFull(const std::string &Id, TimePoint Now);
+  void onRateLimited(const std::string &Id, TimePoint Until);
 
   /// Another target responded at its address, so it has ended.
   void onReplaced(const std::string &Id);
--- a/Libraries/LibRelay/TargetPicker.cpp
+++ b/Libraries/LibRelay/TargetPicker.cpp
@@ -36,7 +36,8 @@
                          TimePoint Now) const {
   std::vector<TargetState *> Candidates = Targets.usable(Service);
   std::erase_if(Candidates, [&](const TargetState *Candidate) {
-    return Excluded.contains(Candidate->Listed.Id);
+    return Excluded.contains(Candidate->Listed.Id) ||
+           Candidate->RateLimitedUntil > Now;
   });
   keepIfAny(Candidates, [&](const TargetState *Candidate) {
     return Candidate->BackoffUntil <= Now && !Candidate->MissingSince;
--- a/Libraries/LibRelay/TargetPicker.h
+++ b/Libraries/LibRelay/TargetPicker.h
@@ -34,7 +34,8 @@
   TargetPicker(PickerPolicy Policy, std::string OwnDomain, std::uint64_t Seed)
       : Policy(Policy), OwnDomain(std::move(OwnDomain)), Rng(Seed) {}
 
-  /// Selects one of the targets of \p Service that are not in \p Excluded.
+  /// Selects one of the targets of \p Service that are not in \p Excluded and
+  /// not at their rate limit.
   /// \returns null if none is left.
   TargetState *pick(TargetDirectory &Targets, const std::string &Service,
                     const RelayCall &Call,
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -149,6 +149,7 @@
 RelayHooks RelayService::relayHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Tasks;
+  Hooks.LeaseClock = readLeaseClock;
   Hooks.Open = [this](const ListedTarget &Target, const RelayCall &Call,
                       const HttpRequestHead &Head, const CallerHooks &Caller,
                       TimePoint Deadline) {
@@ -267,7 +268,13 @@
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
     this->Dispatcher.quarantine().expire(this->Tasks.Now());
+    this->Dispatcher.limiter().renewLeases();
     this->Dispatcher.limiter().reportUse(this->Tasks.Now());
+    this->Dispatcher.limiter().expire(
+        [this](const std::string &Key) {
+          return this->Dispatcher.targets().isListed(Key);
+        },
+        this->Tasks.Now());
     this->Dispatcher.resends().setHosts(this->TokenSource.roster().hosts());
     this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
   }
@@ -336,6 +343,7 @@
            {{"in_progress", this->Server.inProgress()},
             {"loans_open", this->TokenSource.loans().open()}});
   this->TokenSource.beginStop();
+  this->Dispatcher.limiter().beginStop();
   this->Tasks.Spawn([this] { this->Registry.leave(); });
   this->Server.beginStop(this->Settings.StopTime);
   while (!this->Server.mayExit())
--- a/Tests/LibLoan/HostRosterTest.cpp
+++ b/Tests/LibLoan/HostRosterTest.cpp
@@ -1,5 +1,6 @@
 #include "LibLoan/HostRoster.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <set>
 
@@ -91,10 +92,10 @@
   RosterHost Old = Roster.self();
   Old.Run = 1;
   Old.Address = "10.9.9.9:1";
-  Roster.replaceAll({Old});
+  Roster.replaceAll({Old}, Start);
   CHECK(Roster.hosts() == 1);
   CHECK(*Roster.find(Old.id()) == Roster.self());
-  Roster.remove(Old.Name);
+  Roster.remove(Old.Name, Start);
   CHECK(Roster.hosts() == 1);
 }
 
@@ -105,3 +106,23 @@
   CHECK_FALSE(Roster.isHome(0));
   CHECK(Roster.homes(0).empty());
 }
+
+TEST_CASE("all hosts agree on the first hosts for a key, also on silent ones") {
+  for (int Hosts : {1, 6, 300}) {
+    HostRoster First = makeRoster(0, Hosts, 3);
+    HostRoster Other = makeRoster(Hosts - 1, Hosts, 3);
+    Other.markSilent(First.self().id(), Start);
+    auto Expected = First.firstHosts("key", 8, Start);
+    CHECK(Expected.size() == static_cast<std::size_t>(std::min(Hosts, 8)));
+    CHECK(Other.firstHosts("key", 8, Start) == Expected);
+    CHECK(First.firstResponsive("key") == Expected.front());
+  }
+}
+
+TEST_CASE("a host that was removed a moment ago keeps its place for a key") {
+  HostRoster Roster = makeRoster(0, 20, 2);
+  auto Before = Roster.firstHosts("key", 8, Start);
+  Roster.remove(Roster.find(Before[3])->Name, Start + 1s);
+  CHECK(Roster.firstHosts("key", 8, Start) == Before);
+  CHECK(Roster.firstHosts("key", 8, Start + 2s) != Before);
+}
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -15,6 +15,8 @@
     R"(00112233445566778899aabbccddeeff"}})";
 constexpr const char *ServiceName = "engines";
 
+constexpr Duration HousekeepingInterval = std::chrono::milliseconds(200);
+
 /// The rule for a target that states a limit.
 constexpr Duration RuleWindow = std::chrono::seconds(4);
 constexpr Duration RuleDelay = std::chrono::seconds(3);
@@ -72,7 +74,7 @@
   for (auto &Each : this->Processes) {
     Each->IsFrozen = false;
     Each->Thawed.notify();
-    Each->IsStopped = true;
+    Each->HasEnded = true;
     TokenBroker &Broker = Each->Broker;
     this->Simulated.hooks().Spawn([this, &Broker] {
       Broker.stop(this->Simulated.now(), this->Simulated.now());
@@ -118,6 +120,13 @@
   Started.Dispatcher.setConfig(this->Config);
   Started.Broker.begin({KeyRing::parse(FleetKey).value(), 1});
   this->Simulated.hooks().Spawn([&Started] { Started.Broker.run(); });
+  this->Simulated.hooks().Spawn([&Started] {
+    const Runtime &Tasks = Started.Dispatcher.hooks().Tasks;
+    while (!Started.HasEnded) {
+      Started.Dispatcher.limiter().renewLeases();
+      Tasks.sleepUntil(Tasks.Now() + HousekeepingInterval);
+    }
+  });
 }
 
 void LimitFleet::publishRosters() {
@@ -126,8 +135,10 @@
     if (!this->Left.contains(Host))
       Hosts.push_back(this->process(Host).Broker.roster().self());
   for (auto &Each : this->Processes)
-    if (Each->IsAlive)
-      Each->Broker.roster().replaceAll(Hosts);
+    if (Each->IsAlive) {
+      Each->Broker.roster().replaceAll(Hosts, this->now());
+      Each->Broker.roster().setSettled(this->now());
+    }
 }
 
 void LimitFleet::publishTargets() {
@@ -182,6 +193,7 @@
 RelayHooks LimitFleet::relayHooks(std::size_t Index) {
   RelayHooks Hooks;
   Hooks.Tasks = this->tasksOf(Index);
+  Hooks.LeaseClock = Hooks.Tasks.Now;
   Hooks.MakeHead = [](const RelayCall &Call, const ListedTarget &, Duration,
                       std::optional<std::uint64_t>) { return Call.Head; };
   Hooks.Open = [this, Index](const ListedTarget &Target, const RelayCall &,
@@ -315,9 +327,11 @@
   this->process(Host).IsStopped = true;
 }
 
-void LimitFleet::restart(int Host) {
-  this->kill(Host);
-  this->start(Host);
+void LimitFleet::restart(const std::vector<int> &Hosts) {
+  for (int Host : Hosts) {
+    this->kill(Host);
+    this->start(Host);
+  }
   this->publishRosters();
   this->publishTargets();
 }
@@ -326,6 +340,7 @@
   Process &Stopping = this->process(Host);
   Stopping.IsStopped = true;
   Stopping.Broker.beginStop();
+  Stopping.Dispatcher.limiter().beginStop();
   this->Left.insert(Host);
   this->publishRosters();
 }
@@ -357,8 +372,21 @@
   return Each.IsAlive && !Each.IsStopped && !Each.IsFrozen;
 }
 
-RelayDispatcher &LimitFleet::dispatcher(int Host) {
-  return this->process(Host).Dispatcher;
+int LimitFleet::homeOf(int Target) {
+  const ListedTarget &Listed =
+      this->Targets[static_cast<std::size_t>(Target)].Listed;
+  for (int Host = 0; Host < this->hosts(); ++Host) {
+    HostRoster &Roster = this->process(Host).Broker.roster();
+    if (this->isRunning(Host) &&
+        Roster.firstResponsive(Listed.runKey()) == Roster.self().id())
+      return Host;
+  }
+  return 0;
+}
+
+std::optional<double> LimitFleet::limitAt(int Host, int Target) {
+  return this->process(Host).Dispatcher.limiter().limitOf(
+      this->Targets[static_cast<std::size_t>(Target)].Listed.runKey());
 }
 
 int LimitFleet::arrivals(int Target, TimePoint From, TimePoint To) const {
--- a/Tests/LibRelay/LimitFleet.h
+++ b/Tests/LibRelay/LimitFleet.h
@@ -66,8 +66,8 @@
   void load(double PerSecond, Duration Span, int Hosts = 0);
 
   void kill(int Host);
-  /// Starts a new process of a host.
-  void restart(int Host);
+  /// Starts a new process of each host.
+  void restart(const std::vector<int> &Hosts);
   /// Stops a host gracefully.
   void stop(int Host);
   /// Adds a host that was not there before.
@@ -82,7 +82,13 @@
 
   bool isRunning(int Host) const;
   int hosts() const { return static_cast<int>(this->Newest.size()); }
-  RelayDispatcher &dispatcher(int Host);
+
+  /// \returns the host that is the home of a target's limit while all hosts
+  /// respond.
+  int homeOf(int Target);
+
+  /// \returns the limit of a target as far as a host knows.
+  std::optional<double> limitAt(int Host, int Target);
 
   /// \returns the requests that a target has received between two times.
   int arrivals(int Target, TimePoint From, TimePoint To) const;
@@ -106,7 +112,9 @@
 
     int Host;
     bool IsAlive = true;
+    /// Takes no new calls.
     bool IsStopped = false;
+    bool HasEnded = false;
     bool IsFrozen = false;
     Event Thawed;
     Metrics Stats;
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -49,6 +49,17 @@
       this->Dispatcher.resends().onRequest("engines", this->Simulated.now());
   }
 
+  /// Lets every target state a limit of which this host has no share, since it
+  /// does not know the fleet.
+  void limitAllTargets() {
+    ScriptedResponse Limited = completeStream(1, 1);
+    Limited.RateLimit = 2;
+    this->Responses.assign(3, Limited);
+    while (!this->Responses.empty())
+      this->serve(this->makeCall());
+    this->SentCalls.clear();
+  }
+
   RelayOutcome runScript(std::vector<ScriptedResponse> Script) {
     this->Responses.assign(Script.begin(), Script.end());
     return this->serve(this->makeCall());
@@ -362,3 +373,53 @@
   Fixture.FailsWrites = true;
   CHECK(Fixture.runScript({Failed}).End == RelayEnd::CallerLeft);
 }
+
+TEST_CASE("a call goes to another target when the first is at its rate limit") {
+  Relay Fixture;
+  ScriptedResponse Limited = completeStream(1, 1);
+  Limited.RateLimit = 2;
+  Fixture.runScript({Limited});
+  std::string AtLimit = Fixture.SentCalls[0].Target;
+  for (int I = 0; I < 20; ++I)
+    CHECK(Fixture.runScript({completeStream(1, 1)}).Status == 200);
+  for (std::size_t I = 1; I < Fixture.SentCalls.size(); ++I)
+    CHECK(Fixture.SentCalls[I].Target != AtLimit);
+}
+
+TEST_CASE("a call is refused at once when all targets are at their rate "
+          "limits") {
+  Relay Fixture;
+  Fixture.limitAllTargets();
+  RelayOutcome Outcome = Fixture.serve(Fixture.makeCall());
+  CHECK(Outcome.End == RelayEnd::NotRun);
+  CHECK(Outcome.Reason == RelayReason::RateLimited);
+  CHECK(Outcome.Total == Duration::zero());
+  CHECK(Fixture.Status == 503);
+  CHECK(Fixture.RetryAfter > Duration::zero());
+  CHECK(Fixture.SentCalls.empty());
+}
+
+TEST_CASE("callers that are refused for a rate limit return one after the "
+          "other") {
+  Relay Fixture;
+  Fixture.limitAllTargets();
+  Duration Last{};
+  for (int I = 0; I < 10; ++I) {
+    Fixture.serve(Fixture.makeCall());
+    CHECK(Fixture.RetryAfter >= Last);
+    Last = *Fixture.RetryAfter;
+  }
+  CHECK(Last >= 2s);
+}
+
+TEST_CASE("a resend and a resumption need a permit of a limited target") {
+  for (CallKind Kind : {CallKind::Idempotent, CallKind::Stream}) {
+    Relay Fixture;
+    Fixture.setKind(Kind, true);
+    Fixture.limitAllTargets();
+    Fixture.addTarget("d");
+    RelayOutcome Outcome = Fixture.runScript({brokenStream(1, 2)});
+    CHECK(Outcome.Sends == 1);
+    CHECK(Fixture.SentCalls.size() == 1);
+  }
+}
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -76,6 +76,7 @@
 RelayHooks RelayFixture::makeHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Simulated.hooks();
+  Hooks.LeaseClock = Hooks.Tasks.Now;
   Hooks.MakeHead = [this](const RelayCall &Call, const ListedTarget &Target,
                           Duration TimeLeft,
                           std::optional<std::uint64_t> ResumeAfter) {
@@ -95,8 +96,10 @@
     return static_cast<ResponseVerdict>(
         std::stoi(std::string(Head.Headers.find("Verdict").value())));
   };
-  Hooks.ReadRateLimit = [](const HttpResponseHead &) {
-    return std::optional<double>();
+  Hooks.ReadRateLimit =
+      [](const HttpResponseHead &Head) -> Result<std::optional<double>> {
+    auto Text = Head.Headers.find("Rate-Limit");
+    return Text ? std::optional(std::stod(std::string(*Text))) : std::nullopt;
   };
   Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
                              std::optional<Duration> After) {
@@ -131,6 +134,8 @@
     Head.Headers.add("Content-Type", "text/event-stream");
     Head.Headers.add("Verdict",
                      std::to_string(static_cast<int>(Remaining->Verdict)));
+    if (Remaining->RateLimit)
+      Head.Headers.add("Rate-Limit", std::to_string(*Remaining->RateLimit));
     return Head;
   };
   Exchange.ReadBody = [=](TimePoint Deadline) -> Result<BodyPiece> {
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -27,6 +27,8 @@
   std::error_code ConnectionError;
   /// The response stalls after the pieces.
   bool Stalls = false;
+  /// The rate limit that the target states.
+  std::optional<double> RateLimit;
   Duration HeadAfter = std::chrono::milliseconds(5);
 };
 
--- a/Tests/Platform/FleetRegistryTest.cpp
+++ b/Tests/Platform/FleetRegistryTest.cpp
@@ -85,6 +85,10 @@
     waitUntil(Tasks, [&] { return OtherRoster.find(First.id()) != nullptr; });
     CHECK(*OtherRoster.find(First.id()) == First);
 
+    CHECK_FALSE(OwnRoster.settledAt());
+    waitUntil(Tasks, [&] { return OwnRoster.settledAt().has_value(); });
+    CHECK_FALSE(OtherRoster.settledAt()); // It never registered.
+
     // A delayed append of an earlier process is overwritten.
     RosterHost Earlier = First;
     Earlier.Run = 1;
