Take no slack for resends before the fleet is known

The same cause as that of the exceeded target limit, found by looking for bounds that hosts keep one by one on something they share: the slack of the fleet's resends is divided by the hosts that this one knows, and a host that has not read the list of hosts counts itself alone. It took the whole slack; after a start of all hosts, each of them did, n times the slack together. Seen in the code, not at callers.

A host takes none of the slack until its list of hosts is settled: its own record has been stored for a second, in which the others that started with it register. Resends in proportion to its own requests are not affected.

The test failed before: with no host known, 50 resends of a slack of 50 were granted to one host.

--- a/Libraries/LibRelay/ResendBudget.cpp
+++ b/Libraries/LibRelay/ResendBudget.cpp
@@ -25,8 +25,9 @@
   this->dropExpired(ServiceCounts.Requests, Now);
   this->dropExpired(ServiceCounts.Resends, Now);
   double Allowed =
-      this->Policy.Ratio * static_cast<double>(ServiceCounts.Requests.size()) +
-      this->Policy.FleetSlack / static_cast<double>(this->Hosts);
+      this->Policy.Ratio * static_cast<double>(ServiceCounts.Requests.size());
+  if (this->Hosts > 0)
+    Allowed += this->Policy.FleetSlack / static_cast<double>(this->Hosts);
   if (static_cast<double>(ServiceCounts.Resends.size()) + 1 > Allowed) {
     ++this->Refused;
     return false;
--- a/Libraries/LibRelay/ResendBudget.h
+++ b/Libraries/LibRelay/ResendBudget.h
@@ -33,7 +33,8 @@
   /// Counts a request for \p Service.
   void onRequest(const std::string &Service, TimePoint Now);
 
-  /// Sets the number of hosts that share FleetSlack.
+  /// Sets the number of hosts that share FleetSlack. Before, this host takes
+  /// none of it.
   void setHosts(std::size_t Count);
 
   /// Consumes one resend. \returns false if none is left.
@@ -51,7 +52,8 @@
 
   ResendPolicy Policy;
   std::map<std::string, Counts> Services;
-  std::size_t Hosts = 1;
+  /// 0 while the hosts are not known.
+  std::size_t Hosts = 0;
   std::uint64_t Refused = 0;
 };
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -275,7 +275,9 @@
           return this->Dispatcher.targets().isListed(Key);
         },
         this->Tasks.Now());
-    this->Dispatcher.resends().setHosts(this->TokenSource.roster().hosts());
+    const HostRoster &Roster = this->TokenSource.roster();
+    if (Roster.settledAt())
+      this->Dispatcher.resends().setHosts(Roster.hosts());
     this->Tasks.sleepUntil(this->Tasks.Now() + HousekeepingInterval);
   }
 }
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -118,6 +118,7 @@
   this->Processes.push_back(std::make_unique<Process>(*this, Host, Run));
   Process &Started = *this->Processes.back();
   Started.Dispatcher.setConfig(this->Config);
+  Started.Dispatcher.resends().setHosts(1);
   Started.Broker.begin({KeyRing::parse(FleetKey).value(), 1});
   this->Simulated.hooks().Spawn([&Started] { Started.Broker.run(); });
   this->Simulated.hooks().Spawn([&Started] {
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -52,6 +52,7 @@
   Policy.Ratio = 0.2;
   Policy.FleetSlack = 2;
   ResendBudget Budget(Policy);
+  Budget.setHosts(1);
   int Made = 0;
   TimePoint Now = Begin;
   for (int I = 0; I < 100; ++I, Now += 100ms) {
@@ -69,6 +70,24 @@
   CHECK(Budget.tryResend("orders", Now));
 }
 
+TEST_CASE("a host that does not know the fleet takes none of its slack for "
+          "resends") {
+  ResendPolicy Policy;
+  Policy.Ratio = 0.2;
+  Policy.FleetSlack = 50;
+  ResendBudget Budget(Policy);
+  CHECK_FALSE(Budget.tryResend("engines", Begin));
+  for (int I = 0; I < 10; ++I)
+    Budget.onRequest("engines", Begin);
+  CHECK(Budget.tryResend("engines", Begin));
+  CHECK(Budget.tryResend("engines", Begin));
+  CHECK_FALSE(Budget.tryResend("engines", Begin));
+  Budget.setHosts(10);
+  for (int I = 0; I < 5; ++I)
+    CHECK(Budget.tryResend("engines", Begin));
+  CHECK_FALSE(Budget.tryResend("engines", Begin));
+}
+
 TEST_CASE("the resends of all hosts stay within the fleet's limit for any host "
           "count") {
   for (std::size_t Hosts : {6, 195, 300}) {
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -11,6 +11,7 @@
       Dispatcher({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(),
                  this->Wallets, this->Stats) {
   startLogging("test", "test", LogLevel::Error);
+  this->Dispatcher.resends().setHosts(1);
   this->Route.Name = "route";
   this->Route.Host = "api.example";
   this->Route.PathPrefix = "/";
