Leave the share of a stopping host to its successor

A stopping host is removed from the list of hosts at once, and serves for seconds. Others take its place as holder of a limit's share after the time of a lease, while it went on leasing its own: for up to 5 s the sum of the shares was an eighth above the limit. Found by reading. A stopping host leases its share to no other host any more; a fleet of one goes on using it.

--- a/Libraries/LibRateLimit/TargetLimiter.cpp
+++ b/Libraries/LibRateLimit/TargetLimiter.cpp
@@ -339,6 +339,9 @@
                                   HostId Lessee, std::uint64_t Round) {
   if (this->homeOf(Key, Target) != Lessee)
     return false;
+  // Other hosts hold the share soon after this one was removed from the list.
+  if (this->IsStopping && Lessee != this->self())
+    return false;
   // An earlier process of this host may have leased the share, and other hosts
   // that started with this one may not be known yet.
   auto SettledAt = this->Roster.settledAt();
