--- a/Libraries/LibRateLimit/TargetLimiter.cpp
+++ b/Libraries/LibRateLimit/TargetLimiter.cpp
@@ -263,7 +263,8 @@
 
 PermitResponse TargetLimiter::decide(const std::string &Key, HostId Asker) {
   LimitedTarget &Target = this->Targets[Key];
-  if (!Target.Limit.perSecond()) // Another host observed the end of the limit.
+  // Another host observed the end of the limit.
+  if (!Target.Limit.perSecond())
     return {0, PermitStatus::Granted, 0, 0, 0, this->newsOf(Target)};
   TimePoint LeaseNow = this->Hooks.LeaseClock();
   if (!Target.Pool) {
--- a/Libraries/LibRateLimit/TargetLimiter.h
+++ b/Libraries/LibRateLimit/TargetLimiter.h
@@ -157,21 +157,31 @@
   LimitNews newsOf(const LimitedTarget &Target) const;
   void onLimitChanged(const std::string &Key, LimitedTarget &Target);
 
+  /// Decides on a permit as the home of the limit.
   PermitResponse decide(const std::string &Key, HostId Asker);
-  /// \returns nothing if the home did not answer or is leaving.
+  /// Requests a permit from the home. \returns nothing if the home did not
+  /// answer or is leaving.
   std::optional<PermitResponse> ask(const std::string &Key, HostId Home,
                                     const std::function<bool()> &IsCancelled);
+  /// Records the answer to a request for a permit.
   PermitDecision conclude(const std::string &Key, const PermitResponse &Result);
 
-  /// Whether a home has requested leases recently.
+  /// Whether a home that responds has requested leases recently.
   bool hasActiveHome(const LimitedTarget &Target) const;
+  /// \returns the active home, or else the host that would become it.
   HostId homeOf(const std::string &Key, const LimitedTarget &Target) const;
+  /// Records that a host requests leases, unless the active home ranks before
+  /// it.
   void onLeasesRequested(const std::string &Key, LimitedTarget &Target,
                          HostId From);
+  /// Leases this host's share, if it holds one, to the home. \returns whether
+  /// it is leased to \p Lessee.
   bool leaseOwnShare(const std::string &Key, LimitedTarget &Target,
                      HostId Lessee, std::uint64_t Round);
   std::vector<HostId> holdersOf(const std::string &Key) const;
+  /// Requests the leases of all holders.
   void beginRound(const std::string &Key, LimitedTarget &Target);
+  /// Stops granting permits and gives the leases back.
   void closePool(const std::string &Key, LimitedTarget &Target);
 
   void onPermitRequest(const Incarnation &From, const PermitRequest &Request);
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -88,6 +88,7 @@
   std::set<std::string> Excluded;
   /// Keys of the targets for which this call got no permit.
   std::set<std::string> RefusedPermits;
+  /// Targets to which the call was sent, or that could not be reached.
   unsigned Attempts = 0;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPrefillPending = false;
--- a/Tests/LibRelay/LimitFleet.h
+++ b/Tests/LibRelay/LimitFleet.h
@@ -98,7 +98,6 @@
   /// first three seconds after a limit was stated do not count.
   double worstExcess(int Target) const;
 
-  /// \returns the seconds since the simulation's start.
   TimePoint now() const { return this->Simulated.now(); }
   void runFor(Duration Span) { this->Simulated.runFor(Span); }
 
