Let refused callers of different hosts return one after the other

The time to return that a home told each refused host was the same, so callers of many hosts came back together: a bound that each host spaced by itself. The home now moves the time on by one permit with each refusal, within one round of the hosts that ask. The test "most callers that return when they were told are served" failed before.

--- a/Libraries/LibRateLimit/LimitPool.cpp
+++ b/Libraries/LibRateLimit/LimitPool.cpp
@@ -69,14 +69,20 @@
   });
   double Competitors = std::max<double>(1, this->Askers.size());
   Duration MinPause = durationOf(Competitors / this->Policy.MaxAsksPerSecond);
-  auto UntilNext = this->Bucket.untilNext(Now);
-  PermitRefusal Refusal;
-  Refusal.RetryAfter = UntilNext.value_or(NoShareRetryAfter);
-  Refusal.AskAgainAfter =
-      std::max(MinPause, std::min(Refusal.RetryAfter, MaxAskPause));
+  Duration UntilNext = this->Bucket.untilNext(Now).value_or(NoShareRetryAfter);
   double Rate = this->Bucket.rate();
+  Duration PermitInterval = Rate > 0 ? durationOf(1 / Rate) : NoShareRetryAfter;
+  PermitRefusal Refusal;
+  Refusal.AskAgainAfter = std::max(MinPause, std::min(UntilNext, MaxAskPause));
   Refusal.ReturnInterval =
       Rate > 0 ? durationOf(Competitors / Rate) : NoShareRetryAfter;
+  // The hosts' next callers return one after the other, within one interval.
+  TimePoint First = Now + UntilNext;
+  if (this->NextReturn < First ||
+      this->NextReturn > First + Refusal.ReturnInterval)
+    this->NextReturn = First;
+  Refusal.RetryAfter = this->NextReturn - Now;
+  this->NextReturn += PermitInterval;
   return Refusal;
 }
 
--- a/Libraries/LibRateLimit/LimitPool.h
+++ b/Libraries/LibRateLimit/LimitPool.h
@@ -95,6 +95,8 @@
   /// When each host last asked for a permit.
   std::map<HostId, TimePoint> Askers;
   TimePoint LastAsk{};
+  /// When the next caller of any host that is refused may return.
+  TimePoint NextReturn{};
 };
 
 } // namespace bergamothook
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -272,43 +272,58 @@
   return static_cast<int>(this->Targets.size()) - 1;
 }
 
-void LimitFleet::call(int Host) {
+std::optional<Duration> LimitFleet::serve(Process &Server,
+                                          RelayOutcome &Outcome) {
+  RelayCall Call;
+  Call.Id = "call-" + std::to_string(this->Rng.next());
+  Call.Config = this->Config;
+  Call.Head.Method = "POST";
+  Call.Head.Target = "/" + Call.Id;
+  Call.Route = Call.Config->findRoute("api.example", "/");
+  Call.ArrivedAt = this->now();
+  Call.CallerDeadline = Call.ArrivedAt + std::chrono::seconds(5);
+  Event Changed;
+  CallerHooks Caller;
+  Caller.Changed = &Changed;
+  Caller.HasLeft = [] { return false; };
+  std::optional<Duration> RetryAfter;
+  Caller.SendResponse = [&RetryAfter](const HttpResponseHead &Head,
+                                      std::string_view) -> Result<void> {
+    if (auto Text = Head.Headers.find("Retry-After"))
+      RetryAfter = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(std::stod(std::string(*Text))));
+    return success();
+  };
+  Outcome = Server.Dispatcher.serve(Call, Caller);
+  return RetryAfter;
+}
+
+void LimitFleet::call(int Host, bool Returns) {
   Process &Server = this->process(Host);
   if (!Server.IsAlive || Server.IsStopped || Server.IsFrozen)
     return;
   ++this->Results.Calls;
-  this->Simulated.hooks().Spawn([this, &Server] {
-    RelayCall Call;
-    Call.Id = "call-" + std::to_string(this->Rng.next());
-    Call.Config = this->Config;
-    Call.Head.Method = "POST";
-    Call.Head.Target = "/" + Call.Id;
-    Call.Route = Call.Config->findRoute("api.example", "/");
-    Call.ArrivedAt = this->now();
-    Call.CallerDeadline = Call.ArrivedAt + std::chrono::seconds(5);
-    Event Changed;
-    CallerHooks Caller;
-    Caller.Changed = &Changed;
-    Caller.HasLeft = [] { return false; };
-    bool HasRetryAfter = false;
-    Caller.SendResponse = [&HasRetryAfter](const HttpResponseHead &Head,
-                                           std::string_view) -> Result<void> {
-      HasRetryAfter = Head.Headers.find("Retry-After").has_value();
-      return success();
-    };
-    RelayOutcome Outcome = Server.Dispatcher.serve(Call, Caller);
+  this->Simulated.hooks().Spawn([this, &Server, Returns] {
+    RelayOutcome Outcome;
+    auto RetryAfter = this->serve(Server, Outcome);
     if (!Server.IsAlive)
       return;
     if (Outcome.Status == 200) {
       ++this->Results.Served;
     } else if (Outcome.Status == 503) {
       ++this->Results.Refused;
-      this->Results.RefusedWithoutRetryAfter += HasRetryAfter ? 0 : 1;
+      this->Results.RefusedWithoutRetryAfter += RetryAfter ? 0 : 1;
       this->Results.LongestRefusal =
           std::max(this->Results.LongestRefusal, Outcome.Total);
     } else {
       ++this->Results.Failed;
     }
+    if (!Returns || !RetryAfter)
+      return;
+    this->Simulated.hooks().sleepUntil(this->now() + *RetryAfter);
+    ++this->Results.Returned;
+    this->serve(Server, Outcome);
+    this->Results.ServedOnReturn += Outcome.Status == 200 ? 1 : 0;
   });
 }
 
--- a/Tests/LibRelay/LimitFleet.h
+++ b/Tests/LibRelay/LimitFleet.h
@@ -38,6 +38,9 @@
   int Served = 0;
   int Refused = 0;
   int Failed = 0;
+  /// Callers that came back, and those that were served then.
+  int Returned = 0;
+  int ServedOnReturn = 0;
   /// Refusals without a time after which to retry.
   int RefusedWithoutRetryAfter = 0;
   Duration LongestRefusal{};
@@ -58,8 +61,9 @@
   /// the index of the new target.
   int replaceTarget(int Target);
 
-  /// Starts one call at a host.
-  void call(int Host);
+  /// Starts one call at a host. If it is refused and \p Returns is set, the
+  /// caller comes back once, at the time that it was told.
+  void call(int Host, bool Returns = false);
 
   /// Sends calls to random hosts out of the first \p Hosts, or out of all of
   /// them, for \p Span.
@@ -133,6 +137,8 @@
     std::vector<TimePoint> Arrivals;
   };
 
+  /// Serves one call. \returns after which time a refused caller may return.
+  std::optional<Duration> serve(Process &Server, RelayOutcome &Outcome);
   Runtime tasksOf(std::size_t Index);
   RosterHost entryOf(int Host, std::uint64_t Run) const;
   TokenHooks tokenHooks(std::size_t Index);
--- a/Tests/LibRelay/TargetLimitFleetTest.cpp
+++ b/Tests/LibRelay/TargetLimitFleetTest.cpp
@@ -251,8 +251,8 @@
   CHECK(useOf(Fleet, Replacement, HighLoad / 4, 3s) >= 0.7);
 }
 
-TEST_CASE("what no target can accept is refused at once, with a time to return "
-          "at which it is served") {
+TEST_CASE("what no target can accept is refused at once with a time to "
+          "return") {
   for (int Hosts : FleetSizes) {
     CAPTURE(Hosts);
     LimitFleetSettings Settings = fleetOf(Hosts);
@@ -269,3 +269,21 @@
     CHECK(Fleet.Results.LongestRefusal <= 200ms);
   }
 }
+
+TEST_CASE("most callers that return when they were told are served") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    LimitFleetSettings Settings = fleetOf(Hosts);
+    Settings.Targets = 1;
+    LimitFleet Fleet(Settings, 15);
+    Fleet.setLimit(0, 10);
+    Fleet.load(HighLoad, 10s);
+    Fleet.runFor(3s);
+    Fleet.Results = {};
+    for (int Call = 0; Call < 50; ++Call)
+      Fleet.call(Call % Fleet.hosts(), true);
+    Fleet.runFor(1min);
+    CHECK(Fleet.Results.Returned >= 30);
+    CHECK(Fleet.Results.ServedOnReturn >= 0.8 * Fleet.Results.Returned);
+  }
+}
