Use plain terms in the limiter; log the value of an unreadable limit

Updates in place of news, requests in place of asks, and units in the names of two constants, as in the rest of the code. target_limit_unreadable said only that a field was malformed; it has its text now.

--- a/Libraries/LibRateLimit/LimitMessages.h
+++ b/Libraries/LibRateLimit/LimitMessages.h
@@ -26,12 +26,12 @@
 constexpr std::size_t MaxTargetKey = 512;
 
 /// A limit and the age of the observation, since hosts have no common clock.
-struct LimitNews {
+struct LimitUpdate {
   bool IsLimited = false;
   double PerSecond = 0;
   std::uint64_t AgeMicroseconds = 0;
 
-  static LimitNews of(const LimitObservation &Observed, TimePoint Now) {
+  static LimitUpdate of(const LimitObservation &Observed, TimePoint Now) {
     auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
         std::max(Duration::zero(), Now - Observed.At));
     return {Observed.PerSecond.has_value(), Observed.PerSecond.value_or(0),
@@ -44,9 +44,9 @@
   }
 
   bool isValid() const {
-    constexpr std::uint64_t MaxAge = std::uint64_t{1} << 52;
+    constexpr std::uint64_t MaxAgeMicroseconds = std::uint64_t{1} << 52;
     return std::isfinite(this->PerSecond) && this->PerSecond >= 0 &&
-           this->AgeMicroseconds < MaxAge;
+           this->AgeMicroseconds < MaxAgeMicroseconds;
   }
 
   template <typename Archive> void serialize(Archive &Ar) {
@@ -54,18 +54,18 @@
   }
 };
 
-/// Asks the home of a limit for a permit for one request.
+/// Requests a permit to send one request from the home of a limit.
 struct PermitRequest {
   std::uint64_t Number = 0;
   std::string Target;
-  LimitNews News;
+  LimitUpdate Update;
 
   bool isValid() const {
-    return this->Target.size() <= MaxTargetKey && this->News.isValid();
+    return this->Target.size() <= MaxTargetKey && this->Update.isValid();
   }
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Number, this->Target, this->News);
+    Ar(this->Number, this->Target, this->Update);
   }
 };
 
@@ -84,22 +84,23 @@
   PermitStatus Status = PermitStatus::Refused;
   /// The fields of PermitRefusal.
   std::uint64_t RetryAfterMicroseconds = 0;
-  std::uint64_t AskAgainMicroseconds = 0;
+  std::uint64_t NextRequestMicroseconds = 0;
   std::uint64_t ReturnIntervalMicroseconds = 0;
-  LimitNews News;
+  LimitUpdate Update;
 
   bool isValid() const {
-    constexpr std::uint64_t MaxPause = 3'600'000'000;
+    constexpr std::uint64_t MaxPauseMicroseconds = 3'600'000'000;
     return this->Status <= PermitStatus::Leaving &&
-           this->RetryAfterMicroseconds <= MaxPause &&
-           this->AskAgainMicroseconds <= MaxPause &&
-           this->ReturnIntervalMicroseconds <= MaxPause && this->News.isValid();
+           this->RetryAfterMicroseconds <= MaxPauseMicroseconds &&
+           this->NextRequestMicroseconds <= MaxPauseMicroseconds &&
+           this->ReturnIntervalMicroseconds <= MaxPauseMicroseconds &&
+           this->Update.isValid();
   }
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Number, this->Status, this->RetryAfterMicroseconds,
-       this->AskAgainMicroseconds, this->ReturnIntervalMicroseconds,
-       this->News);
+       this->NextRequestMicroseconds, this->ReturnIntervalMicroseconds,
+       this->Update);
   }
 };
 
@@ -107,14 +108,14 @@
 struct ShareRequest {
   std::uint64_t Round = 0;
   std::string Target;
-  LimitNews News;
+  LimitUpdate Update;
 
   bool isValid() const {
-    return this->Target.size() <= MaxTargetKey && this->News.isValid();
+    return this->Target.size() <= MaxTargetKey && this->Update.isValid();
   }
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Round, this->Target, this->News);
+    Ar(this->Round, this->Target, this->Update);
   }
 };
 
@@ -125,15 +126,15 @@
   bool IsLeased = false;
   /// The number of shares as the holder counts them.
   std::uint32_t Holders = 1;
-  LimitNews News;
+  LimitUpdate Update;
 
   bool isValid() const {
     return this->Target.size() <= MaxTargetKey && this->Holders > 0 &&
-           this->News.isValid();
+           this->Update.isValid();
   }
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Round, this->Target, this->IsLeased, this->Holders, this->News);
+    Ar(this->Round, this->Target, this->IsLeased, this->Holders, this->Update);
   }
 };
 
--- a/Libraries/LibRateLimit/LimitPool.cpp
+++ b/Libraries/LibRateLimit/LimitPool.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// How long a host that asked counts as a competitor for permits.
-constexpr Duration AskerLifetime = std::chrono::seconds(2);
+/// How long a host that requested a permit counts as a competitor for permits.
+constexpr Duration RequesterLifetime = std::chrono::seconds(2);
 /// The longest pause between two requests of one host, unless the number of
 /// hosts makes it longer. A limit that is raised takes effect within it.
-constexpr Duration MaxAskPause = std::chrono::seconds(1);
+constexpr Duration MaxRequestPause = std::chrono::seconds(1);
 /// Assumed wait for a permit while this host has no share.
 constexpr Duration NoShareRetryAfter = std::chrono::seconds(1);
 /// The rate at a target that accepts nothing: only an answer can tell that it
@@ -56,24 +56,26 @@
   this->updateRate(Now);
 }
 
-bool LimitPool::take(HostId Asker, TimePoint Now) {
-  this->Askers[Asker] = Now;
-  this->LastAsk = Now;
+bool LimitPool::take(HostId Requester, TimePoint Now) {
+  this->Requesters[Requester] = Now;
+  this->LastRequest = Now;
   this->advance(Now);
   return this->Bucket.take(Now);
 }
 
 PermitRefusal LimitPool::refusal(TimePoint Now) {
-  std::erase_if(this->Askers, [Now](const auto &Each) {
-    return Now - Each.second >= AskerLifetime;
+  std::erase_if(this->Requesters, [Now](const auto &Each) {
+    return Now - Each.second >= RequesterLifetime;
   });
-  double Competitors = std::max<double>(1, this->Askers.size());
-  Duration MinPause = durationOf(Competitors / this->Policy.MaxAsksPerSecond);
+  double Competitors = std::max<double>(1, this->Requesters.size());
+  Duration MinPause =
+      durationOf(Competitors / this->Policy.MaxRequestsPerSecond);
   Duration UntilNext = this->Bucket.untilNext(Now).value_or(NoShareRetryAfter);
   double Rate = this->Bucket.rate();
   Duration PermitInterval = Rate > 0 ? durationOf(1 / Rate) : NoShareRetryAfter;
   PermitRefusal Refusal;
-  Refusal.AskAgainAfter = std::max(MinPause, std::min(UntilNext, MaxAskPause));
+  Refusal.NextRequestAfter =
+      std::max(MinPause, std::min(UntilNext, MaxRequestPause));
   Refusal.ReturnInterval =
       Rate > 0 ? durationOf(Competitors / Rate) : NoShareRetryAfter;
   // The hosts' next callers return one after the other, within one interval.
--- a/Libraries/LibRateLimit/LimitPool.h
+++ b/Libraries/LibRateLimit/LimitPool.h
@@ -27,15 +27,15 @@
   /// How long a pool without demand keeps its leases.
   Duration IdleTime = std::chrono::seconds(10);
   /// Requests for permits that the hosts together may send per second.
-  double MaxAsksPerSecond = 100;
+  double MaxRequestsPerSecond = 100;
 };
 
 /// What a host that was refused a permit has to know.
 struct PermitRefusal {
   /// When a caller can retry with a chance of success.
   Duration RetryAfter{};
-  /// How long the host asks for no further permit of this target.
-  Duration AskAgainAfter{};
+  /// How long the host requests no further permit of this target.
+  Duration NextRequestAfter{};
   /// The interval at which callers of one host may return.
   Duration ReturnInterval{};
 };
@@ -56,8 +56,8 @@
   void onLease(HostId Holder, std::uint64_t Round, std::size_t Holders,
                TimePoint Now);
 
-  /// Takes a permit for a request of \p Asker.
-  [[nodiscard]] bool take(HostId Asker, TimePoint Now);
+  /// Takes a permit for a request of \p Requester.
+  [[nodiscard]] bool take(HostId Requester, TimePoint Now);
 
   /// Describes a refusal after take() failed.
   PermitRefusal refusal(TimePoint Now);
@@ -70,7 +70,7 @@
 
   bool isRoundDue(TimePoint Now) const { return Now >= this->NextRound; }
   bool isIdle(TimePoint Now) const {
-    return Now - this->LastAsk >= this->Policy.IdleTime;
+    return Now - this->LastRequest >= this->Policy.IdleTime;
   }
 
 private:
@@ -92,9 +92,9 @@
   unsigned RoundsBegun = 0;
   TimePoint NextRound{};
   std::map<HostId, Lease> Leases;
-  /// When each host last asked for a permit.
-  std::map<HostId, TimePoint> Askers;
-  TimePoint LastAsk{};
+  /// When each host last requested a permit.
+  std::map<HostId, TimePoint> Requesters;
+  TimePoint LastRequest{};
   /// When the next caller of any host that is refused may return.
   TimePoint NextReturn{};
 };
--- a/Libraries/LibRateLimit/TargetLimiter.cpp
+++ b/Libraries/LibRateLimit/TargetLimiter.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 constexpr Duration ReportInterval = std::chrono::seconds(4);
-/// How long the end of a limit is remembered, so that late news from other
+/// How long the end of a limit is remembered, so that late updates from other
 /// hosts does not bring it back.
 constexpr Duration PastLimitMemory = std::chrono::seconds(30);
 /// A caller that returns sooner is likely to find the same targets at their
 /// limits.
 constexpr Duration MinReturnDelay = std::chrono::milliseconds(100);
-/// When to ask again after another host turned out not to be the home.
+/// When to request again after another host turned out not to be the home.
 constexpr Duration NotHomeRetryInterval = std::chrono::milliseconds(500);
 
 const char *nameOf(SendKind Kind) {
@@ -61,14 +61,14 @@
   return {0,
           PermitStatus::Refused,
           microsecondsOf(Refusal.RetryAfter),
-          microsecondsOf(Refusal.AskAgainAfter),
+          microsecondsOf(Refusal.NextRequestAfter),
           microsecondsOf(Refusal.ReturnInterval),
           {}};
 }
 
-PermitResponse refusalFor(PermitStatus Status, Duration AskAgainAfter) {
+PermitResponse refusalFor(PermitStatus Status, Duration NextRequestAfter) {
   PermitResponse Response =
-      refusalOf({AskAgainAfter, AskAgainAfter, AskAgainAfter});
+      refusalOf({NextRequestAfter, NextRequestAfter, NextRequestAfter});
   Response.Status = Status;
   return Response;
 }
@@ -144,25 +144,26 @@
     this->onLimitChanged(Key, *Target);
 }
 
-void TargetLimiter::mergeNews(const std::string &Key, const LimitNews &News) {
+void TargetLimiter::mergeUpdate(const std::string &Key,
+                                const LimitUpdate &Update) {
   LimitedTarget *Target = this->find(Key);
-  if (!Target && !News.IsLimited)
+  if (!Target && !Update.IsLimited)
     return;
   if (!Target)
     Target = &this->Targets[Key];
-  if (Target->Limit.merge(News.observedBefore(this->Hooks.Tasks.Now())))
+  if (Target->Limit.merge(Update.observedBefore(this->Hooks.Tasks.Now())))
     this->onLimitChanged(Key, *Target);
 }
 
-LimitNews TargetLimiter::newsOf(const LimitedTarget &Target) const {
-  return LimitNews::of(Target.Limit.newest(), this->Hooks.Tasks.Now());
+LimitUpdate TargetLimiter::updateOf(const LimitedTarget &Target) const {
+  return LimitUpdate::of(Target.Limit.newest(), this->Hooks.Tasks.Now());
 }
 
 void TargetLimiter::onLimitChanged(const std::string &Key,
                                    LimitedTarget &Target) {
   const std::optional<double> &PerSecond = Target.Limit.perSecond();
   // What was computed for the earlier limit no longer holds.
-  Target.AskAgainAt = {};
+  Target.NextRequestAt = {};
   Target.NextReturn = {};
   if (Target.Pool && PerSecond)
     Target.Pool->setLimit(*PerSecond, this->Hooks.LeaseClock());
@@ -177,63 +178,65 @@
   if (!Target || !Target->Limit.perSecond())
     return {true, {}};
   TimePoint Now = this->Hooks.Tasks.Now();
-  if (Now < Target->AskAgainAt)
-    return {false, Target->AskAgainAt - Now};
-  if (Target->PendingAsks >= this->Policy.MaxPendingAsks)
-    return {false, this->Policy.AskRetryInterval};
-  ++Target->PendingAsks;
+  if (Now < Target->NextRequestAt)
+    return {false, Target->NextRequestAt - Now};
+  if (Target->PendingRequests >= this->Policy.MaxPendingRequests)
+    return {false, this->Policy.RequestRetryInterval};
+  ++Target->PendingRequests;
   PermitResponse Response =
-      refusalFor(PermitStatus::Refused, this->Policy.AskRetryInterval);
-  for (unsigned Asked = 0; Asked < this->Policy.MaxHomesAsked; ++Asked) {
+      refusalFor(PermitStatus::Refused, this->Policy.RequestRetryInterval);
+  for (unsigned Tried = 0; Tried < this->Policy.MaxHomesTried; ++Tried) {
     Target = &this->Targets[Key];
     HostId Home = this->homeOf(Key, *Target);
-    auto Answer = Home == this->self() ? this->decide(Key, Home)
-                                       : this->ask(Key, Home, IsCancelled);
+    auto Answer = Home == this->self()
+                      ? this->decide(Key, Home)
+                      : this->requestPermit(Key, Home, IsCancelled);
     if (!Answer) // Another host takes the place of the home.
       continue;
     Response = *Answer;
     break;
   }
   // The entry may have expired while the task waited.
-  if (LimitedTarget *Asked = this->find(Key); Asked && Asked->PendingAsks > 0)
-    --Asked->PendingAsks;
-  return this->conclude(Key, Response);
+  if (LimitedTarget *Waiting = this->find(Key);
+      Waiting && Waiting->PendingRequests > 0)
+    --Waiting->PendingRequests;
+  return this->applyResponse(Key, Response);
 }
 
 std::optional<PermitResponse>
-TargetLimiter::ask(const std::string &Key, HostId Home,
-                   const std::function<bool()> &IsCancelled) {
+TargetLimiter::requestPermit(const std::string &Key, HostId Home,
+                             const std::function<bool()> &IsCancelled) {
   const Runtime &Tasks = this->Hooks.Tasks;
-  TimePoint AskedAt = this->Hooks.LeaseClock();
+  TimePoint RequestedAt = this->Hooks.LeaseClock();
   std::uint64_t Number = ++this->LastNumber;
-  PendingAsk &Pending = this->PendingAsks[Number];
+  PendingRequest &Pending = this->PendingRequests[Number];
   Pending.Home = Home;
-  for (unsigned Sent = 0; Sent < this->Policy.MaxAskAttempts && !IsCancelled();
-       ++Sent) {
+  for (unsigned Sent = 0;
+       Sent < this->Policy.MaxRequestAttempts && !IsCancelled(); ++Sent) {
     const LimitedTarget *Target = this->find(Key);
     this->send(Home, LimitMessageKind::PermitRequest,
                PermitRequest{Number, Key,
-                             Target ? this->newsOf(*Target) : LimitNews{}});
+                             Target ? this->updateOf(*Target) : LimitUpdate{}});
     if (Tasks.waitUntil(Pending.Changed,
-                        Tasks.Now() + this->Policy.AskRetryInterval,
+                        Tasks.Now() + this->Policy.RequestRetryInterval,
                         [&] { return Pending.Response.has_value(); }))
       break;
   }
   std::optional<PermitResponse> Response = Pending.Response;
-  this->PendingAsks.erase(Number);
+  this->PendingRequests.erase(Number);
   if (!Response) {
-    this->Stats.count("limit_permits_asked_total{answer=\"none\"}");
+    this->Stats.count("limit_permits_requested_total{answer=\"none\"}");
     if (!IsCancelled())
       this->Hooks.MarkSilent(Home);
     return std::nullopt;
   }
-  this->Stats.count(std::string("limit_permits_asked_total{answer=\"") +
+  this->Stats.count(std::string("limit_permits_requested_total{answer=\"") +
                     nameOf(Response->Status) + "\"}");
-  this->mergeNews(Key, Response->News);
+  this->mergeUpdate(Key, Response->Update);
   // This host was suspended meanwhile, and the permit may have been counted
   // long ago.
   if (Response->Status == PermitStatus::Granted &&
-      this->Hooks.LeaseClock() - AskedAt > PermitBucket::PermitLifetime)
+      this->Hooks.LeaseClock() - RequestedAt > PermitBucket::PermitLifetime)
     Response->Status = PermitStatus::Refused;
   if (Response->Status != PermitStatus::Leaving)
     return Response;
@@ -241,31 +244,31 @@
   return std::nullopt;
 }
 
-PermitDecision TargetLimiter::conclude(const std::string &Key,
-                                       const PermitResponse &Result) {
+PermitDecision TargetLimiter::applyResponse(const std::string &Key,
+                                            const PermitResponse &Result) {
   if (Result.Status == PermitStatus::Granted)
     return {true, {}};
-  Duration AskAgainAfter =
-      std::chrono::microseconds(Result.AskAgainMicroseconds);
+  Duration NextRequestAfter =
+      std::chrono::microseconds(Result.NextRequestMicroseconds);
   LimitedTarget *Target = this->find(Key);
   if (!Target)
-    return {false, AskAgainAfter};
+    return {false, NextRequestAfter};
   TimePoint Now = this->Hooks.Tasks.Now();
   ++Target->Recent.Refused;
-  Target->AskAgainAt = Now + AskAgainAfter;
+  Target->NextRequestAt = Now + NextRequestAfter;
   Target->ReturnInterval =
       std::chrono::microseconds(Result.ReturnIntervalMicroseconds);
   Target->NextReturn = std::max(
-      {Target->NextReturn, Target->AskAgainAt,
+      {Target->NextReturn, Target->NextRequestAt,
        Now + std::chrono::microseconds(Result.RetryAfterMicroseconds)});
-  return {false, AskAgainAfter};
+  return {false, NextRequestAfter};
 }
 
-PermitResponse TargetLimiter::decide(const std::string &Key, HostId Asker) {
+PermitResponse TargetLimiter::decide(const std::string &Key, HostId Requester) {
   LimitedTarget &Target = this->Targets[Key];
   // Another host observed the end of the limit.
   if (!Target.Limit.perSecond())
-    return {0, PermitStatus::Granted, 0, 0, 0, this->newsOf(Target)};
+    return {0, PermitStatus::Granted, 0, 0, 0, this->updateOf(Target)};
   TimePoint LeaseNow = this->Hooks.LeaseClock();
   if (!Target.Pool) {
     Target.Pool.emplace(this->Policy.Pool);
@@ -273,19 +276,19 @@
     this->beginRound(Key, Target);
     logEvent(LogLevel::Info, "target_limit_home_begun", {{"target", Key}});
   }
-  bool IsGranted = Target.Pool->take(Asker, LeaseNow);
+  bool IsGranted = Target.Pool->take(Requester, LeaseNow);
   PermitResponse Response;
   if (!IsGranted)
     Response = refusalOf(Target.Pool->refusal(LeaseNow));
   else
     Response.Status = PermitStatus::Granted;
-  Response.News = this->newsOf(Target);
+  Response.Update = this->updateOf(Target);
   return Response;
 }
 
 void TargetLimiter::onPermitRequest(const Incarnation &From,
                                     const PermitRequest &Request) {
-  this->mergeNews(Request.Target, Request.News);
+  this->mergeUpdate(Request.Target, Request.Update);
   PermitResponse Response;
   const LimitedTarget &Target = this->Targets[Request.Target];
   if (this->IsStopping)
@@ -295,14 +298,14 @@
   else
     Response = this->decide(Request.Target, From.Host);
   Response.Number = Request.Number;
-  Response.News = this->newsOf(Target);
+  Response.Update = this->updateOf(Target);
   this->send(From.Host, LimitMessageKind::PermitResponse, Response);
 }
 
 void TargetLimiter::onPermitResponse(const Incarnation &From,
                                      const PermitResponse &Response) {
-  auto Found = this->PendingAsks.find(Response.Number);
-  if (Found == this->PendingAsks.end() || Found->second.Home != From.Host)
+  auto Found = this->PendingRequests.find(Response.Number);
+  if (Found == this->PendingRequests.end() || Found->second.Home != From.Host)
     return; // It came after the request was given up.
   Found->second.Response = Response;
   Found->second.Changed.notify();
@@ -367,7 +370,7 @@
                          LeaseNow);
   // Hosts without a share get the request too, since it tells them the limit.
   std::string Request =
-      encodeMessage(ShareRequest{Round, Key, this->newsOf(Target)});
+      encodeMessage(ShareRequest{Round, Key, this->updateOf(Target)});
   for (HostId Host : this->Roster.otherResponsiveHosts())
     this->Hooks.Send(Host,
                      static_cast<std::uint16_t>(LimitMessageKind::ShareRequest),
@@ -376,7 +379,7 @@
 
 void TargetLimiter::onShareRequest(const Incarnation &From,
                                    const ShareRequest &Request) {
-  this->mergeNews(Request.Target, Request.News);
+  this->mergeUpdate(Request.Target, Request.Update);
   LimitedTarget *Target = this->find(Request.Target);
   if (!Target)
     return;
@@ -386,20 +389,20 @@
   bool IsLeased =
       Target->Limit.perSecond() &&
       this->leaseOwnShare(Request.Target, *Target, From.Host, Request.Round);
-  LimitNews News = this->newsOf(*Target);
-  bool IsNewer = News.AgeMicroseconds < Request.News.AgeMicroseconds;
+  LimitUpdate Update = this->updateOf(*Target);
+  bool IsNewer = Update.AgeMicroseconds < Request.Update.AgeMicroseconds;
   if (!IsLeased && !IsNewer)
     return;
   this->send(From.Host, LimitMessageKind::ShareLease,
              ShareLease{Request.Round, Request.Target, IsLeased,
                         static_cast<std::uint32_t>(std::max<std::size_t>(
                             1, this->holdersOf(Request.Target).size())),
-                        News});
+                        Update});
 }
 
 void TargetLimiter::onShareLease(const Incarnation &From,
                                  const ShareLease &Lease) {
-  this->mergeNews(Lease.Target, Lease.News);
+  this->mergeUpdate(Lease.Target, Lease.Update);
   LimitedTarget *Target = this->find(Lease.Target);
   if (!Target || !Lease.IsLeased)
     return;
--- a/Libraries/LibRateLimit/TargetLimiter.h
+++ b/Libraries/LibRateLimit/TargetLimiter.h
@@ -45,13 +45,13 @@
   /// The number of shares of a limit, or of hosts if there are fewer.
   std::size_t Shares = 8;
   /// Time before an unanswered request for a permit is sent again.
-  Duration AskRetryInterval = std::chrono::milliseconds(40);
+  Duration RequestRetryInterval = std::chrono::milliseconds(40);
   /// Number of unanswered requests after which a host counts as silent.
-  unsigned MaxAskAttempts = 4;
-  /// Number of homes that are asked for one permit while each is silent.
-  unsigned MaxHomesAsked = 2;
+  unsigned MaxRequestAttempts = 4;
+  /// Number of homes from which one permit is requested while each is silent.
+  unsigned MaxHomesTried = 2;
   /// Requests for permits of one target that wait for an answer.
-  std::size_t MaxPendingAsks = 8;
+  std::size_t MaxPendingRequests = 8;
 };
 
 struct LimiterHooks {
@@ -71,7 +71,7 @@
 struct PermitDecision {
   bool IsGranted = false;
   /// After a refusal, how long no permit of this target needs to be requested.
-  Duration AskAgainAfter{};
+  Duration NextRequestAfter{};
 };
 
 /// The limiter of one host. A target is addressed by the key of one run of its
@@ -137,15 +137,15 @@
     /// When it last did, by LeaseClock.
     TimePoint HomeRequestedAt{};
     /// No permit is requested before.
-    TimePoint AskAgainAt{};
+    TimePoint NextRequestAt{};
     /// When the next caller that is refused may return.
     TimePoint NextReturn{};
     Duration ReturnInterval{};
-    std::size_t PendingAsks = 0;
+    std::size_t PendingRequests = 0;
     Use Recent;
   };
 
-  struct PendingAsk {
+  struct PendingRequest {
     HostId Home;
     std::optional<PermitResponse> Response;
     Event Changed;
@@ -153,18 +153,20 @@
 
   HostId self() const { return this->Roster.self().id(); }
   LimitedTarget *find(const std::string &Key);
-  void mergeNews(const std::string &Key, const LimitNews &News);
-  LimitNews newsOf(const LimitedTarget &Target) const;
+  void mergeUpdate(const std::string &Key, const LimitUpdate &Update);
+  LimitUpdate updateOf(const LimitedTarget &Target) const;
   void onLimitChanged(const std::string &Key, LimitedTarget &Target);
 
   /// Decides on a permit as the home of the limit.
-  PermitResponse decide(const std::string &Key, HostId Asker);
+  PermitResponse decide(const std::string &Key, HostId Requester);
   /// Requests a permit from the home. \returns nothing if the home did not
   /// answer or is leaving.
-  std::optional<PermitResponse> ask(const std::string &Key, HostId Home,
-                                    const std::function<bool()> &IsCancelled);
+  std::optional<PermitResponse>
+  requestPermit(const std::string &Key, HostId Home,
+                const std::function<bool()> &IsCancelled);
   /// Records the answer to a request for a permit.
-  PermitDecision conclude(const std::string &Key, const PermitResponse &Result);
+  PermitDecision applyResponse(const std::string &Key,
+                               const PermitResponse &Result);
 
   /// Whether a home that responds has requested leases recently.
   bool hasActiveHome(const LimitedTarget &Target) const;
@@ -202,7 +204,7 @@
   Metrics &Stats;
   /// Targets that state a limit or recently did.
   std::map<std::string, LimitedTarget> Targets;
-  std::map<std::uint64_t, PendingAsk> PendingAsks;
+  std::map<std::uint64_t, PendingRequest> PendingRequests;
   /// The last number of a request for a permit or for shares.
   std::uint64_t LastNumber = 0;
   TimePoint NextReport{};
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned MaxSends = 4;
 /// The largest response body that is buffered.
 constexpr std::size_t MaxBufferedBytes = 8 * 1024 * 1024;
+/// How much of a field's text is logged.
+constexpr std::size_t MaxLoggedBytes = 100;
 /// How much of stale responses is read before a connection is closed.
 constexpr std::size_t MaxStaleBytes = 1024 * 1024;
 /// The minimum time left for a send: no target answers in less.
@@ -131,8 +133,8 @@
       this->Dispatcher.limiter().acquire(Target.runKey(), this->Caller.HasLeft);
   if (Permit.IsGranted)
     return true;
-  this->Dispatcher.targets().onRateLimited(Target.Id,
-                                           this->now() + Permit.AskAgainAfter);
+  this->Dispatcher.targets().onRateLimited(
+      Target.Id, this->now() + Permit.NextRequestAfter);
   this->RefusedPermits.insert(Target.runKey());
   return false;
 }
@@ -208,13 +210,13 @@
 void RelayCallHandler::recordRateLimit(const HttpResponseHead &Head,
                                        const ListedTarget &Target,
                                        TimePoint SentAt) {
-  auto PerSecond = this->Hooks.ReadRateLimit(Head);
-  if (PerSecond)
-    this->Dispatcher.limiter().onAnswer(Target.runKey(), PerSecond.value(),
-                                        SentAt, this->now());
-  else
-    logEvent(LogLevel::Warning, "target_limit_unreadable",
-             {{"target", Target.Id}, {"reason", PerSecond.error().message()}});
+  RateLimitField Field = this->Hooks.ReadRateLimit(Head);
+  if (!Field.UnreadableText)
+    return this->Dispatcher.limiter().onAnswer(Target.runKey(), Field.PerSecond,
+                                               SentAt, this->now());
+  logEvent(LogLevel::Warning, "target_limit_unreadable",
+           {{"target", Target.Id},
+            {"value", Field.UnreadableText->substr(0, MaxLoggedBytes)}});
 }
 
 AttemptEnd RelayCallHandler::readResponse(TargetExchange &Exchange,
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -31,6 +31,14 @@
   Unverified,
 };
 
+/// The field of an answer in which a target states its rate limit.
+struct RateLimitField {
+  /// Requests per second from all hosts together; unset if there is no limit.
+  std::optional<double> PerSecond;
+  /// The text of a field that can't be read.
+  std::optional<std::string> UnreadableText;
+};
+
 /// A call in progress at one target. Each hook blocks the calling task; if the
 /// caller disconnects, the wait ends with NetError::Cancelled.
 struct TargetExchange {
@@ -89,11 +97,7 @@
                                 const RelayCall &Call)>
       Classify;
 
-  /// Reads the limit that a target states in an answer, in requests per second
-  /// from all hosts together; nothing if it states none. Fails if the field
-  /// can't be read.
-  std::function<Result<std::optional<double>>(const HttpResponseHead &Head)>
-      ReadRateLimit;
+  std::function<RateLimitField(const HttpResponseHead &Head)> ReadRateLimit;
 
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -130,7 +130,14 @@
   });
 }
 
+void LimitFleet::setStoreOut(bool IsOut) {
+  this->IsStoreOut = IsOut;
+  this->publishRosters();
+}
+
 void LimitFleet::publishRosters() {
+  if (this->IsStoreOut)
+    return;
   std::vector<RosterHost> Hosts;
   for (int Host = 0; Host < this->hosts(); ++Host)
     if (!this->Left.contains(Host))
@@ -204,10 +211,11 @@
     return Head.Status == 421 ? ResponseVerdict::WrongTarget
                               : ResponseVerdict::Ran;
   };
-  Hooks.ReadRateLimit =
-      [](const HttpResponseHead &Head) -> Result<std::optional<double>> {
+  Hooks.ReadRateLimit = [](const HttpResponseHead &Head) -> RateLimitField {
     auto Text = Head.Headers.find("Rate-Limit");
-    return Text ? std::optional(std::stod(std::string(*Text))) : std::nullopt;
+    if (!Text)
+      return {};
+    return {std::stod(std::string(*Text)), std::nullopt};
   };
   Hooks.MakeRefusal = [](unsigned Status, const RelayCall &,
                          std::optional<Duration> After) {
--- a/Tests/LibRelay/LimitFleet.h
+++ b/Tests/LibRelay/LimitFleet.h
@@ -84,6 +84,10 @@
   /// Cuts the hosts with indices below \p Below off from the others.
   void split(int Below) { this->SplitBelow = Below; }
 
+  /// While the store is out, no host learns of others that start or leave, and
+  /// a host that starts knows only itself and the targets.
+  void setStoreOut(bool IsOut);
+
   bool isRunning(int Host) const;
   int hosts() const { return static_cast<int>(this->Newest.size()); }
 
@@ -165,6 +169,7 @@
   std::set<int> Left;
   std::set<int> Isolated;
   int SplitBelow = 0;
+  bool IsStoreOut = false;
 };
 
 } // namespace bergamothook
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -97,10 +97,11 @@
     return static_cast<ResponseVerdict>(
         std::stoi(std::string(Head.Headers.find("Verdict").value())));
   };
-  Hooks.ReadRateLimit =
-      [](const HttpResponseHead &Head) -> Result<std::optional<double>> {
+  Hooks.ReadRateLimit = [](const HttpResponseHead &Head) -> RateLimitField {
     auto Text = Head.Headers.find("Rate-Limit");
-    return Text ? std::optional(std::stod(std::string(*Text))) : std::nullopt;
+    if (!Text)
+      return {};
+    return {std::stod(std::string(*Text)), std::nullopt};
   };
   Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
                              std::optional<Duration> After) {
--- a/Tests/LibRelay/TargetLimitFleetTest.cpp
+++ b/Tests/LibRelay/TargetLimitFleetTest.cpp
@@ -40,7 +40,7 @@
 void disturb(LimitFleet &Fleet, Random &Rng) {
   auto Host =
       static_cast<int>(Rng.below(static_cast<std::uint64_t>(Fleet.hosts())));
-  switch (Rng.below(8)) {
+  switch (Rng.below(9)) {
   case 0:
     return Fleet.restart({Host});
   case 1:
@@ -58,6 +58,8 @@
     if (Fleet.isRunning(Host))
       Fleet.stop(Host);
     return;
+  case 7:
+    return Fleet.setStoreOut(Rng.below(2) == 0);
   default:
     for (int Each = 0; Each < Fleet.hosts(); ++Each) {
       Fleet.thaw(Each);
@@ -215,6 +217,29 @@
   }
 }
 
+TEST_CASE("hosts that start while the store is out do not exceed a limit") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    LimitFleet Fleet(fleetOf(Hosts), 16);
+    Fleet.setLimit(0, 10);
+    Fleet.load(HighLoad, 8s);
+    Fleet.setStoreOut(true);
+    Fleet.load(HighLoad, 8s);
+    CHECK(useOf(Fleet, 0, 10, 6s) >= 0.85);
+    std::vector<int> Restarted;
+    for (int Host = 0; Host < Hosts; Host += 2)
+      Restarted.push_back(Host);
+    Fleet.restart(Restarted);
+    Fleet.addHost();
+    Fleet.load(HighLoad, 15s);
+    CHECK(useOf(Fleet, 0, 10, 8s) > 0);
+    Fleet.setStoreOut(false);
+    Fleet.load(HighLoad, 15s);
+    CHECK(useOf(Fleet, 0, 10, 6s) >= 0.85);
+    CHECK(Fleet.worstExcess(0) <= 0);
+  }
+}
+
 TEST_CASE("all hosts learn of a limit from those that were told") {
   LimitFleet Fleet(fleetOf(300), 11);
   Fleet.setLimit(0, Limit);
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -195,16 +195,18 @@
 
 TEST_CASE("a limit that a target states is read from its answer") {
   auto Read = [](std::vector<HeaderField> Fields) {
-    return readRateLimit(answerOf(200, std::move(Fields)));
+    return readRateLimit(answerOf(200, std::move(Fields))).PerSecond;
   };
-  CHECK(Read({{"Server-Limit", "2.3"}}).value() == 2.3);
-  CHECK(Read({{"server-limit", " 0.5 "}}).value() == 0.5);
-  CHECK(Read({{"Server-Limit", "0"}}).value() == 0);
-  CHECK(Read({{"Server-Limit", "7"}, {"Server-Limit", "4"}}).value() == 4);
-  CHECK_FALSE(Read({{"Content-Type", "text/plain"}}).value().has_value());
+  CHECK(Read({{"Server-Limit", "2.3"}}) == 2.3);
+  CHECK(Read({{"server-limit", " 0.5 "}}) == 0.5);
+  CHECK(Read({{"Server-Limit", "0"}}) == 0);
+  CHECK(Read({{"Server-Limit", "7"}, {"Server-Limit", "4"}}) == 4);
+  CHECK_FALSE(Read({{"Content-Type", "text/plain"}}));
 }
 
 TEST_CASE("a limit that can't be read is neither a limit nor its end") {
   for (const char *Text : {"", "fast", "-1", "2.3/s", "nan", "inf", "1e3"})
-    CHECK(readRateLimit(answerOf(200, {{"Server-Limit", Text}})).has_error());
+    CHECK(
+        readRateLimit(answerOf(200, {{"Server-Limit", Text}})).UnreadableText ==
+        Text);
 }
