Log the calls that a target lost before it began to answer

The hypotheses on the targets that fall one after the other could not be told apart: no line says what a loss was counted for, or that it was discarded, and none names the parts of a prompt. What is sent does not change.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t MaxBufferedBytes = 8 * 1024 * 1024;
 /// How much of a field's text is logged.
 constexpr std::size_t MaxLoggedBytes = 100;
+constexpr std::size_t MaxLoggedParts = 8;
 /// How much of stale responses is read before a connection is closed.
 constexpr std::size_t MaxStaleBytes = 1024 * 1024;
 /// The minimum time left for a send: no target answers in less.
@@ -352,7 +353,7 @@
     break;
   case AttemptEnd::Lost:
     if (!this->HasTargetSentEvent)
-      this->Dispatcher.quarantine().onLost(this->Content, Id, this->now());
+      this->recordLoss(Id);
     [[fallthrough]];
   case AttemptEnd::NotSent:
   case AttemptEnd::Malformed:
@@ -369,6 +370,22 @@
     ++this->TargetsThatMayHaveRun;
 }
 
+void RelayCallHandler::recordLoss(const std::string &Id) {
+  bool IsCounted =
+      this->Dispatcher.quarantine().onLost(this->Content, Id, this->now());
+  std::vector<std::string> Parts;
+  for (const PromptPart &Part : this->Call.Parts)
+    if (Parts.size() < MaxLoggedParts)
+      Parts.push_back(Part.Id.substr(0, MaxLoggedBytes));
+  logEvent(LogLevel::Warning, "target_lost_before_answer",
+           {{"request", this->Call.Id},
+            {"target", Id},
+            {"content", toHex(this->Content)},
+            {"parts", Parts},
+            {"send", this->Outcome.Sends},
+            {"counted", IsCounted}});
+}
+
 bool RelayCallHandler::isRepeatAllowed() const {
   const RelayRoute &Route = *this->Call.Route;
   if (this->TargetsThatMayHaveRun >= Route.MaxTargets)
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -68,6 +68,7 @@
   bool isRepeatAllowed() const;
   void finishFailed(AttemptEnd End);
   void recordAttempt(const std::string &Id, AttemptEnd End);
+  void recordLoss(const std::string &Id);
   void finish(RelayEnd End, RelayReason Reason);
   void refuse(unsigned Status, RelayEnd End, RelayReason Reason,
               std::optional<Duration> RetryAfter = std::nullopt);
--- a/Libraries/LibRelay/RequestQuarantine.cpp
+++ b/Libraries/LibRelay/RequestQuarantine.cpp
@@ -16,17 +16,18 @@
   return Losses < this->Policy.MaxLosses;
 }
 
-void RequestQuarantine::onLost(Hash128 Content, const std::string &Target,
+bool RequestQuarantine::onLost(Hash128 Content, const std::string &Target,
                                TimePoint Now) {
   if (this->isMassFailure(Target, Now))
-    return;
+    return false;
   if (this->Entries.size() >= this->Policy.MaxContents &&
       !this->Entries.contains(Content))
-    return;
+    return false;
   LossRecord &Entry = this->Entries[Content];
   Entry.LastLoss = Now;
   unsigned Losses = ++Entry.LossesByProcess[this->Self];
   this->PendingReports[{Content, this->Self}] = Losses;
+  return true;
 }
 
 bool RequestQuarantine::isMassFailure(const std::string &Target,
--- a/Libraries/LibRelay/RequestQuarantine.h
+++ b/Libraries/LibRelay/RequestQuarantine.h
@@ -54,7 +54,8 @@
   bool maySend(Hash128 Content, TimePoint Now) const;
 
   /// Records the loss of \p Target, which had started to execute \p Content.
-  void onLost(Hash128 Content, const std::string &Target, TimePoint Now);
+  /// \returns whether the loss was counted.
+  bool onLost(Hash128 Content, const std::string &Target, TimePoint Now);
 
   /// Records an answer to \p Content, which clears its losses.
   void onAnswered(Hash128 Content);
