Reproduce the targets that a part of a prompt crashes

Twenty requests that share a part and nothing else crash twenty targets, one a second, on one host. At most eight may be sent: the fifth crash may be followed by three more.

--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -423,3 +423,25 @@
     CHECK(Fixture.SentCalls.size() == 1);
   }
 }
+
+TEST_CASE("a prompt part that crashes each target is not sent for ever in "
+          "requests that differ") {
+  Relay Fixture;
+  Fixture.setKind(CallKind::Stream, false);
+  auto Request = [&](const std::string &Part, int Number) {
+    RelayCall Call = Fixture.makeCall();
+    Call.Body = std::to_string(Number);
+    Call.Parts = {{"shared", 10}, {Part, 10}, {std::to_string(Number), 10}};
+    return Call;
+  };
+  unsigned Sends = 0;
+  for (int I = 0; I < 20; ++I) {
+    Fixture.Responses = {brokenStream(1, 0)};
+    Sends += Fixture.serve(Request("deadly", 2 * I)).Sends;
+    Fixture.Responses = {completeStream(1, 5)};
+    CHECK(Fixture.serve(Request("sound", 2 * I + 1)).End == RelayEnd::Done);
+    Fixture.Simulated.runFor(1s);
+  }
+  // The fifth crash may not be followed by more than three sends.
+  CHECK(Sends <= 8);
+}
