Quarantine the part of a prompt that crashes targets

Callers lost their streams in the middle, or got 502, as one target after the other fell: 14 to 25 in 22 s, while requests of one kind came with a part that crashes each target that begins to answer them.

Cause: losses were counted for the hash of the whole request. No two of these requests are alike, so no count passed one. Besides, all losses were discarded while four targets fell within five seconds, so the filter against failures of machines was blind while crashes were at their most frequent.

Evidence: with target_lost_before_answer, 210 of 213 lost calls had a content of their own, and three parts were on each target that fell; 58 losses were discarded.

Change: each call without the second event of its answer on a target that is lost is a suspect, with its content and all parts of its prompt but the last (RequestTraits). A trait is quarantined after losses in three moments without an answer to any request with it. Answers clear traits on all hosts; only answers to suspected traits are reported. A trait whose losses are all explained by another with more is not blamed; if two can't be told apart, five moments are needed. Parts that only occurred together are refused together, and a request with one of them is sent as the only probe of its host. Targets that fall within 0.1 s and are not explained by the trait count for nothing. Hosts exchange reports through the store and by messages, so no host needs to see two crashes or the store.

The test "a prompt part that crashes each target is not sent for ever" failed before (20 of 20 sent) and passes. It now replaces the target that fell, since losses of one run of a target count once.

--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -7,6 +7,7 @@
 #include "LibBase/Hash.h"
 #include "LibNet/HttpMessage.h"
 #include "LibRelay/RelayConfig.h"
+#include "LibRelay/RequestTraits.h"
 
 namespace bergamothook {
 
@@ -66,6 +67,17 @@
     return hash128(this->Body, hash64(Line));
   }
 
+  RequestTraits traits() const {
+    RequestTraits Traits = {this->contentHash(), {}};
+    std::size_t Shared = this->Parts.empty() ? 0 : this->Parts.size() - 1;
+    for (std::size_t I = 0; I < std::min(Shared, MaxTraitParts); ++I)
+      Traits.Parts.push_back(hash128(this->Parts[I].Id));
+    std::sort(Traits.Parts.begin(), Traits.Parts.end());
+    auto Repeated = std::unique(Traits.Parts.begin(), Traits.Parts.end());
+    Traits.Parts.erase(Repeated, Traits.Parts.end());
+    return Traits;
+  }
+
   /// The most tokens that the call can cost its team.
   Tokens maxTokenCost() const {
     return this->PromptTokens + this->MaxOutputTokens;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -17,6 +17,8 @@
 /// How much of a field's text is logged.
 constexpr std::size_t MaxLoggedBytes = 100;
 constexpr std::size_t MaxLoggedParts = 8;
+/// A request that crashes its target may do so within its first event.
+constexpr std::uint32_t EventsPastBeginning = 2;
 /// How much of stale responses is read before a connection is closed.
 constexpr std::size_t MaxStaleBytes = 1024 * 1024;
 /// The minimum time left for a send: no target answers in less.
@@ -30,6 +32,8 @@
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
 /// A request that crashes targets is quarantined for minutes.
 constexpr Duration QuarantineRetryAfter = std::chrono::minutes(1);
+/// A probe ends as soon as its target begins to answer.
+constexpr Duration ProbeRetryAfter = std::chrono::milliseconds(500);
 
 bool isEventStream(const HttpResponseHead &Head) {
   auto Type = Head.Headers.find("Content-Type");
@@ -42,11 +46,13 @@
                                    const RelayCall &Call,
                                    const CallerHooks &Caller)
     : Dispatcher(Dispatcher), Hooks(Dispatcher.hooks()), Call(Call),
-      Caller(Caller), Content(Call.contentHash()), Deadline(Call.deadline()) {}
+      Caller(Caller), Traits(Call.traits()), Deadline(Call.deadline()) {}
 
 RelayOutcome RelayCallHandler::run() {
   this->chooseService();
-  if (this->reserveTokens()) {
+  if (this->isQuarantined()) {
+    this->finishFailed(AttemptEnd::Quarantined);
+  } else if (this->reserveTokens()) {
     this->runAttempts();
     this->settle();
   }
@@ -99,7 +105,7 @@
       return this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
     if (this->now() + MinTimeForSend >= this->Deadline)
       return this->finishFailed(AttemptEnd::OutOfTime);
-    if (!this->Dispatcher.quarantine().maySend(this->Content, this->now()))
+    if (this->isQuarantined())
       return this->finishFailed(AttemptEnd::Quarantined);
     TargetState *Target = this->chooseTarget();
     if (!Target)
@@ -112,9 +118,16 @@
       this->Excluded.insert(Chosen.Id);
       continue;
     }
+    // The decision may have changed while the permit was awaited.
+    this->Admission =
+        this->Dispatcher.quarantine().admit(this->Traits, this->now());
+    if (this->Admission >= SendAdmission::Busy)
+      return this->finishFailed(AttemptEnd::Quarantined);
     ++this->Attempts;
     AttemptEnd End = this->attempt(Chosen);
-    this->recordAttempt(Chosen.Id, End);
+    this->recordAttempt(Chosen, End);
+    if (this->Admission == SendAdmission::Probe)
+      this->Dispatcher.quarantine().endProbe(this->Traits);
     if (End == AttemptEnd::Done)
       return this->finish(RelayEnd::Done, RelayReason::None);
     if (!this->shouldRetry(End))
@@ -123,6 +136,12 @@
   }
 }
 
+bool RelayCallHandler::isQuarantined() {
+  this->Admission =
+      this->Dispatcher.quarantine().admission(this->Traits, this->now());
+  return this->Admission >= SendAdmission::Busy;
+}
+
 TargetState *RelayCallHandler::chooseTarget() {
   return this->Dispatcher.picker().pick(this->Dispatcher.targets(),
                                         this->Service, this->Call,
@@ -151,8 +170,9 @@
 
 AttemptEnd RelayCallHandler::attempt(const ListedTarget &Target) {
   TargetDirectory &Targets = this->Dispatcher.targets();
-  this->HasTargetSentEvent = false;
+  this->EventsFromTarget = 0;
   TimePoint StartedAt = this->now();
+  this->SentAt = StartedAt;
   Duration TimeLeft = this->Deadline - StartedAt;
   HttpRequestHead Head =
       this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
@@ -303,7 +323,10 @@
       Batch.Bytes += this->Events.partialEvent();
       this->Events.discardPartial();
     }
-    this->HasTargetSentEvent |= Batch.Events > 0;
+    bool WasBeginning = this->EventsFromTarget < EventsPastBeginning;
+    this->EventsFromTarget += Batch.Events;
+    if (WasBeginning && this->EventsFromTarget >= EventsPastBeginning)
+      this->recordAnswer();
     if (Batch.Events > 0 && this->IsPrefillPending) {
       this->IsPrefillPending = false;
       this->Dispatcher.targets().onPrefillDone(this->Outcome.Target,
@@ -341,19 +364,23 @@
   return static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
 }
 
-void RelayCallHandler::recordAttempt(const std::string &Id, AttemptEnd End) {
+void RelayCallHandler::recordAttempt(const ListedTarget &Target,
+                                     AttemptEnd End) {
+  const std::string &Id = Target.Id;
   TargetDirectory &Targets = this->Dispatcher.targets();
   switch (End) {
   case AttemptEnd::Done:
     Targets.onSuccess(Id);
-    this->Dispatcher.quarantine().onAnswered(this->Content);
+    // A stream that ends before its first event proves nothing.
+    if (this->EventsFromTarget > 0 || !this->HasStreamStarted)
+      this->recordAnswer();
     break;
   case AttemptEnd::NotRun:
     Targets.onFull(Id, this->now());
     break;
   case AttemptEnd::Lost:
-    if (!this->HasTargetSentEvent)
-      this->recordLoss(Id);
+    if (this->EventsFromTarget < EventsPastBeginning)
+      this->recordLoss(Target);
     [[fallthrough]];
   case AttemptEnd::NotSent:
   case AttemptEnd::Malformed:
@@ -370,17 +397,22 @@
     ++this->TargetsThatMayHaveRun;
 }
 
-void RelayCallHandler::recordLoss(const std::string &Id) {
-  bool IsCounted =
-      this->Dispatcher.quarantine().onLost(this->Content, Id, this->now());
+void RelayCallHandler::recordAnswer() {
+  this->Dispatcher.quarantine().onAnswered(this->Traits, this->now());
+}
+
+void RelayCallHandler::recordLoss(const ListedTarget &Target) {
+  bool IsCounted = this->Dispatcher.quarantine().onLost(
+      this->Traits, Target.runKey(), this->SentAt, this->now());
   std::vector<std::string> Parts;
   for (const PromptPart &Part : this->Call.Parts)
     if (Parts.size() < MaxLoggedParts)
-      Parts.push_back(Part.Id.substr(0, MaxLoggedBytes));
+      Parts.push_back(Part.Id.substr(0, MaxLoggedBytes) + "=" +
+                      toHex(hash128(Part.Id)));
   logEvent(LogLevel::Warning, "target_lost_before_answer",
            {{"request", this->Call.Id},
-            {"target", Id},
-            {"content", toHex(this->Content)},
+            {"target", Target.Id},
+            {"content", toHex(this->Traits.Content)},
             {"parts", Parts},
             {"send", this->Outcome.Sends},
             {"counted", IsCounted}});
@@ -451,7 +483,9 @@
     return this->refuse(503, RelayEnd::NotRun, RelayReason::DeadlinePassed);
   if (End == AttemptEnd::Quarantined)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::Quarantined,
-                        QuarantineRetryAfter);
+                        this->Admission == SendAdmission::Busy
+                            ? ProbeRetryAfter
+                            : QuarantineRetryAfter);
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -67,8 +67,10 @@
   bool shouldRetry(AttemptEnd End);
   bool isRepeatAllowed() const;
   void finishFailed(AttemptEnd End);
-  void recordAttempt(const std::string &Id, AttemptEnd End);
-  void recordLoss(const std::string &Id);
+  void recordAttempt(const ListedTarget &Target, AttemptEnd End);
+  void recordLoss(const ListedTarget &Target);
+  void recordAnswer();
+  bool isQuarantined();
   void finish(RelayEnd End, RelayReason Reason);
   void refuse(unsigned Status, RelayEnd End, RelayReason Reason,
               std::optional<Duration> RetryAfter = std::nullopt);
@@ -79,8 +81,9 @@
   const RelayHooks &Hooks;
   const RelayCall &Call;
   const CallerHooks &Caller;
-  /// The hash that identifies the request across its attempts.
-  Hash128 Content;
+  RequestTraits Traits;
+  /// What the quarantine last decided about this call.
+  SendAdmission Admission = SendAdmission::Allowed;
   TimePoint Deadline;
   RelayOutcome Outcome;
   std::string Service;
@@ -93,8 +96,10 @@
   unsigned Attempts = 0;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPrefillPending = false;
-  /// The current target sent an event, so the request did not crash it.
-  bool HasTargetSentEvent = false;
+  /// Events that the current target has sent.
+  std::uint32_t EventsFromTarget = 0;
+  /// When the call was sent to the current target.
+  TimePoint SentAt{};
   EventSplitter Events;
   bool HasStreamStarted = false;
   /// The tokens reserved for the call.
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -28,7 +28,12 @@
       Limiter(this->Settings.Limiter, this->limiterHooks(), Tokens.roster(),
               Stats),
       Resends(this->Settings.Resends),
-      Quarantine(this->Settings.Self, this->Settings.Quarantine),
+      Quarantine(this->Settings.Self, this->Settings.Quarantine,
+                 [this](const Hash128 &Trait, std::uint64_t Turn) {
+                   return this->hasProbeTurn(Trait, Turn);
+                 }),
+      QuarantineReports(this->Quarantine, Tokens.roster(),
+                        this->quarantineHooks()),
       Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
@@ -47,6 +52,26 @@
   return Chosen;
 }
 
+QuarantineExchangeHooks RelayDispatcher::quarantineHooks() {
+  QuarantineExchangeHooks Chosen;
+  Chosen.Now = this->Hooks.Tasks.Now;
+  Chosen.Send = [this](HostId To, std::uint16_t Kind, std::string_view Body) {
+    this->TokenSource.sendMessage(To, Kind, Body);
+  };
+  Chosen.SetHandler = [this](std::uint16_t Kind, PeerNode::Handler Callback) {
+    this->TokenSource.setMessageHandler(Kind, std::move(Callback));
+  };
+  return Chosen;
+}
+
+bool RelayDispatcher::hasProbeTurn(const Hash128 &Trait,
+                                   std::uint64_t Turn) const {
+  const HostRoster &Roster = this->TokenSource.roster();
+  std::vector<HostId> Hosts =
+      Roster.firstHosts(toHex(Trait), Roster.hosts(), this->Hooks.Tasks.Now());
+  return Hosts[Turn % Hosts.size()] == Roster.self().id();
+}
+
 bool RelayDispatcher::setConfig(RelayConfigPtr Next) {
   if (this->Config && Next->Version <= this->Config->Version)
     return false;
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -8,9 +8,9 @@
 #include "LibLoan/TokenBroker.h"
 #include "LibObserve/Metrics.h"
 #include "LibRateLimit/TargetLimiter.h"
+#include "LibRelay/QuarantineExchange.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
-#include "LibRelay/RequestQuarantine.h"
 #include "LibRelay/ResendBudget.h"
 #include "LibRelay/TargetPicker.h"
 
@@ -52,6 +52,7 @@
 
   TargetDirectory &targets() { return this->Targets; }
   RequestQuarantine &quarantine() { return this->Quarantine; }
+  QuarantineExchange &quarantineReports() { return this->QuarantineReports; }
   TargetLimiter &limiter() { return this->Limiter; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
@@ -61,6 +62,8 @@
 
 private:
   LimiterHooks limiterHooks();
+  QuarantineExchangeHooks quarantineHooks();
+  bool hasProbeTurn(const Hash128 &Trait, std::uint64_t Turn) const;
   void record(const RelayCall &Call, const RelayOutcome &Outcome);
 
   RelaySettings Settings;
@@ -73,6 +76,7 @@
   TargetLimiter Limiter;
   ResendBudget Resends;
   RequestQuarantine Quarantine;
+  QuarantineExchange QuarantineReports;
   Random Rng;
 };
 
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -41,7 +41,7 @@
   case RelayReason::CallerGone:
     return "the caller left";
   case RelayReason::Quarantined:
-    return "the request crashed targets before";
+    return "the request, or a part of its prompt, crashed targets before";
   case RelayReason::Overloaded:
     return "the targets can't answer in time";
   case RelayReason::Stopping:
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -92,7 +92,8 @@
       TargetFeed(this->Store, this->Tasks,
                  {std::string(wire::TargetTopic), TargetWait, TargetPause},
                  this->targetFeedHooks()),
-      QuarantineSync(this->Store, this->Tasks, this->Dispatcher.quarantine()),
+      QuarantineSync(this->Store, this->Tasks, this->Settings.Host,
+                     this->Dispatcher.quarantineReports()),
       Registry(this->Store, this->Tasks, this->TokenSource.roster()),
       Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
@@ -267,7 +268,7 @@
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
-    this->Dispatcher.quarantine().expire(this->Tasks.Now());
+    this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
     this->Dispatcher.limiter().reportUse(this->Tasks.Now());
     this->Dispatcher.limiter().expire(
@@ -301,8 +302,11 @@
                      static_cast<double>(this->Server.connections()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
-  this->Measured.set("relay_contents_watched",
+  this->Measured.set("relay_traits_suspected",
                      static_cast<double>(this->Dispatcher.quarantine().size()));
+  this->Measured.set(
+      "relay_traits_quarantined",
+      static_cast<double>(this->Dispatcher.quarantine().quarantined()));
   this->Measured.set("relay_resends_refused",
                      static_cast<double>(this->Dispatcher.resends().refused()));
   this->Measured.set(
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -437,7 +437,13 @@
   unsigned Sends = 0;
   for (int I = 0; I < 20; ++I) {
     Fixture.Responses = {brokenStream(1, 0)};
-    Sends += Fixture.serve(Request("deadly", 2 * I)).Sends;
+    RelayOutcome Crashed = Fixture.serve(Request("deadly", 2 * I));
+    Sends += Crashed.Sends;
+    if (Crashed.Sends > 0) {
+      Fixture.Dispatcher.targets().onRemoved(Crashed.Target,
+                                             Fixture.Simulated.now());
+      Fixture.addTarget("restarted" + std::to_string(I));
+    }
     Fixture.Responses = {completeStream(1, 5)};
     CHECK(Fixture.serve(Request("sound", 2 * I + 1)).End == RelayEnd::Done);
     Fixture.Simulated.runFor(1s);
