Do not pass for complete a stream that ends inside an event

A stream without a length or chunks ends with its connection. If the target broke it off inside an event, the caller got the stream as complete, with the piece of an event at its end.

Cause: bytes after the last event were taken as part of the complete answer whenever the body ended, however its end was marked. Change: the reader tells that only the end of the connection marked it; then an unfinished event means that the target broke off, and the call is resumed or aborted like any that is lost. The new test failed before: Done with the piece instead of a resumption.

--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -76,6 +76,9 @@
   std::string Bytes;
   /// Set on the last piece of a complete message.
   bool IsLast = false;
+  /// Set on the last piece if the message has neither a length nor chunks, so
+  /// that only the end of the connection tells that it is complete.
+  bool EndsWithConnection = false;
 };
 
 /// Formats the head of a request whose body has \p BodyBytes bytes.
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -237,6 +237,7 @@
   BodyPiece Piece;
   Piece.Bytes.swap(Parser.get().body());
   Piece.IsLast = Parser.is_done();
+  Piece.EndsWithConnection = Piece.IsLast && Parser.need_eof();
   return Piece;
 }
 
--- a/Libraries/LibRelay/EventSplitter.h
+++ b/Libraries/LibRelay/EventSplitter.h
@@ -32,6 +32,11 @@
   /// The bytes of the incomplete event.
   const std::string &partialEvent() const { return this->Partial; }
 
+  /// Tells whether the incomplete event has any content.
+  bool isInsideEvent() const {
+    return this->Partial.find_first_not_of("\r\n") != std::string::npos;
+  }
+
   void discardPartial() { this->Partial.clear(); }
 
   /// The id of the last complete event.
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -318,7 +318,9 @@
       Exchange.Abort();
       return AttemptEnd::Malformed;
     }
-    if (Piece.value().IsLast) {
+    bool IsBrokenOff =
+        Piece.value().EndsWithConnection && this->Events.isInsideEvent();
+    if (Piece.value().IsLast && !IsBrokenOff) {
       // Bytes after the last event belong to the complete answer.
       Batch.Bytes += this->Events.partialEvent();
       this->Events.discardPartial();
@@ -333,7 +335,7 @@
                                                this->Call.PromptTokens);
     }
     if (!this->HasStreamStarted &&
-        (!Batch.Bytes.empty() || Piece.value().IsLast)) {
+        (!Batch.Bytes.empty() || (Piece.value().IsLast && !IsBrokenOff))) {
       Head.Headers.removeConnectionFields();
       this->Outcome.Status = Head.Status;
       this->HasStreamStarted = true;
@@ -347,6 +349,10 @@
       Exchange.Abort();
       return AttemptEnd::CallerLeft;
     }
+    if (IsBrokenOff) {
+      Exchange.Abort();
+      return AttemptEnd::Lost;
+    }
     if (Piece.value().IsLast) {
       Exchange.Finish();
       return this->Caller.EndStream() ? AttemptEnd::Done
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -256,7 +256,7 @@
     return Result<HttpResponseHead>(Head);
   };
   Exchange.ReadBody = [](TimePoint) {
-    return Result<BodyPiece>(BodyPiece{"", true});
+    return Result<BodyPiece>(BodyPiece{"", true, false});
   };
   Exchange.NextResponse = [] {};
   Exchange.Finish = [] {};
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -98,6 +98,27 @@
   CHECK(Fixture.SentCalls[0].WasAborted);
 }
 
+TEST_CASE("a stream that ends with its connection inside an event does not "
+          "pass for complete") {
+  ScriptedResponse Cut = completeStream(1, 2);
+  Cut.Pieces.emplace_back(10ms, "id: 3\nda");
+  Cut.EndsWithConnection = true;
+  for (bool IsResumable : {true, false}) {
+    Relay Fixture;
+    Fixture.setKind(CallKind::Stream, IsResumable);
+    RelayOutcome Outcome = Fixture.runScript({Cut, completeStream(3, 4)});
+    CHECK(Outcome.End == (IsResumable ? RelayEnd::Done : RelayEnd::Broken));
+    CHECK(Fixture.Body == (IsResumable
+                               ? event(1) + event(2) + event(3) + event(4)
+                               : event(1) + event(2)));
+    CHECK(Fixture.IsBroken == !IsResumable);
+  }
+  ScriptedResponse Whole = completeStream(1, 2);
+  Whole.Pieces.emplace_back(10ms, "\n");
+  Whole.EndsWithConnection = true;
+  CHECK(Relay().runScript({Whole}).End == RelayEnd::Done);
+}
+
 TEST_CASE("a resumed stream with a gap or a repeated event is aborted") {
   for (int Next : {2, 4}) {
     Relay Fixture;
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -147,12 +147,12 @@
       Remaining->Pieces.erase(Remaining->Pieces.begin());
       bool IsLast = Remaining->Pieces.empty() && !Remaining->ConnectionError &&
                     !Remaining->Stalls;
-      return BodyPiece{Bytes, IsLast};
+      return BodyPiece{Bytes, IsLast, IsLast && Remaining->EndsWithConnection};
     }
     if (Remaining->ConnectionError)
       return Remaining->ConnectionError;
     if (!Remaining->Stalls)
-      return BodyPiece{"", true};
+      return BodyPiece{"", true, Remaining->EndsWithConnection};
     BOOST_OUTCOME_TRYV(Wait(std::chrono::hours(1), Deadline));
     return NetError::TimedOut;
   };
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -25,6 +25,8 @@
   std::vector<std::pair<Duration, std::string>> NextPieces;
   /// How the connection ends after the pieces; unset for a complete response.
   std::error_code ConnectionError;
+  /// The response has neither a length nor chunks.
+  bool EndsWithConnection = false;
   /// The response stalls after the pieces.
   bool Stalls = false;
   /// The rate limit that the target states.
