--- a/Tests/LibWallet/WalletFleet.cpp
+++ b/Tests/LibWallet/WalletFleet.cpp
@@ -27,11 +27,17 @@
   Process.Spent += Spent;
 }
 
+void WalletFleet::read(FakeProcess &Process) {
+  Wallet &Reader = Process.ProcessWallet;
+  if (Reader.shareTable().end() > this->Log.end())
+    Reader.clearShareTable();
+  Reader.onRead(this->Log.readFrom(Reader.shareTable().end()), this->Log.end(),
+                this->Now);
+}
+
 void WalletFleet::runRound(FakeProcess &Process, bool IsLogAvailable) {
   if (IsLogAvailable || this->Rng.below(4) != 0)
-    Process.ProcessWallet.onRead(
-        this->Log.readFrom(Process.ProcessWallet.shareTable().end()),
-        this->Log.end(), this->Now);
+    this->read(Process);
   if (!Process.ProcessWallet.isReady())
     return;
   auto Records = Process.ProcessWallet.planRound(this->Now);
@@ -84,7 +90,7 @@
     return;
   switch (this->Rng.below(32)) {
   case 0:
-    Process.IsDead = this->Processes.size() < 12;
+    Process.IsDead = this->HasDeaths && this->Processes.size() < 12;
     if (Process.IsDead)
       this->start();
     return;
@@ -132,8 +138,8 @@
     this->runRounds();
 }
 
-void WalletFleet::runRounds() {
-  this->Now += std::chrono::seconds(1);
+void WalletFleet::runRounds(Duration After) {
+  this->Now += After;
   for (auto &Each : this->Processes)
     if (!Each->IsDead)
       this->runRound(*Each, true);
--- a/Tests/LibWallet/WalletFleet.h
+++ b/Tests/LibWallet/WalletFleet.h
@@ -34,6 +34,9 @@
 
   std::uint64_t end() const { return this->Records.size(); }
 
+  /// Loses all records from \p End on; their offsets are given out again.
+  void restore(std::uint64_t End) { this->Records.resize(End); }
+
 private:
   std::vector<WalletRecord> Records;
 };
@@ -86,12 +89,19 @@
     return Sum;
   }
 
+  /// Restores the log from a copy that lacks up to \p MaxLost records.
+  void restoreLog(std::uint64_t MaxLost) {
+    std::uint64_t Lost = this->Rng.below(MaxLost + 1);
+    this->Log.restore(this->Log.end() - std::min(Lost, this->Log.end()));
+  }
+
   /// Settles all requests of live processes, then runs rounds with the log
   /// available.
   void quiesce(int Rounds);
 
-  /// Runs one round of every live process with the log available.
-  void runRounds();
+  /// Runs one round of every live process with the log available, \p After the
+  /// last step.
+  void runRounds(Duration After = std::chrono::seconds(1));
 
   Tokens Budget = 1'000'000;
   FakeWalletLog Log;
@@ -100,6 +110,8 @@
   TimePoint Now{std::chrono::hours(1)};
   std::uint64_t Granted = 0;
   std::uint64_t MaxRequest = 0;
+  /// Processes die in step().
+  bool HasDeaths = true;
 
 private:
   /// An unanswered append that may take effect later.
@@ -108,6 +120,8 @@
     std::vector<WalletRecord> Records;
   };
 
+  /// Reads the log from where the process has read to, or all of it.
+  void read(FakeProcess &Process);
   void reserve(FakeProcess &Process);
   void settle(FakeProcess &Process);
   void runRound(FakeProcess &Process, bool IsLogAvailable);
--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -28,6 +28,26 @@
   }
 }
 
+TEST_CASE(
+    "teams do not overspend after the log was restored from an older copy") {
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    WalletFleet Fleet(Seed);
+    Fleet.HasDeaths = false;
+    for (int I = 0; I < 4; ++I)
+      Fleet.start();
+    for (int Restores = 0; Restores < 5; ++Restores) {
+      for (int I = 0; I < 100; ++I) {
+        Fleet.step();
+        CAPTURE(Seed);
+        CAPTURE(Restores);
+        REQUIRE(Fleet.committed() <= Fleet.Budget);
+      }
+      Fleet.restoreLog(12);
+      Fleet.runRounds(200ms);
+    }
+  }
+}
+
 TEST_CASE("a waiting request obtains a fragmented remaining budget") {
   int SeedsChecked = 0;
   for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
