Keep the shares of teams across a restore of the store

Callers of a team got more tokens than it had paid for: 964325 of 960900, after the store came back from a copy nine seconds old.

Cause: what was learned from the store outlived the history that it was learned in. A process that got 410 for its offset dropped all that it knew and took the restored log for the truth, in which others held less than they had spent. It then took the difference before the holders had stated their shares again. Nothing read the era of the store, so a log that had grown past the offset of a reader went unnoticed, and an append of before the outage could land at an offset that came round again.

A share names the era that its writer had read. In a new era a wallet keeps what it knew of the others until they have written themselves, and counts the larger; keeps its own share as it was, and states it again; takes nothing for 2.5 s. After half of that it writes what it knew of processes that are still silent. An append that was done in another era than the one read counts as unanswered.

--- a/Libraries/LibLoan/WalletService.cpp
+++ b/Libraries/LibLoan/WalletService.cpp
@@ -71,12 +71,22 @@
   if (!Page && Page.error() == std::errc::result_out_of_range) {
     logEvent(LogLevel::Warning, "wallet_log_trimmed",
              {{"offset", this->LocalWallet.shareTable().end()}});
-    this->LocalWallet.clearShareTable();
+    this->LocalWallet.rewind();
     return false;
   }
   this->setLogLost(!Page);
   if (!Page)
     return false;
+  if (Page.value().Era != this->LocalWallet.era()) {
+    logEvent(LogLevel::Info, "wallet_era_began",
+             {{"era", Page.value().Era},
+              {"earlier_era", this->LocalWallet.era()},
+              {"offset", this->LocalWallet.shareTable().end()},
+              {"teams", this->describeTeams()}});
+    this->LocalWallet.beginEra(Page.value().Era);
+    if (HadRead)
+      return true;
+  }
   this->LocalWallet.onRead(Page.value().Records, Page.value().End,
                            this->Tasks.Now());
   if (!HadRead)
@@ -93,6 +103,8 @@
     this->Tasks.sleepUntil(this->Tasks.Now() + LogRetryDelay);
     return;
   }
+  if (!this->LocalWallet.isReady())
+    return;
   std::vector<WalletRecord> Records =
       this->LocalWallet.planRound(this->Tasks.Now());
   if (Records.empty())
@@ -110,6 +122,7 @@
   case WalletAppend::Refused:
     this->LocalWallet.onRefused();
     break;
+  case WalletAppend::OtherEra:
   case WalletAppend::Unanswered:
     this->LocalWallet.onUnanswered();
     break;
--- a/Libraries/LibLoan/WalletService.h
+++ b/Libraries/LibLoan/WalletService.h
@@ -18,6 +18,8 @@
   std::vector<WalletRecord> Records;
   /// The offset past the last record.
   std::uint64_t End = 0;
+  /// The era of the log; see WalletShare.
+  std::uint64_t Era = 0;
 };
 
 enum class WalletAppend {
@@ -26,6 +28,8 @@
   Refused,
   /// Not appended, because the log does not end at the expected offset.
   Moved,
+  /// Appended in another era than the one that was read.
+  OtherEra,
   /// The outcome is unknown.
   Unanswered,
 };
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -5,6 +5,13 @@
 
 namespace bergamothook {
 
+namespace {
+
+/// Bounds the records of one append.
+constexpr std::size_t MaxWitnessedRecords = 128;
+
+} // namespace
+
 Tokens Wallet::TeamAccount::limit() const {
   return this->MinUnresolvedHeld
              ? std::min(this->Held, *this->MinUnresolvedHeld)
@@ -35,7 +42,8 @@
   if (!Account.Budget)
     return WalletError::Exhausted;
   WalletShare Others = this->ShareTable.sumOfOthers(Team, this->Self);
-  bool IsFresh = this->viewAge(Now) <= this->Policy.MaxViewAge;
+  bool IsFresh =
+      this->viewAge(Now) <= this->Policy.MaxViewAge && !this->isInGrace(Now);
   if (IsFresh &&
       Account.committed() + Amount > *Account.Budget - Others.Committed)
     return WalletError::Exhausted;
@@ -82,10 +90,21 @@
 
 void Wallet::onRead(const std::vector<WalletRecord> &Records, std::uint64_t End,
                     TimePoint Now) {
-  for (const WalletRecord &Record : Records)
-    this->ShareTable.apply(Record, Now);
+  for (const WalletRecord &Record : Records) {
+    // This process knows its share better than a copy of it.
+    bool IsCopy = Record.Share.Era < this->era() || Record.Share.IsWitnessed;
+    if (Record.Key.Process == this->Self && IsCopy)
+      this->ShareTable.setOwnOnLog(Record);
+    else
+      this->ShareTable.apply(Record, Now);
+  }
   this->ShareTable.advanceTo(End);
+  // A process that starts can't tell how long ago the log was restored.
+  if (!this->HasRead && (this->IsRestored || !this->ShareTable.areAllCurrent()))
+    this->GraceEnd = Now + this->Policy.RestoreGrace;
+  this->IsRestored = false;
   this->HasRead = true;
+  this->HasEra = true;
   this->ReadAt = Now;
   this->refreshFromLog();
 }
@@ -107,9 +126,31 @@
     this->UnresolvedOffset.reset();
 }
 
-void Wallet::clearShareTable() {
-  this->ShareTable.clear();
+void Wallet::rewind() {
+  this->ShareTable.rewind();
+  this->HasRead = false;
+}
+
+void Wallet::beginEra(std::uint64_t Next) {
+  this->IsRestored = this->HasEra;
+  this->HasEra = true;
   this->HasRead = false;
+  this->LastRound = {};
+  this->InFlight.clear();
+  this->UnresolvedOffset.reset();
+  for (auto &[Team, Account] : this->Accounts) {
+    WalletKey Key = {Team, this->Self};
+    Tokens Limit = Account.limit();
+    Account.MinUnresolvedHeld.reset();
+    if (Limit == Account.Held)
+      continue;
+    // What an unresolved append gave back may be taken by others.
+    WalletShare Own = this->ShareTable.shareOf(Key);
+    Own.Held = Limit;
+    Account.Held = Limit;
+    this->ShareTable.setOwn(Key, Own);
+  }
+  this->ShareTable.beginEra(Next);
 }
 
 Tokens Wallet::availableFor(const std::string &Team,
@@ -189,7 +230,9 @@
   Tokens Available = this->availableFor(Team, Account);
   Tokens Idle = this->idleTarget(Team, Account, Available, Now);
   Tokens Demand = this->IsStopping ? 0 : Account.PendingDemand;
-  return Account.committed() + std::min(Available, std::max(Idle, Demand));
+  Tokens Target =
+      Account.committed() + std::min(Available, std::max(Idle, Demand));
+  return this->isInGrace(Now) ? std::min(Target, Account.limit()) : Target;
 }
 
 Tokens Wallet::unmetDemand(const std::string &Team,
@@ -204,6 +247,8 @@
                          TimePoint Now) const {
   if (!Account.Budget && Account.Held == 0)
     return false;
+  if (Account.Held > 0 && !this->ShareTable.isCurrent({Team, this->Self}))
+    return true;
   Tokens Target = this->heldTarget(Team, Account, Now);
   if (this->IsStopping)
     return Account.Held != Target;
@@ -264,13 +309,23 @@
     if (Account.PendingDemand > 0 &&
         this->unmetDemand(Team, Account) < Account.PendingDemand)
       this->WasStarved = false;
-    WalletShare Share{this->heldTarget(Team, Account, Now), Account.committed(),
+    WalletShare Share{this->heldTarget(Team, Account, Now),
+                      Account.committed(),
                       this->unmetDemand(Team, Account),
-                      static_cast<Tokens>(this->rateOf(Account, Now))};
+                      static_cast<Tokens>(this->rateOf(Account, Now)),
+                      this->era(),
+                      false};
     Account.MinUnresolvedHeld =
         std::min(Account.MinUnresolvedHeld.value_or(Share.Held), Share.Held);
     this->InFlight.push_back({{Team, this->Self}, Share, 0});
   }
+  // First, other processes have the time to state their shares themselves.
+  if (Now >= this->GraceEnd - this->Policy.RestoreGrace / 2) {
+    std::vector<WalletRecord> Witnessed =
+        this->ShareTable.witnessedRecords(this->Self, MaxWitnessedRecords);
+    this->InFlight.insert(this->InFlight.end(), Witnessed.begin(),
+                          Witnessed.end());
+  }
   if (!this->InFlight.empty())
     this->UnresolvedOffset = this->ShareTable.end();
   return this->InFlight;
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -60,9 +60,14 @@
   void onRead(const std::vector<WalletRecord> &Records, std::uint64_t End,
               TimePoint Now);
 
-  /// Clears the share table. Used when the log has dropped records between the
-  /// last one read and the first one retained.
-  void clearShareTable();
+  /// The log will be read from the start. Used when it has dropped records
+  /// between the last one read and the first one retained.
+  void rewind();
+
+  /// The log is in the era \p Next, and will be read from the start. If this is
+  /// not the first one, the log was restored from a copy: no tokens are taken
+  /// until other processes have had the time to state their shares again.
+  void beginEra(std::uint64_t Next);
 
   bool isRoundDue(TimePoint Now) const;
 
@@ -98,6 +103,7 @@
   const WalletShareTable &shareTable() const { return this->ShareTable; }
   const std::string &self() const { return this->Self; }
   bool isReady() const { return this->HasRead; }
+  std::uint64_t era() const { return this->ShareTable.era(); }
 
   /// \returns the time since the log was last read to its end.
   Duration viewAge(TimePoint Now) const { return Now - this->ReadAt; }
@@ -150,6 +156,7 @@
   bool needsRecord(const std::string &Team, const TeamAccount &Account,
                    TimePoint Now) const;
   bool hasPendingDemand() const;
+  bool isInGrace(TimePoint Now) const { return Now < this->GraceEnd; }
   void refreshFromLog();
   double decayedRate(const TeamAccount &Account, TimePoint Now) const;
   double rateOf(const TeamAccount &Account, TimePoint Now) const;
@@ -174,6 +181,11 @@
   /// Set if requests wait and the last round obtained no tokens for them.
   bool WasStarved = false;
   bool HasRead = false;
+  bool HasEra = false;
+  /// The log was restored, and has not been read since.
+  bool IsRestored = false;
+  /// Until then, no tokens are taken.
+  TimePoint GraceEnd{};
   bool IsStopping = false;
 };
 
--- a/Libraries/LibWallet/WalletPolicy.h
+++ b/Libraries/LibWallet/WalletPolicy.h
@@ -61,6 +61,9 @@
   /// Maximum time between two reads of the log, to learn about the demand of
   /// other processes.
   Duration ReadInterval = std::chrono::milliseconds(1000);
+  /// After the log was restored from a copy, how long no tokens are taken while
+  /// processes state their shares again. Covers several reads of the log.
+  Duration RestoreGrace = std::chrono::milliseconds(2500);
   /// Maximum age of the view of the log at which a request may be rejected
   /// because the budget is exhausted.
   Duration MaxViewAge = std::chrono::milliseconds(400);
--- a/Libraries/LibWallet/WalletRecord.cpp
+++ b/Libraries/LibWallet/WalletRecord.cpp
@@ -32,6 +32,8 @@
   Out.put(ShareVersion);
   cereal::PortableBinaryOutputArchive Archive(Out);
   Archive(Share);
+  // Readers of earlier releases ignore what follows.
+  Archive(Share.Era, Share.IsWitnessed);
   return Out.str();
 }
 
@@ -43,6 +45,8 @@
   try {
     cereal::PortableBinaryInputArchive Archive(In);
     Archive(Share);
+    if (In.peek() != std::istringstream::traits_type::eof())
+      Archive(Share.Era, Share.IsWitnessed);
   } catch (const cereal::Exception &) {
     return std::make_error_code(std::errc::bad_message);
   }
--- a/Libraries/LibWallet/WalletRecord.h
+++ b/Libraries/LibWallet/WalletRecord.h
@@ -31,6 +31,12 @@
   /// Spending rate in tokens per second. Determines which part of a scarce
   /// budget each process may keep idle.
   Tokens Rate = 0;
+  /// The era of the log that the writer had read. A log that is restored from a
+  /// copy begins a new era.
+  std::uint64_t Era = 0;
+  /// Written by another process that had read the share in an earlier era. The
+  /// process itself may hold more.
+  bool IsWitnessed = false;
 
   bool operator==(const WalletShare &) const = default;
 
--- a/Libraries/LibWallet/WalletShareTable.cpp
+++ b/Libraries/LibWallet/WalletShareTable.cpp
@@ -4,17 +4,36 @@
 
 namespace bergamothook {
 
+void WalletShareTable::setShare(const std::string &Team, Entry &Position,
+                                const WalletShare &Share) {
+  WalletShare &Sum = this->TeamTotals[Team];
+  Sum.Held += Share.Held - Position.Share.Held;
+  Sum.Committed += Share.Committed - Position.Share.Committed;
+  Sum.UnmetDemand += Share.UnmetDemand - Position.Share.UnmetDemand;
+  Sum.Rate += Share.Rate - Position.Share.Rate;
+  Position.Share = Share;
+}
+
 void WalletShareTable::apply(const WalletRecord &Record, TimePoint Now) {
-  auto [Position, IsNew] = this->Entries.try_emplace(Record.Key);
-  if (!IsNew && Record.Offset < Position->second.Offset)
+  Entry &Position = this->Entries[Record.Key];
+  if (Position.HasRecord && Record.Offset < Position.Offset)
+    return;
+  Position.HasRecord = true;
+  Position.Offset = Record.Offset;
+  Position.HeldOnLog = Record.Share.Held;
+  Position.CommittedOnLog = Record.Share.Committed;
+  bool IsCurrent = Record.Share.Era >= this->Era && !Record.Share.IsWitnessed;
+  // An append of an earlier era may land late.
+  if (Position.IsCurrent && !IsCurrent)
     return;
-  WalletShare &Sum = this->TeamTotals[Record.Key.Team];
-  Sum.Held += Record.Share.Held - Position->second.Share.Held;
-  Sum.Committed += Record.Share.Committed - Position->second.Share.Committed;
-  Sum.UnmetDemand +=
-      Record.Share.UnmetDemand - Position->second.Share.UnmetDemand;
-  Sum.Rate += Record.Share.Rate - Position->second.Share.Rate;
-  Position->second = {Record.Share, Record.Offset, Now};
+  WalletShare Share = Record.Share;
+  if (!IsCurrent) {
+    Share.Held = std::max(Share.Held, Position.Share.Held);
+    Share.Committed = std::max(Share.Committed, Position.Share.Committed);
+  }
+  Position.IsCurrent = IsCurrent;
+  Position.ReadAt = Now;
+  this->setShare(Record.Key.Team, Position, Share);
   this->LastReadTimes[Record.Key.Process] = Now;
 }
 
@@ -22,7 +41,62 @@
   this->End = std::max(this->End, Offset);
 }
 
-void WalletShareTable::clear() { *this = {}; }
+void WalletShareTable::beginEra(std::uint64_t Next) {
+  this->Era = Next;
+  this->End = 0;
+  for (auto &[Key, Position] : this->Entries) {
+    Position.HeldOnLog = 0;
+    Position.CommittedOnLog = 0;
+    Position.HasRecord = false;
+    Position.IsCurrent = false;
+  }
+}
+
+void WalletShareTable::setOwn(const WalletKey &Key, const WalletShare &Share) {
+  this->setShare(Key.Team, this->Entries[Key], Share);
+}
+
+void WalletShareTable::setOwnOnLog(const WalletRecord &Record) {
+  Entry &Position = this->Entries[Record.Key];
+  if (Position.HasRecord && Record.Offset < Position.Offset)
+    return;
+  Position.HasRecord = true;
+  Position.Offset = Record.Offset;
+  Position.HeldOnLog = Record.Share.Held;
+  Position.CommittedOnLog = Record.Share.Committed;
+}
+
+bool WalletShareTable::isCurrent(const WalletKey &Key) const {
+  auto Found = this->Entries.find(Key);
+  return Found != this->Entries.end() && Found->second.IsCurrent &&
+         Found->second.HeldOnLog == Found->second.Share.Held &&
+         Found->second.CommittedOnLog == Found->second.Share.Committed;
+}
+
+bool WalletShareTable::areAllCurrent() const {
+  return std::all_of(this->Entries.begin(), this->Entries.end(),
+                     [](const auto &Item) { return Item.second.IsCurrent; });
+}
+
+std::vector<WalletRecord>
+WalletShareTable::witnessedRecords(const std::string &Self,
+                                   std::size_t Max) const {
+  std::vector<WalletRecord> Out;
+  for (const auto &[Key, Position] : this->Entries) {
+    if (Position.IsCurrent || Key.Process == Self || Out.size() >= Max)
+      continue;
+    if (Position.Share.Held <= Position.HeldOnLog &&
+        Position.Share.Committed <= Position.CommittedOnLog)
+      continue;
+    WalletShare Share = Position.Share;
+    Share.Era = this->Era;
+    Share.IsWitnessed = true;
+    Share.UnmetDemand = 0;
+    Share.Rate = 0;
+    Out.push_back({Key, Share, 0});
+  }
+  return Out;
+}
 
 WalletShare WalletShareTable::sumOfOthers(const std::string &Team,
                                           const std::string &Self) const {
--- a/Tests/LibWallet/WalletFleet.cpp
+++ b/Tests/LibWallet/WalletFleet.cpp
@@ -29,8 +29,8 @@
 
 void WalletFleet::read(FakeProcess &Process) {
   Wallet &Reader = Process.ProcessWallet;
-  if (Reader.shareTable().end() > this->Log.end())
-    Reader.clearShareTable();
+  if (Reader.era() != this->Log.era())
+    Reader.beginEra(this->Log.era());
   Reader.onRead(this->Log.readFrom(Reader.shareTable().end()), this->Log.end(),
                 this->Now);
 }
@@ -100,7 +100,7 @@
     return;
   case 2: // The records it needs were dropped, so it reads the log from the
           // start.
-    Process.ProcessWallet.clearShareTable();
+    Process.ProcessWallet.rewind();
     Process.ProcessWallet.onRead(this->Log.readFrom(0), this->Log.end(),
                                  this->Now);
     return;
--- a/Tests/LibWallet/WalletFleet.h
+++ b/Tests/LibWallet/WalletFleet.h
@@ -35,10 +35,16 @@
   std::uint64_t end() const { return this->Records.size(); }
 
   /// Loses all records from \p End on; their offsets are given out again.
-  void restore(std::uint64_t End) { this->Records.resize(End); }
+  void restore(std::uint64_t End) {
+    this->Records.resize(End);
+    ++this->Era;
+  }
+
+  std::uint64_t era() const { return this->Era; }
 
 private:
   std::vector<WalletRecord> Records;
+  std::uint64_t Era = 0;
 };
 
 /// One process with its wallet and what it has spent. Kept after its death.
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -14,10 +14,10 @@
   PlatformFixture Fixture;
   Fixture.run([&] {
     StoreClient &Client = *Fixture.Client;
-    CHECK(Client.append("work", 0, {"a", "b"}, 0).value() == 2);
+    CHECK(Client.append("work", 0, {"a", "b"}, 0).value().End == 2);
     CHECK(Client.append("work", 0, {"c"}, 0).error() ==
           StoreError::OffsetMismatch);
-    CHECK(Client.append("work", 0, {"c"}, std::nullopt).value() == 3);
+    CHECK(Client.append("work", 0, {"c"}, std::nullopt).value().End == 3);
     auto Page = Client.read("work", 0, 1, {});
     REQUIRE(Page);
     CHECK(Page.value().Records == std::vector<std::string>{"b", "c"});
