Tell other hosts what a process holds of budgets

Change: after each append a holder tells the homes of the partition what it has taken; when the store can't be reached, it tells all hosts, again with growing pauses. A notice counts until the next record of its process, and is kept across an era like what was read.

--- a/Libraries/LibLoan/LoanMessages.h
+++ b/Libraries/LibLoan/LoanMessages.h
@@ -8,6 +8,9 @@
 #include "LibPeer/PeerSessionManager.h"
 #include "LibWallet/WalletRecord.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace bergamothook {
 
 /// Message kinds in the protocol between hosts.
@@ -18,6 +21,7 @@
   ReturnAck,
   Probe,
   ProbeResponse,
+  ShareNotice,
 };
 
 /// Maximum length in bytes of a team name in a message.
@@ -108,6 +112,48 @@
   }
 };
 
+/// One share in a ShareNotice.
+struct NoticedShare {
+  std::string Team;
+  Tokens Held = 0;
+  Tokens Committed = 0;
+  /// The offset of its record in the log.
+  std::uint64_t Offset = 0;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Team, this->Held, this->Committed, this->Offset);
+  }
+};
+
+/// A ShareNotice must fit into a datagram together with the name of a process.
+constexpr std::size_t MaxNoticeBytes = 1000;
+/// The encoded size of a NoticedShare without its team.
+constexpr std::size_t NoticedShareBytes = 32;
+/// Maximum length in bytes of the name of a process.
+constexpr std::size_t MaxNoticedProcess = 255;
+
+/// Tells other hosts what a process holds, so that they know it if the log
+/// loses its latest records and the process dies.
+struct ShareNotice {
+  std::string Process;
+  /// The era of the log that the offsets are of.
+  std::uint64_t Era = 0;
+  std::vector<NoticedShare> Shares;
+
+  bool isValid() const {
+    return this->Process.size() <= MaxNoticedProcess &&
+           std::all_of(this->Shares.begin(), this->Shares.end(),
+                       [](const NoticedShare &Share) {
+                         return Share.Team.size() <= MaxTeamName &&
+                                Share.Held >= 0 && Share.Committed >= 0;
+                       });
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Process, this->Era, this->Shares);
+  }
+};
+
 } // namespace bergamothook
 
 #endif
--- a/Libraries/LibLoan/TokenBroker.cpp
+++ b/Libraries/LibLoan/TokenBroker.cpp
@@ -12,6 +12,10 @@
 
 /// Interval at which homes, silent hosts and old loans are checked.
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(250);
+/// Pauses between two notices of shares while the log can't be reached. The
+/// first ones may be lost while sessions are established.
+constexpr Duration MinShareNoticePause = std::chrono::milliseconds(200);
+constexpr Duration MaxShareNoticePause = std::chrono::seconds(5);
 /// Time allowed for a response to arrive, in addition to the lender's wait.
 constexpr Duration ResponseTransitTime = std::chrono::milliseconds(60);
 
@@ -29,6 +33,11 @@
   for (unsigned Partition = 0; Partition < Founding.Partitions; ++Partition)
     this->Wallets.try_emplace(Partition, this->Process, this->Policy.Wallets,
                               this->Hooks.MakeLog(Partition), this->Tasks);
+  for (auto &[Partition, Service] : this->Wallets)
+    Service.setOnAppended(
+        [this, Partition = Partition](const std::vector<WalletRecord> &Shares) {
+          this->sendShares(this->Roster.homes(Partition), Shares);
+        });
   for (const auto &[Team, Budget] : this->Budgets)
     this->walletOf(Team)->setBudget(Team, Budget);
   PeerHooks PeerCallbacks;
@@ -89,6 +98,58 @@
     this->send(Due.Lender, LoanMessageKind::Return, Due.Message);
   for (HostId Host : this->Roster.takeDueProbes(Now))
     this->send(Host, LoanMessageKind::Probe, HostProbe{});
+  if (this->IsLogReachable || Now < this->NextShareNotice)
+    return;
+  this->NextShareNotice = Now + this->ShareNoticePause;
+  this->ShareNoticePause =
+      std::min(2 * this->ShareNoticePause, MaxShareNoticePause);
+  for (auto &[Partition, Service] : this->Wallets)
+    this->sendShares(this->Roster.otherResponsiveHosts(),
+                     Service.wallet().ownShares());
+}
+
+void TokenBroker::setLogReachable(bool IsReachable) {
+  bool IsLost = this->IsLogReachable && !IsReachable;
+  this->IsLogReachable = IsReachable;
+  if (!IsLost || !this->hasBegun())
+    return;
+  this->NextShareNotice = {};
+  this->ShareNoticePause = MinShareNoticePause;
+  this->sendDueMessages();
+}
+
+void TokenBroker::sendShares(const std::vector<HostId> &Hosts,
+                             const std::vector<WalletRecord> &Shares) {
+  ShareNotice Notice;
+  Notice.Process = this->Process;
+  std::size_t Bytes = 0;
+  for (std::size_t I = 0; I < Shares.size(); ++I) {
+    const WalletRecord &Own = Shares[I];
+    Notice.Era = Own.Share.Era;
+    Notice.Shares.push_back(
+        {Own.Key.Team, Own.Share.Held, Own.Share.Committed, Own.Offset});
+    Bytes += Own.Key.Team.size() + NoticedShareBytes;
+    if (Bytes + MaxTeamName + NoticedShareBytes <= MaxNoticeBytes &&
+        I + 1 < Shares.size())
+      continue;
+    Bytes = 0;
+    for (HostId Host : Hosts)
+      if (Host != this->Roster.self().id())
+        this->send(Host, LoanMessageKind::ShareNotice, Notice);
+    Notice.Shares.clear();
+  }
+}
+
+void TokenBroker::onShareNotice(const ShareNotice &Notice) {
+  for (const NoticedShare &Noticed : Notice.Shares)
+    if (WalletService *Holder = this->walletOf(Noticed.Team)) {
+      WalletShare Share;
+      Share.Held = Noticed.Held;
+      Share.Committed = Noticed.Committed;
+      Share.Era = Notice.Era;
+      Holder->wallet().onNotice(
+          {{Noticed.Team, Notice.Process}, Share, Noticed.Offset});
+    }
 }
 
 void TokenBroker::beginStop() {
@@ -410,6 +471,11 @@
       [this](const Incarnation &From, const LoanRequest &Request) {
         this->onLoanRequest(From, Request);
       });
+  this->handle<ShareNotice>(
+      LoanMessageKind::ShareNotice,
+      [this](const Incarnation &, const ShareNotice &Notice) {
+        this->onShareNotice(Notice);
+      });
   this->handle<LoanResponse>(
       LoanMessageKind::Response,
       [this](const Incarnation &From, const LoanResponse &Response) {
--- a/Libraries/LibLoan/TokenBroker.h
+++ b/Libraries/LibLoan/TokenBroker.h
@@ -122,6 +122,10 @@
   /// Sends a message that may be lost. Dropped before begin().
   void sendMessage(HostId To, std::uint16_t Kind, std::string_view Body);
 
+  /// States whether the log can be reached. While it can't, what this process
+  /// holds is told to all hosts: the log may come back without it.
+  void setLogReachable(bool IsReachable);
+
   /// Marks a host that did not answer, for all protocols between hosts.
   void markHostSilent(HostId Host);
 
@@ -189,6 +193,9 @@
   void markHostResponsive(HostId Host);
   void updateHomes();
   void sendDueMessages();
+  void sendShares(const std::vector<HostId> &Hosts,
+                  const std::vector<WalletRecord> &Shares);
+  void onShareNotice(const ShareNotice &Notice);
 
   std::string Process;
   TokenPolicy Policy;
@@ -214,6 +221,9 @@
   Event WorkAvailable;
   /// Notified when a loan has ended.
   Event LoanEnded;
+  bool IsLogReachable = true;
+  TimePoint NextShareNotice{};
+  Duration ShareNoticePause{};
   bool IsStopping = false;
   bool IsStopped = false;
 };
--- a/Libraries/LibLoan/WalletService.cpp
+++ b/Libraries/LibLoan/WalletService.cpp
@@ -114,6 +114,7 @@
     this->LocalWallet.onAppended(this->LocalWallet.shareTable().end() +
                                      Records.size(),
                                  this->Tasks.Now());
+    this->OnAppended(this->ownAppended(Records));
     this->StateChanged.notify();
     return;
   case WalletAppend::Moved:
@@ -132,6 +133,17 @@
   this->Tasks.sleepUntil(this->Tasks.Now() + LogRetryDelay);
 }
 
+std::vector<WalletRecord>
+WalletService::ownAppended(std::vector<WalletRecord> Records) const {
+  std::uint64_t Offset = this->LocalWallet.shareTable().end() - Records.size();
+  for (WalletRecord &Record : Records)
+    Record.Offset = Offset++;
+  std::erase_if(Records, [this](const WalletRecord &Record) {
+    return Record.Key.Process != this->LocalWallet.self();
+  });
+  return Records;
+}
+
 bool WalletService::isActive(TimePoint Now) const {
   return (this->IsHolder && !this->IsStopping &&
           this->LocalWallet.hasTeams()) ||
--- a/Libraries/LibLoan/WalletService.h
+++ b/Libraries/LibLoan/WalletService.h
@@ -88,8 +88,18 @@
 
   Wallet &wallet() { return this->LocalWallet; }
 
+  /// Sets what to call after records of this process were appended.
+  void setOnAppended(
+      std::function<void(const std::vector<WalletRecord> &)> Callback) {
+    this->OnAppended = std::move(Callback);
+  }
+
 private:
   void runRound();
+  /// \returns the records of this process with their offsets, after they were
+  /// appended.
+  std::vector<WalletRecord>
+  ownAppended(std::vector<WalletRecord> Records) const;
   bool readLog();
   void setLogLost(bool IsLost);
   bool isActive(TimePoint Now) const;
@@ -99,6 +109,8 @@
   Wallet LocalWallet;
   WalletLog Log;
   Runtime Tasks;
+  std::function<void(const std::vector<WalletRecord> &)> OnAppended =
+      [](const std::vector<WalletRecord> &) {};
   Event WorkAvailable;
   Event StateChanged;
   /// Until when requests of a team fail without waiting, because an earlier one
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -153,6 +153,26 @@
   this->ShareTable.beginEra(Next);
 }
 
+void Wallet::onNotice(const WalletRecord &Record) {
+  if (Record.Key.Process != this->Self)
+    this->ShareTable.applyNotice(Record);
+}
+
+std::vector<WalletRecord> Wallet::ownShares() const {
+  std::vector<WalletRecord> Out;
+  for (const auto &[Team, Account] : this->Accounts) {
+    if (Account.Held == 0)
+      continue;
+    WalletKey Key = {Team, this->Self};
+    WalletShare Share;
+    Share.Held = Account.Held;
+    Share.Committed = Account.committed();
+    Share.Era = this->era();
+    Out.push_back({Key, Share, this->ShareTable.offsetOf(Key)});
+  }
+  return Out;
+}
+
 Tokens Wallet::availableFor(const std::string &Team,
                             const TeamAccount &Account) const {
   if (!Account.Budget)
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -69,6 +69,12 @@
   /// until other processes have had the time to state their shares again.
   void beginEra(std::uint64_t Next);
 
+  /// Applies what another process said of its own share in a message.
+  void onNotice(const WalletRecord &Record);
+
+  /// \returns the shares that this process holds.
+  std::vector<WalletRecord> ownShares() const;
+
   bool isRoundDue(TimePoint Now) const;
 
   /// \returns the earliest time at which the next round may be due.
--- a/Libraries/LibWallet/WalletShareTable.cpp
+++ b/Libraries/LibWallet/WalletShareTable.cpp
@@ -32,6 +32,7 @@
     Share.Committed = std::max(Share.Committed, Position.Share.Committed);
   }
   Position.IsCurrent = IsCurrent;
+  Position.IsCarried &= !IsCurrent;
   Position.ReadAt = Now;
   this->setShare(Record.Key.Team, Position, Share);
   this->LastReadTimes[Record.Key.Process] = Now;
@@ -49,9 +50,29 @@
     Position.CommittedOnLog = 0;
     Position.HasRecord = false;
     Position.IsCurrent = false;
+    Position.IsCarried = true;
   }
 }
 
+void WalletShareTable::applyNotice(const WalletRecord &Record) {
+  Entry &Position = this->Entries[Record.Key];
+  bool IsOlder = Record.Share.Era < this->Era
+                     ? Position.IsCurrent
+                     : Record.Share.Era == this->Era && Position.HasRecord &&
+                           Record.Offset < Position.Offset;
+  if (IsOlder)
+    return;
+  WalletShare Share = Position.Share;
+  Share.Held = std::max(Share.Held, Record.Share.Held);
+  Share.Committed = std::max(Share.Committed, Record.Share.Committed);
+  this->setShare(Record.Key.Team, Position, Share);
+}
+
+std::uint64_t WalletShareTable::offsetOf(const WalletKey &Key) const {
+  auto Found = this->Entries.find(Key);
+  return Found == this->Entries.end() ? 0 : Found->second.Offset;
+}
+
 void WalletShareTable::setOwn(const WalletKey &Key, const WalletShare &Share) {
   this->setShare(Key.Team, this->Entries[Key], Share);
 }
@@ -83,7 +104,7 @@
                                    std::size_t Max) const {
   std::vector<WalletRecord> Out;
   for (const auto &[Key, Position] : this->Entries) {
-    if (Position.IsCurrent || Key.Process == Self || Out.size() >= Max)
+    if (!Position.IsCarried || Key.Process == Self || Out.size() >= Max)
       continue;
     if (Position.Share.Held <= Position.HeldOnLog &&
         Position.Share.Committed <= Position.CommittedOnLog)
--- a/Libraries/LibWallet/WalletShareTable.h
+++ b/Libraries/LibWallet/WalletShareTable.h
@@ -24,6 +24,11 @@
   /// Applies a record, unless it is older than the current record of its key.
   void apply(const WalletRecord &Record, TimePoint Now);
 
+  /// Applies what a process said of its own share in a message, which may
+  /// arrive before or after its record is read. Until the next record, the
+  /// larger counts.
+  void applyNotice(const WalletRecord &Record);
+
   /// States that every record below \p Offset has been applied.
   void advanceTo(std::uint64_t Offset);
 
@@ -43,6 +48,9 @@
   /// \returns whether the log says what the process itself wrote in this era.
   bool isCurrent(const WalletKey &Key) const;
 
+  /// \returns the offset of the last record of a key; 0 if there is none.
+  std::uint64_t offsetOf(const WalletKey &Key) const;
+
   /// \returns whether all processes wrote their shares in this era.
   bool areAllCurrent() const;
 
@@ -84,6 +92,9 @@
     bool HasRecord = false;
     /// The process itself wrote the share in this era.
     bool IsCurrent = false;
+    /// The share was known in an earlier era, and the process itself has not
+    /// written since.
+    bool IsCarried = false;
     TimePoint ReadAt{};
   };
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -211,8 +211,9 @@
   };
   Hooks.OnUnavailable = [this] {
     this->Dispatcher.targets().onListUnreachable(this->Tasks.Now());
+    this->TokenSource.setLogReachable(false);
   };
-  Hooks.OnAvailable = [] {};
+  Hooks.OnAvailable = [this] { this->TokenSource.setLogReachable(true); };
   return Hooks;
 }
 
