Do not send to targets that left before the store was restored

After a restore the list of targets is some seconds old: a target that was leaving is listed as ready, and one that was removed is listed again. Each host took the list as it came and sent new calls to both until their entries were written again.

Change: a target that is leaving stays so in the same run, and a run that was removed is not used because of a restored list, but when its entry is written anew. The new test failed before: three targets usable instead of one.

--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -5,12 +5,17 @@
 
 namespace bergamothook {
 
-bool TargetDirectory::onListed(const ListedTarget &Target, TimePoint) {
-  auto [Place, IsNew] = this->Targets.try_emplace(Target.Id);
+bool TargetDirectory::onListed(const ListedTarget &Entry, TimePoint) {
+  auto [Place, IsNew] = this->Targets.try_emplace(Entry.Id);
   TargetState &State = Place->second;
+  bool IsRestarted = !IsNew && State.Listed.StartedAt != Entry.StartedAt;
+  ListedTarget Target = Entry;
+  // A target that is leaving does not return in the same run.
+  Target.IsLeaving |= !IsNew && !IsRestarted && State.Listed.IsLeaving;
+  if (this->isRemovedRun(Target))
+    this->RemovedRuns.set(Target.runKey(), false);
   if (!IsNew && State.Listed == Target && !State.MissingSince)
     return false;
-  bool IsRestarted = !IsNew && State.Listed.StartedAt != Target.StartedAt;
   if (!IsNew && !IsRestarted && State.IsRetired && !State.MissingSince &&
       State.Listed.Address == Target.Address)
     return false; // The target was observed to have ended; the list is out of
@@ -27,12 +32,18 @@
   return true;
 }
 
+bool TargetDirectory::isRemovedRun(const ListedTarget &Target) const {
+  const bool *Found = this->RemovedRuns.find(Target.runKey());
+  return Found && *Found;
+}
+
 void TargetDirectory::onRemoved(const std::string &Id, TimePoint Now) {
   auto Found = this->Targets.find(Id);
   if (Found == this->Targets.end() || Found->second.MissingSince)
     return;
   TargetState &State = Found->second;
   State.MissingSince = Now;
+  this->RemovedRuns.set(State.Listed.runKey(), true);
   bool MayBeSpurious =
       this->UnreachableAt &&
       Now - *this->UnreachableAt <= this->Policy.SpuriousRemovalWindow;
@@ -45,9 +56,12 @@
                                  TimePoint Now) {
   std::set<std::string> Named;
   for (const ListedTarget &Target : Listed) {
+    if (this->IsNextListOld && this->isRemovedRun(Target))
+      continue;
     Named.insert(Target.Id);
     this->onListed(Target, Now);
   }
+  this->IsNextListOld = false;
   std::vector<std::string> Missing;
   for (const auto &[Id, State] : this->Targets)
     if (!Named.contains(Id))
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -5,6 +5,7 @@
 #ifndef BERGAMOTHOOK_LIBRELAY_TARGETDIRECTORY_H
 #define BERGAMOTHOOK_LIBRELAY_TARGETDIRECTORY_H
 
+#include "LibBase/RecentMap.h"
 #include "LibBase/Time.h"
 
 #include <map>
@@ -92,6 +93,10 @@
   /// Replaces the whole list: entries that it does not contain are removed.
   void onFullList(const std::vector<ListedTarget> &Targets, TimePoint Now);
 
+  /// The next full list is a copy that may be some seconds old: a target that
+  /// was removed before is not usable until it is listed anew.
+  void onListRestored() { this->IsNextListOld = true; }
+
   /// Records that the list could not be read.
   void onListUnreachable(TimePoint Now) { this->UnreachableAt = Now; }
 
@@ -121,11 +126,17 @@
   std::size_t size() const { return this->Targets.size(); }
 
 private:
+  static constexpr std::size_t MaxRemovedRuns = 4096;
+
   void eraseIfIdle(const std::string &Id);
+  bool isRemovedRun(const ListedTarget &Target) const;
 
   DirectoryPolicy Policy;
   std::map<std::string, TargetState> Targets;
   std::optional<TimePoint> UnreachableAt;
+  bool IsNextListOld = false;
+  /// Runs that were removed from the list, and whether they still are.
+  RecentMap<std::string, bool> RemovedRuns{MaxRemovedRuns};
 };
 
 } // namespace bergamothook
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -196,6 +196,7 @@
 
 platform::FeedHooks RelayService::targetFeedHooks() {
   platform::FeedHooks Hooks;
+  Hooks.OnRestored = [this] { this->Dispatcher.targets().onListRestored(); };
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
     std::vector<ListedTarget> Targets;
     for (const KeyedRecord &Record : Records)
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -170,6 +170,29 @@
   CHECK(Targets.usable("engines").front()->Listed.Id == "b");
 }
 
+TEST_CASE("a restored list does not bring back targets that left") {
+  TargetDirectory Targets;
+  std::vector<ListedTarget> Copy = {targetOf("a"), targetOf("b"),
+                                    targetOf("c")};
+  Targets.onFullList(Copy, Begin);
+  ListedTarget Leaving = targetOf("a");
+  Leaving.IsLeaving = true;
+  Targets.onListed(Leaving, Begin + 1s);
+  Targets.onRemoved("b", Begin + 1s);
+  for (int Restores = 0; Restores < 2; ++Restores) {
+    Targets.onListRestored();
+    Targets.onFullList(Copy, Begin + 2s);
+    REQUIRE(Targets.usable("engines").size() == 1);
+    CHECK(Targets.usable("engines").front()->Listed.Id == "c");
+  }
+  // Each target that lives writes its entry again.
+  Targets.onListed(targetOf("b"), Begin + 3s);
+  CHECK(Targets.usable("engines").size() == 2);
+  Targets.onListRestored();
+  Targets.onFullList(Copy, Begin + 4s);
+  CHECK(Targets.usable("engines").size() == 2);
+}
+
 TEST_CASE("the backoff of a failing target doubles up to a maximum") {
   TargetDirectory Targets;
   Targets.onListed(targetOf("a"), Begin);
