Write quarantined traits again after a restore of the store

A host that started after the store came back from a copy read no record of what was quarantined since the copy was made, and sent such requests. The host that ranks first for a trait now writes its record again when the era changes.

--- a/Libraries/LibRelay/RequestQuarantine.cpp
+++ b/Libraries/LibRelay/RequestQuarantine.cpp
@@ -415,7 +415,7 @@
 std::vector<QuarantineReport> RequestQuarantine::reportQuarantined() {
   std::vector<QuarantineReport> Out;
   for (const auto &[Trait, Found] : this->Entries) {
-    if (!Found.IsQuarantined)
+    if (!Found.IsQuarantined || !this->HasTurn(Trait, 0))
       continue;
     const std::set<Hash128> &Companions = Found.Evidence.companions();
     Out.push_back(this->makeReport(QuarantineReportKind::Quarantined));
--- a/Libraries/LibRelay/RequestQuarantine.h
+++ b/Libraries/LibRelay/RequestQuarantine.h
@@ -101,7 +101,8 @@
   /// important ones first.
   std::vector<QuarantineReport> takePendingReports(TimePoint Now);
 
-  /// \returns a report for each trait in quarantine.
+  /// \returns a report for each trait in quarantine for which this host has the
+  /// first turn.
   std::vector<QuarantineReport> reportQuarantined();
 
   std::size_t size() const { return this->Entries.size(); }
