Keep the founding record across a restore of the store

A store that was restored from before the fleet was founded has no founding record. A host that started then wrote another one, with a key of its own, and could neither read messages of the others nor find the partitions of teams where they were.

Hosts now check the record when the era changes and write theirs again. The store client had no test with an era before.

--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -255,6 +255,8 @@
       [this, IsStopped] { this->QuarantineSync.runWriter(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Registry.runReader(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Registry.runWriter(IsStopped); });
+  this->Tasks.Spawn(
+      [this, IsStopped] { this->Registry.runFoundingKeeper(IsStopped); });
   this->Tasks.Spawn([this] { this->joinFleet(); });
   this->Tasks.Spawn([this] { this->TokenSource.run(); });
   this->Tasks.Spawn([this, IsStopped] { this->Dialer.runExpiry(IsStopped); });
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -63,6 +63,12 @@
   Selected.FirstRetained = Selected.Records.size();
 }
 
+void FakeStore::restore(const std::string &Name, std::size_t Lost) {
+  std::vector<std::string> &Records = this->Topics[Name].Records;
+  Records.resize(Records.size() - std::min(Lost, Records.size()));
+  ++this->Era;
+}
+
 void FakeStore::serve(const TcpConnection::Handle &Connection) {
   Event Changed;
   ScopedEventAttachment Attached(Connection, Changed);
@@ -83,6 +89,7 @@
       return;
     HttpResponseHead Head;
     Head.Status = Outgoing.Status;
+    Head.Headers.add("Store-Era", std::to_string(this->Era));
     auto Sent = Connection->write(
         formatResponseHead(Head, BodyFraming::Length, Outgoing.Body.size()) +
             Outgoing.Body,
@@ -125,7 +132,7 @@
 FakeStore::read(const Topic &From,
                 const std::map<std::string, std::string> &Query) {
   std::size_t Begin = std::stoull(Query.at("from"));
-  if (Begin < From.FirstRetained)
+  if (Begin < From.FirstRetained || Begin > From.Records.size())
     return {410, json{{"firstOffset", From.FirstRetained}}.dump()};
   std::string Out =
       bigEndian(From.Records.size()) + bigEndian(From.FirstRetained);
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -47,6 +47,9 @@
   /// Drops all records of a topic except the newest of each key.
   void compact(const std::string &Topic);
 
+  /// Comes back from a copy that lacks the newest \p Lost records of a topic.
+  void restore(const std::string &Topic, std::size_t Lost);
+
   StoreFault Fault = StoreFault::None;
 
 private:
@@ -69,6 +72,7 @@
   static Response newest(const Topic &Selected);
 
   Runtime Tasks;
+  std::uint64_t Era = 0;
   std::map<std::string, Topic> Topics;
   TcpListener Port;
 };
--- a/Tests/Platform/FleetRegistryTest.cpp
+++ b/Tests/Platform/FleetRegistryTest.cpp
@@ -62,6 +62,34 @@
   });
 }
 
+TEST_CASE(
+    "a fleet keeps its key when the store was restored from before it was "
+    "founded") {
+  PlatformFixture Fixture;
+  HostRoster Roster(First, {}), OtherRoster(Second, {});
+  Fixture.run([&] {
+    Runtime Tasks = Fixture.Loop.hooks();
+    FleetRegistry Registry(*Fixture.Client, Tasks, Roster);
+    bool IsStopped = false, HasEnded = false;
+    Tasks.Spawn([&] {
+      Registry.runFoundingKeeper([&] { return IsStopped; });
+      HasEnded = true;
+    });
+    auto Created = Registry.readOrCreateFounding(makeKey('a'), 8, neverStopped);
+    REQUIRE(Created);
+    Fixture.Store.restore(std::string(wire::FoundingTopic), 1);
+    // Any call tells the host of the new era.
+    (void)Fixture.Client->readNewest(wire::HostTopic, 0);
+    FleetRegistry Starting(*Fixture.Client, Tasks, OtherRoster);
+    auto Joined = Starting.readOrCreateFounding(makeKey('b'), 9, neverStopped);
+    REQUIRE(Joined);
+    CHECK(Joined->Partitions == 8);
+    CHECK(Joined->Keys.sign("text") == Created->Keys.sign("text"));
+    IsStopped = true;
+    waitUntil(Tasks, [&] { return HasEnded; });
+  });
+}
+
 TEST_CASE("hosts learn when another host registers and leaves") {
   PlatformFixture Fixture;
   HostRoster OwnRoster(First, {}), OtherRoster(Second, {});
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -115,3 +115,41 @@
   CHECK(Snapshots == 2);
   CHECK(Seen == std::vector<std::string>{"a=2", "b=3", "a=-", "b=3", "c=4"});
 }
+
+TEST_CASE(
+    "a feed reads a new snapshot after a restore, even if the log has grown "
+    "past its offset") {
+  PlatformFixture Fixture;
+  Fixture.run([&] {
+    Runtime Tasks = Fixture.Loop.hooks();
+    std::string Topic(wire::HostTopic);
+    Fixture.Store.put(Topic, "kept", "1");
+    Fixture.Store.put(Topic, "lost", "1");
+    std::vector<std::string> Seen;
+    FeedHooks Hooks;
+    Hooks.OnRestored = [&] { Seen.emplace_back("restored"); };
+    Hooks.OnSnapshot = [&](const std::vector<KeyedRecord> &Records) {
+      for (const KeyedRecord &Record : Records)
+        Seen.push_back("snapshot " + Record.Key);
+    };
+    Hooks.OnRecord = [&](const KeyedRecord &Record) {
+      Seen.push_back(Record.Key);
+    };
+    Hooks.OnUnavailable = [] {};
+    Hooks.OnAvailable = [] {};
+    int Rounds = 0;
+    StoreFeed Feed(*Fixture.Client, Tasks, {Topic, 1ms, 1ms}, Hooks);
+    Feed.run([&] {
+      if (++Rounds == 2) {
+        Fixture.Store.restore(Topic, 1);
+        for (const char *Key : {"new-1", "new-2", "new-3"})
+          Fixture.Store.put(Topic, Key, "1");
+      }
+      return Rounds > 4;
+    });
+    CHECK(Seen == std::vector<std::string>{"snapshot kept", "snapshot lost",
+                                           "restored", "snapshot kept",
+                                           "snapshot new-1", "snapshot new-2",
+                                           "snapshot new-3"});
+  });
+}
