Test budgets across restores of the log with 9, 90 and 300 hosts

Restored twice with all holders alive: no team overspends and nine tenths of each budget are spent. With three fifths of the hosts killed while the log is away: no team overspends.

--- a/Tests/LibLoan/TokenBrokerTest.cpp
+++ b/Tests/LibLoan/TokenBrokerTest.cpp
@@ -217,3 +217,85 @@
     CHECK(Fleet.Results.Granted > 0);
   }
 }
+
+namespace {
+
+/// Nobody spends more than the budgets, whatever the log says.
+void checkSpending(TokenFleet &Fleet) {
+  for (int Team = 0; Team < Fleet.settings().Teams; ++Team)
+    CHECK(Fleet.committed(Fleet.teamOf(Team)) <= Fleet.Budget);
+}
+
+TokenFleetSettings fleetOf(int Hosts) {
+  TokenFleetSettings Settings = largeFleet();
+  Settings.Hosts = Hosts;
+  Settings.FailureDomains = Hosts < 90 ? 3 : 5;
+  Settings.Teams = 12;
+  Settings.Partitions = 4;
+  Settings.Budget = 120'000;
+  return Settings;
+}
+
+} // namespace
+
+TEST_CASE(
+    "no team overspends when the log comes back from a copy, also twice") {
+  for (int Hosts : {9, 90, 300}) {
+    CAPTURE(Hosts);
+    TokenFleet Fleet(fleetOf(Hosts), 1);
+    Fleet.load(120, 1500, 8s);
+    for (int I = 0; I < 2; ++I) {
+      Fleet.setLogUnavailable(true);
+      Fleet.load(120, 1500, 2s);
+      Fleet.restoreLog(9s);
+      Fleet.setLogUnavailable(false);
+      Fleet.load(120, 1500, 6s);
+      checkSpending(Fleet);
+    }
+    Fleet.load(120, 1500, 15s);
+    checkSpending(Fleet);
+    // Nothing is lost for good while all holders live.
+    for (int Team = 0; Team < Fleet.settings().Teams; ++Team)
+      CHECK(Fleet.committed(Fleet.teamOf(Team)) * 10 >= Fleet.Budget * 9);
+  }
+}
+
+TEST_CASE("no team overspends when the log comes back from a copy and most "
+          "hosts were killed while it was away") {
+  for (int Hosts : {9, 90, 300})
+    for (std::uint64_t Seed = 1; Seed <= (Hosts < 90 ? 6 : 1); ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      TokenFleet Fleet(fleetOf(Hosts), Seed);
+      Fleet.load(120, 1500, 8s);
+      Fleet.setLogUnavailable(true);
+      Fleet.load(120, 1500, 1s);
+      for (int Host = 0; Host < Hosts; ++Host)
+        if (Host % 5 < 3)
+          Fleet.kill(Host);
+      Fleet.load(120, 1500, 1s);
+      Fleet.restoreLog(9s);
+      Fleet.setLogUnavailable(false);
+      for (int Host = 0; Host < Hosts; ++Host)
+        if (!Fleet.isAlive(Host))
+          Fleet.restart(Host);
+      Fleet.load(120, 1500, 15s);
+      checkSpending(Fleet);
+    }
+}
+
+TEST_CASE(
+    "no team overspends when the log comes back from a copy and all hosts "
+    "were killed") {
+  TokenFleet Fleet(fleetOf(9), 1);
+  Fleet.load(120, 1500, 8s);
+  Fleet.setLogUnavailable(true);
+  for (int Host = 0; Host < 9; ++Host)
+    Fleet.kill(Host);
+  Fleet.restoreLog(9s);
+  Fleet.setLogUnavailable(false);
+  for (int Host = 0; Host < 9; ++Host)
+    Fleet.restart(Host);
+  Fleet.load(120, 1500, 30s);
+  checkSpending(Fleet);
+}
--- a/Tests/LibLoan/TokenFleet.cpp
+++ b/Tests/LibLoan/TokenFleet.cpp
@@ -173,9 +173,12 @@
       return std::make_error_code(std::errc::timed_out);
     }
     const auto &Records = this->Log[PartitionIndex].Records;
+    if (From > Records.size())
+      return std::make_error_code(std::errc::result_out_of_range);
     return WalletPage{
         {Records.begin() + static_cast<std::ptrdiff_t>(From), Records.end()},
-        Records.size()};
+        Records.size(),
+        this->Era};
   };
   WalletLog Operations;
   Operations.Read = Read;
@@ -207,11 +210,16 @@
     for (WalletRecord &Record : Records) {
       Record.Offset = Destination.Records.size();
       Destination.Records.push_back(Record);
+      Destination.Times.push_back(this->Simulation.now());
     }
     return true;
   };
-  if (this->Rng.below(1000) >= this->Settings.UnansweredPerMille)
-    return Apply() ? WalletAppend::Done : WalletAppend::Moved;
+  if (this->Rng.below(1000) >= this->Settings.UnansweredPerMille) {
+    if (!Apply())
+      return WalletAppend::Moved;
+    return Records.front().Share.Era == this->Era ? WalletAppend::Done
+                                                  : WalletAppend::OtherEra;
+  }
   if (this->Rng.below(2) == 0) {
     Apply();
   } else {
@@ -226,6 +234,23 @@
   return WalletAppend::Unanswered;
 }
 
+void TokenFleet::setLogUnavailable(bool IsUnavailable) {
+  this->IsLogUnavailable = IsUnavailable;
+  for (const auto &Each : this->Processes)
+    if (Each->IsAlive)
+      Each->Broker.setLogReachable(!IsUnavailable);
+}
+
+void TokenFleet::restoreLog(Duration Age) {
+  TimePoint Since = this->Simulation.now() - Age;
+  ++this->Era;
+  for (Partition &Restored : this->Log)
+    while (!Restored.Times.empty() && Restored.Times.back() > Since) {
+      Restored.Times.pop_back();
+      Restored.Records.pop_back();
+    }
+}
+
 void TokenFleet::request(int Host, const std::string &Team, Tokens Amount,
                          Tokens SpentAmount, Duration Span) {
   std::size_t Index = this->NewestProcess[static_cast<std::size_t>(Host)];
--- a/Tests/LibLoan/TokenFleet.h
+++ b/Tests/LibLoan/TokenFleet.h
@@ -71,9 +71,10 @@
   /// Disconnects a host from all other hosts, or only from the log.
   void setIsolated(int Host, bool IsIsolated);
   void setLogUnreachable(int Host, bool IsUnreachable);
-  void setLogUnavailable(bool IsUnavailable) {
-    this->IsLogUnavailable = IsUnavailable;
-  }
+  void setLogUnavailable(bool IsUnavailable);
+
+  /// The log comes back as it was \p Age ago.
+  void restoreLog(Duration Age);
 
   void setBudget(Tokens Budget);
 
@@ -103,6 +104,8 @@
 private:
   struct Partition {
     std::vector<WalletRecord> Records;
+    /// When each record was appended.
+    std::vector<TimePoint> Times;
     /// Until when earlier appends occupy the partition.
     TimePoint BusyUntil{};
   };
@@ -134,6 +137,7 @@
   std::set<int> IsolatedHosts;
   std::set<int> LogUnreachableHosts;
   bool IsLogUnavailable = false;
+  std::uint64_t Era = 0;
   /// Tokens spent or reserved by requests in progress, by team.
   std::map<std::string, Tokens> Spent;
   std::uint64_t Appends = 0;
