--- a/Tests/Platform/RequestQuarantineSyncTest.cpp
+++ b/Tests/Platform/RequestQuarantineSyncTest.cpp
@@ -112,12 +112,13 @@
 TEST_CASE("unreadable quarantine records are ignored") {
   PlatformFixture Fixture;
   std::string Topic(wire::QuarantineTopic);
-  for (const char *Value :
-       {"many", "{}", "[1]", R"([{"kind":9}])",
-        R"([{"kind":2,"process":"p","number":1,"target_run":1,"sent_age_us":0,)"
-        R"("lost_age_us":0,"subject":"xyz","traits":[],"was_quarantined":0}])"})
-    Fixture.Store.put(Topic, "quarantined/" + std::string(Value).substr(0, 5),
-                      Value);
+  const std::string BadSubject =
+      R"([{"kind":2,"process":"p","number":1,"target_run":1,"sent_age_us":0,)"
+      R"("lost_age_us":0,"subject":"xyz","traits":[],"was_quarantined":0}])";
+  for (const std::string &Value :
+       {std::string("many"), std::string("{}"), std::string("[1]"),
+        std::string(R"([{"kind":9}])"), BadSubject})
+    Fixture.Store.put(Topic, "quarantined/" + Value.substr(0, 5), Value);
   Fixture.run([&] {
     Host Reader("host1", Fixture.Loop);
     int Rounds = 0;
