--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -30,14 +30,20 @@
   return Hooks;
 }
 
-void RelayFixture::addTarget(const std::string &Id) {
+void RelayFixture::addTarget(const std::string &Id,
+                             const std::string &Version) {
   ListedTarget Target;
   Target.Id = Id;
   Target.Service = "engines";
   Target.Address = "10.0.0.1:80";
+  Target.Version = Version;
   this->Dispatcher.targets().onListed(Target, this->Simulated.now());
 }
 
+void RelayFixture::removeTarget(const std::string &Id) {
+  this->Dispatcher.targets().onRemoved(Id, this->Simulated.now());
+}
+
 void RelayFixture::configure() {
   auto Config = std::make_shared<RelayConfig>();
   Config->Version = this->Version++;
@@ -81,6 +87,7 @@
   Hooks.MakeHead = [this](const RelayCall &Call, const ListedTarget &Target,
                           Duration TimeLeft,
                           std::optional<std::uint64_t> ResumeAfter) {
+    this->BeforeSend(this->SentCalls.size());
     this->SentCalls.push_back({Target.Id, ResumeAfter, TimeLeft, false});
     return Call.Head;
   };
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -48,7 +48,8 @@
   RelayFixture();
 
   /// Adds a target of the service "engines".
-  void addTarget(const std::string &Id);
+  void addTarget(const std::string &Id, const std::string &Version = "v1");
+  void removeTarget(const std::string &Id);
 
   /// Activates the configuration that the fields below describe.
   void configure();
@@ -64,6 +65,8 @@
   /// The responses in the order of the sends, whatever the target.
   std::deque<ScriptedResponse> Responses;
   std::vector<SentCall> SentCalls;
+  /// Called before each send, with the number of sends so far.
+  std::function<void(std::size_t)> BeforeSend = [](std::size_t) {};
 
   // What the caller received.
   unsigned Status = 0;
