Keep a stream at the software version that began it

Cause: the version in a target's entry was read nowhere, and neither was the field in which a caller names the stream that it takes up. Class of fault: what one process knows of a request (where it began) is needed by others after it, and was not kept.

The store now holds the versions of each service in use, to which a version is added before the first stream begins at it. While there is one, every stream began there. While there are several, the host that relays a stream reports its version to a home in each failure domain before the first event is passed on, and two of them write it to the log.

Why it works: a stream can only have begun at a version on record, so a host that read the record after the call came can't miss one. Of several, only a report tells, and contradictions count as unknown.

New: the virtual fleet at 1, 9, 90 and 300 hosts with releases, deaths of some and all hosts, cuts, a store that is out or restored, and ids used twice.

--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -41,6 +41,13 @@
   std::int64_t PromptTokens = 0;
   std::int64_t MaxOutputTokens = 0;
 
+  bool isTakeUp() const { return this->TakenUpFrom || this->TakenUpAfter; }
+
+  /// The id of the attempt of which the stream of this call is, or will be.
+  const std::string &streamAttempt() const {
+    return this->TakenUpFrom ? *this->TakenUpFrom : this->Id;
+  }
+
   int priority() const {
     return this->Team && this->Team->Priority ? *this->Team->Priority
                                               : this->Route->Priority;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -32,6 +32,10 @@
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
 /// A request that crashes targets is quarantined for minutes.
 constexpr Duration QuarantineRetryAfter = std::chrono::minutes(1);
+/// A version that was listed is put to use within a second, and targets write
+/// their entries about once a second.
+constexpr Duration MaxVersionWait = std::chrono::milliseconds(1500);
+constexpr Duration VersionCheckInterval = std::chrono::milliseconds(20);
 /// A probe ends as soon as its target begins to answer.
 constexpr Duration ProbeRetryAfter = std::chrono::milliseconds(500);
 
@@ -50,9 +54,11 @@
 
 RelayOutcome RelayCallHandler::run() {
   this->chooseService();
+  this->Stream = streamIdOf(this->Call.Team ? this->Call.Team->Name : "",
+                            this->Service, this->Call.streamAttempt());
   if (this->isQuarantined()) {
     this->finishFailed(AttemptEnd::Quarantined);
-  } else if (this->reserveTokens()) {
+  } else if (this->findStreamVersion() && this->reserveTokens()) {
     this->runAttempts();
     this->settle();
   }
@@ -65,7 +71,12 @@
   std::uint64_t Sum = 0;
   for (const ServiceShare &Share : Shares)
     Sum += Share.Weight;
-  std::uint64_t Drawn = Sum > 0 ? this->Dispatcher.rng().below(Sum) : 0;
+  std::uint64_t Drawn = 0;
+  // A stream that is taken up goes on at the service where it began.
+  if (Shares.size() > 1 && this->Call.Route->hasResumableStreams())
+    Drawn = Sum > 0 ? hash64(this->Call.streamAttempt()) % Sum : 0;
+  else if (Sum > 0)
+    Drawn = this->Dispatcher.rng().below(Sum);
   for (const ServiceShare &Share : Shares) {
     this->Service = Share.Service;
     if (Drawn < Share.Weight)
@@ -98,6 +109,24 @@
   return false;
 }
 
+bool RelayCallHandler::findStreamVersion() {
+  if (!this->Call.isTakeUp() || !this->Call.Route->hasResumableStreams())
+    return true;
+  this->StreamVersion = this->Dispatcher.origins().resolve(
+      this->Service, this->Stream, this->Call.ArrivedAt, this->Deadline,
+      this->Caller.HasLeft);
+  AttemptEnd End = AttemptEnd::VersionUnknown;
+  if (this->StreamVersion) {
+    for (const TargetState *Target :
+         this->Dispatcher.targets().usable(this->Service))
+      if (this->matchVersion(*Target) != VersionMatch::No)
+        return true;
+    End = AttemptEnd::VersionNotServed;
+  }
+  this->finishFailed(End);
+  return false;
+}
+
 void RelayCallHandler::runAttempts() {
   this->Dispatcher.resends().onRequest(this->Service, this->now());
   for (;;) {
@@ -107,7 +136,7 @@
       return this->finishFailed(AttemptEnd::OutOfTime);
     if (this->isQuarantined())
       return this->finishFailed(AttemptEnd::Quarantined);
-    TargetState *Target = this->chooseTarget();
+    TargetState *Target = this->awaitTarget();
     if (!Target)
       return this->finishFailed(this->rateLimitedTargets().empty()
                                     ? AttemptEnd::NotSent
@@ -143,9 +172,64 @@
 }
 
 TargetState *RelayCallHandler::chooseTarget() {
-  return this->Dispatcher.picker().pick(this->Dispatcher.targets(),
-                                        this->Service, this->Call,
-                                        this->Excluded, this->now());
+  return this->Dispatcher.picker().pick(
+      this->Dispatcher.targets(), this->Service, this->Call,
+      [this](const TargetState &Target) {
+        return !this->Excluded.contains(Target.Listed.Id) &&
+               this->matchVersion(Target) == VersionMatch::Yes;
+      },
+      this->now());
+}
+
+RelayCallHandler::VersionMatch
+RelayCallHandler::matchVersion(const TargetState &Target) const {
+  if (!this->Call.Route->hasResumableStreams())
+    return VersionMatch::Yes;
+  const VersionRegister &Versions = this->Dispatcher.versions();
+  const std::string &Version = Target.Listed.Version;
+  if (!this->StreamVersion)
+    return Versions.mayBegin(this->Service, Version) ? VersionMatch::Yes
+                                                     : VersionMatch::NotYet;
+  if (versionIdOf(Version) != *this->StreamVersion)
+    return VersionMatch::No;
+  bool MayBeOther = !Target.isRunConfirmed() && Versions.isMixed(this->Service);
+  return MayBeOther ? VersionMatch::NotYet : VersionMatch::Yes;
+}
+
+TargetState *RelayCallHandler::awaitTarget() {
+  TimePoint End =
+      std::min(this->Deadline - MinTimeForSend, this->now() + MaxVersionWait);
+  auto IsAwaited = [this](const TargetState *Target) {
+    return !this->Excluded.contains(Target->Listed.Id) &&
+           this->matchVersion(*Target) == VersionMatch::NotYet;
+  };
+  for (;;) {
+    if (TargetState *Target = this->chooseTarget())
+      return Target;
+    auto Usable = this->Dispatcher.targets().usable(this->Service);
+    if (this->now() >= End || this->Caller.HasLeft() ||
+        std::none_of(Usable.begin(), Usable.end(), IsAwaited))
+      return nullptr;
+    this->Hooks.Tasks.sleepUntil(this->now() + VersionCheckInterval);
+  }
+}
+
+void RelayCallHandler::recordBeginning(const ListedTarget &Target) {
+  if (!this->StreamVersion && this->Call.Route->hasResumableStreams())
+    this->setStreamVersion(versionIdOf(Target.Version));
+}
+
+void RelayCallHandler::setStreamVersion(VersionId Version) {
+  if (this->StreamVersion == Version)
+    return;
+  this->StreamVersion = Version;
+  this->Dispatcher.origins().onBegun(this->Service, {this->Stream, Version});
+}
+
+bool RelayCallHandler::isOtherVersion(const ListedTarget &Target) const {
+  const TargetState *State = this->Dispatcher.targets().find(Target.Id);
+  return State && State->Listed.Version != Target.Version &&
+         this->Call.Route->hasResumableStreams();
 }
 
 bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
@@ -330,6 +414,7 @@
                                          HttpResponseHead Head,
                                          const ListedTarget &Target) {
   this->Events.discardPartial();
+  bool IsResumption = this->StreamVersion.has_value();
   for (;;) {
     auto Piece = Exchange.ReadBody(this->Deadline);
     if (!Piece) {
@@ -363,12 +448,21 @@
       this->Outcome.Status = Head.Status;
       this->HasStreamStarted = true;
       this->FirstTarget = Target;
+      this->recordBeginning(Target);
       this->Outcome.FirstEvent = this->now() - this->Call.ArrivedAt;
       if (!this->Caller.BeginStream(Head)) {
         Exchange.Abort();
         return AttemptEnd::CallerLeft;
       }
     }
+    if (this->StreamVersion && this->isOtherVersion(Target)) {
+      // The answer is alive, so it is of the run that was listed since.
+      if (IsResumption) {
+        Exchange.Abort();
+        return AttemptEnd::Lost;
+      }
+      this->setStreamVersion(AmbiguousVersion);
+    }
     if (!this->forwardEvents(Batch)) {
       Exchange.Abort();
       return AttemptEnd::CallerLeft;
@@ -411,8 +505,12 @@
   case AttemptEnd::Lost:
     if (this->EventsFromTarget < EventsPastBeginning)
       this->recordLoss(Target);
-    [[fallthrough]];
+    Targets.onLost(Id, this->now());
+    Targets.onFailure(Id, this->now());
+    break;
   case AttemptEnd::NotSent:
+    Targets.onLost(Id, this->now());
+    [[fallthrough]];
   case AttemptEnd::Malformed:
     Targets.onFailure(Id, this->now());
     break;
@@ -421,6 +519,8 @@
   case AttemptEnd::CallerLeft:
   case AttemptEnd::Quarantined:
   case AttemptEnd::RateLimited:
+  case AttemptEnd::VersionUnknown:
+  case AttemptEnd::VersionNotServed:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::NotRun)
@@ -464,6 +564,8 @@
   case AttemptEnd::CallerLeft:
   case AttemptEnd::Quarantined:
   case AttemptEnd::RateLimited:
+  case AttemptEnd::VersionUnknown:
+  case AttemptEnd::VersionNotServed:
     return false;
   case AttemptEnd::NotSent:
     // No byte was sent, so this does not count as a resend.
@@ -519,6 +621,13 @@
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
+  // Without a time to return: the caller had better start anew.
+  if (End == AttemptEnd::VersionUnknown)
+    return this->refuse(503, RelayEnd::NotRun,
+                        RelayReason::StreamVersionUnknown);
+  if (End == AttemptEnd::VersionNotServed)
+    return this->refuse(503, RelayEnd::NotRun,
+                        RelayReason::StreamVersionNotServed);
   if (End == AttemptEnd::RateLimited)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::RateLimited,
                         this->Dispatcher.limiter().scheduleReturn(
--- a/Libraries/LibRelay/RelayConfig.cpp
+++ b/Libraries/LibRelay/RelayConfig.cpp
@@ -51,6 +51,16 @@
   return nullptr;
 }
 
+std::set<std::string> RelayConfig::resumableServices() const {
+  std::set<std::string> Services;
+  for (const auto &[Host, HostRoutes] : this->Routes)
+    for (const RelayRoute &Route : HostRoutes)
+      if (Route.hasResumableStreams())
+        for (const ServiceShare &Share : Route.Services)
+          Services.insert(Share.Service);
+  return Services;
+}
+
 const RoutedService *RelayConfig::findService(const std::string &Name) const {
   auto Found = this->Services.find(Name);
   return Found == this->Services.end() ? nullptr : &Found->second;
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -54,6 +55,9 @@
   unsigned MaxTargets = 1;
   bool IsPublic = false;
   bool IsResumable = false;
+  bool hasResumableStreams() const {
+    return this->Kind == CallKind::Stream && this->IsResumable;
+  }
   /// Set if calls carry the parts of a prompt.
   bool HasPrompt = false;
 };
@@ -102,6 +106,9 @@
   const RoutedService *findService(const std::string &Name) const;
   const RelayTeam *findTeamByKey(std::string_view Key) const;
 
+  /// \returns the services that have streams which may be resumed.
+  std::set<std::string> resumableServices() const;
+
   /// Tells whether calls need an API key.
   bool hasTeams() const { return !this->Teams.empty(); }
 
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -13,6 +13,9 @@
 /// logged; the others are only counted in the metrics.
 constexpr std::uint64_t SuccessesPerLogLine = 100;
 
+/// How much of a field's text is logged.
+constexpr std::size_t MaxLoggedBytes = 100;
+
 std::int64_t millisecondsOf(Duration Span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
@@ -34,6 +37,12 @@
                  }),
       QuarantineReports(this->Quarantine, Tokens.roster(),
                         this->quarantineHooks()),
+      Versions(this->Settings.Versions,
+               [this](const std::string &Service) {
+                 return this->rankForVersions(Service);
+               }),
+      Origins(this->Settings.Origins, this->Versions, Tokens.roster(),
+              this->originHooks()),
       Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
@@ -64,6 +73,34 @@
   return Chosen;
 }
 
+OriginHooks RelayDispatcher::originHooks() {
+  OriginHooks Chosen;
+  Chosen.Tasks = this->Hooks.Tasks;
+  Chosen.Send = [this](HostId To, std::uint16_t Kind, std::string_view Body) {
+    this->TokenSource.sendMessage(To, Kind, Body);
+  };
+  Chosen.SetHandler = [this](std::uint16_t Kind, PeerNode::Handler Callback) {
+    this->TokenSource.setMessageHandler(Kind, std::move(Callback));
+  };
+  return Chosen;
+}
+
+std::size_t RelayDispatcher::rankForVersions(const std::string &Service) const {
+  const HostRoster &Roster = this->TokenSource.roster();
+  // Until the other hosts are known, they are waited for.
+  constexpr std::size_t UnsettledRank = 3;
+  if (!Roster.settledAt())
+    return UnsettledRank;
+  std::size_t Rank = 0;
+  for (HostId Host : Roster.firstHosts("versions/" + Service, Roster.hosts(),
+                                       this->Hooks.Tasks.Now())) {
+    if (Host == Roster.self().id())
+      break;
+    Rank += Roster.isResponsive(Host) ? 1 : 0;
+  }
+  return Rank;
+}
+
 bool RelayDispatcher::hasProbeTurn(const Hash128 &Trait,
                                    std::uint64_t Turn) const {
   const HostRoster &Roster = this->TokenSource.roster();
@@ -81,6 +118,7 @@
                {{"team", Name},
                 {"tokens", *Team.Budget},
                 {"config_version", Next->Version}});
+  this->Versions.setServices(Next->resumableServices());
   this->Config = std::move(Next);
   return true;
 }
@@ -125,21 +163,23 @@
     if (this->Rng.below(SuccessesPerLogLine) != 0)
       return;
   }
-  logEvent(IsPlainSuccess ? LogLevel::Info : LogLevel::Warning, "call_ended",
-           {{"request", Call.Id},
-            {"route", Call.Route ? Call.Route->Name : ""},
-            {"team", Call.Team ? Call.Team->Name : ""},
-            {"config_version", Call.Config ? Call.Config->Version : 0},
-            {"end", nameOf(Outcome.End)},
-            {"status", Outcome.Status},
-            {"reason", make_error_code(Outcome.Reason).message()},
-            {"target", Outcome.Target},
-            {"sends", Outcome.Sends},
-            {"events", Outcome.Events},
-            {"tokens_charged", Outcome.TokensCharged},
-            {"tokens_wait_ms", millisecondsOf(Outcome.TokensWait)},
-            {"first_event_ms", millisecondsOf(Outcome.FirstEvent)},
-            {"total_ms", millisecondsOf(Outcome.Total)}});
+  logEvent(
+      IsPlainSuccess ? LogLevel::Info : LogLevel::Warning, "call_ended",
+      {{"request", Call.Id},
+       {"route", Call.Route ? Call.Route->Name : ""},
+       {"team", Call.Team ? Call.Team->Name : ""},
+       {"config_version", Call.Config ? Call.Config->Version : 0},
+       {"takes_up", Call.TakenUpFrom.value_or("").substr(0, MaxLoggedBytes)},
+       {"end", nameOf(Outcome.End)},
+       {"status", Outcome.Status},
+       {"reason", make_error_code(Outcome.Reason).message()},
+       {"target", Outcome.Target},
+       {"sends", Outcome.Sends},
+       {"events", Outcome.Events},
+       {"tokens_charged", Outcome.TokensCharged},
+       {"tokens_wait_ms", millisecondsOf(Outcome.TokensWait)},
+       {"first_event_ms", millisecondsOf(Outcome.FirstEvent)},
+       {"total_ms", millisecondsOf(Outcome.Total)}});
 }
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -8,6 +8,7 @@
 #include "LibLoan/TokenBroker.h"
 #include "LibObserve/Metrics.h"
 #include "LibRateLimit/TargetLimiter.h"
+#include "LibRelay/OriginExchange.h"
 #include "LibRelay/QuarantineExchange.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
@@ -25,6 +26,8 @@
   QuarantinePolicy Quarantine;
   std::uint64_t Seed = 0;
   LimiterPolicy Limiter = {};
+  VersionPolicy Versions = {};
+  OriginPolicy Origins = {};
 };
 
 /// All member functions are called from tasks of one runtime. The token broker
@@ -53,6 +56,9 @@
   TargetDirectory &targets() { return this->Targets; }
   RequestQuarantine &quarantine() { return this->Quarantine; }
   QuarantineExchange &quarantineReports() { return this->QuarantineReports; }
+  VersionRegister &versions() { return this->Versions; }
+  const VersionRegister &versions() const { return this->Versions; }
+  OriginExchange &origins() { return this->Origins; }
   TargetLimiter &limiter() { return this->Limiter; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
@@ -63,6 +69,8 @@
 private:
   LimiterHooks limiterHooks();
   QuarantineExchangeHooks quarantineHooks();
+  OriginHooks originHooks();
+  std::size_t rankForVersions(const std::string &Service) const;
   bool hasProbeTurn(const Hash128 &Trait, std::uint64_t Turn) const;
   void record(const RelayCall &Call, const RelayOutcome &Outcome);
 
@@ -77,6 +85,8 @@
   ResendBudget Resends;
   RequestQuarantine Quarantine;
   QuarantineExchange QuarantineReports;
+  VersionRegister Versions;
+  OriginExchange Origins;
   Random Rng;
 };
 
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -48,6 +48,10 @@
     return "the host is stopping";
   case RelayReason::RateLimited:
     return "the targets are at their rate limits";
+  case RelayReason::StreamVersionUnknown:
+    return "the software version at which the stream began is not known";
+  case RelayReason::StreamVersionNotServed:
+    return "no target serves the software version at which the stream began";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -48,6 +48,8 @@
   Overloaded,
   Stopping,
   RateLimited,
+  StreamVersionUnknown,
+  StreamVersionNotServed,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -5,9 +5,10 @@
 
 namespace bergamothook {
 
-bool TargetDirectory::onListed(const ListedTarget &Entry, TimePoint) {
+bool TargetDirectory::onListed(const ListedTarget &Entry, TimePoint Now) {
   auto [Place, IsNew] = this->Targets.try_emplace(Entry.Id);
   TargetState &State = Place->second;
+  State.ListedAt = Now;
   bool IsRestarted = !IsNew && State.Listed.StartedAt != Entry.StartedAt;
   ListedTarget Target = Entry;
   // A target that is leaving does not return in the same run.
@@ -142,6 +143,11 @@
   State->BackoffUntil = Now + std::min(Backoff, this->Policy.MaxBackoff);
 }
 
+void TargetDirectory::onLost(const std::string &Id, TimePoint Now) {
+  if (TargetState *State = this->find(Id))
+    State->LostAt = Now;
+}
+
 void TargetDirectory::onFull(const std::string &Id, TimePoint Now) {
   if (TargetState *State = this->find(Id))
     State->FullUntil = Now + this->Policy.FullDuration;
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -57,6 +57,12 @@
   TimePoint FullUntil{};
   /// The target's rate limit is used up: no new calls before.
   TimePoint RateLimitedUntil{};
+  /// When the entry was last read, and when a connection to the target was last
+  /// lost. A target that was lost may have started again as another run, which
+  /// its next entry tells.
+  TimePoint ListedAt{};
+  TimePoint LostAt{};
+  bool isRunConfirmed() const { return this->ListedAt >= this->LostAt; }
   /// Set while the list does not contain the target. If the list was
   /// unavailable shortly before, the removal may be spurious.
   std::optional<TimePoint> MissingSince;
@@ -119,6 +125,7 @@
   void onEnded(const std::string &Id);
   void onSuccess(const std::string &Id);
   void onFailure(const std::string &Id, TimePoint Now);
+  void onLost(const std::string &Id, TimePoint Now);
   void onFull(const std::string &Id, TimePoint Now);
   void onRateLimited(const std::string &Id, TimePoint Until);
 
--- a/Libraries/LibRelay/TargetPicker.cpp
+++ b/Libraries/LibRelay/TargetPicker.cpp
@@ -30,14 +30,13 @@
          static_cast<double>(Target.PrefillTokens) / this->Policy.TokensPerCall;
 }
 
-std::vector<TargetState *>
-TargetPicker::candidates(TargetDirectory &Targets, const std::string &Service,
-                         const std::set<std::string> &Excluded,
-                         TimePoint Now) const {
+std::vector<TargetState *> TargetPicker::candidates(TargetDirectory &Targets,
+                                                    const std::string &Service,
+                                                    const Condition &IsEligible,
+                                                    TimePoint Now) const {
   std::vector<TargetState *> Candidates = Targets.usable(Service);
   std::erase_if(Candidates, [&](const TargetState *Candidate) {
-    return Excluded.contains(Candidate->Listed.Id) ||
-           Candidate->RateLimitedUntil > Now;
+    return !IsEligible(*Candidate) || Candidate->RateLimitedUntil > Now;
   });
   keepIfAny(Candidates, [&](const TargetState *Candidate) {
     return Candidate->BackoffUntil <= Now && !Candidate->MissingSince;
@@ -51,10 +50,9 @@
 TargetState *TargetPicker::pick(TargetDirectory &Targets,
                                 const std::string &Service,
                                 const RelayCall &Call,
-                                const std::set<std::string> &Excluded,
-                                TimePoint Now) {
+                                const Condition &IsEligible, TimePoint Now) {
   std::vector<TargetState *> Candidates =
-      this->candidates(Targets, Service, Excluded, Now);
+      this->candidates(Targets, Service, IsEligible, Now);
   if (Candidates.empty())
     return nullptr;
   if (!Call.Parts.empty())
--- a/Libraries/LibRelay/TargetPicker.h
+++ b/Libraries/LibRelay/TargetPicker.h
@@ -14,7 +14,7 @@
 #include "LibRelay/RelayCall.h"
 #include "LibRelay/TargetDirectory.h"
 
-#include <set>
+#include <functional>
 
 namespace bergamothook {
 
@@ -34,17 +34,20 @@
   TargetPicker(PickerPolicy Policy, std::string OwnDomain, std::uint64_t Seed)
       : Policy(Policy), OwnDomain(std::move(OwnDomain)), Rng(Seed) {}
 
-  /// Selects one of the targets of \p Service that are not in \p Excluded and
-  /// not at their rate limit.
-  /// \returns null if none is left.
+  /// Whether a call may be sent to a target at all.
+  using Condition = std::function<bool(const TargetState &)>;
+
+  /// Selects one of the targets of \p Service that satisfy \p IsEligible and
+  /// are not at their rate limit.
+  /// \returns null if there is none.
   TargetState *pick(TargetDirectory &Targets, const std::string &Service,
-                    const RelayCall &Call,
-                    const std::set<std::string> &Excluded, TimePoint Now);
+                    const RelayCall &Call, const Condition &IsEligible,
+                    TimePoint Now);
 
 private:
   std::vector<TargetState *> candidates(TargetDirectory &Targets,
                                         const std::string &Service,
-                                        const std::set<std::string> &Excluded,
+                                        const Condition &IsEligible,
                                         TimePoint Now) const;
   TargetState *pickByPrompt(const std::vector<TargetState *> &Candidates,
                             const RelayCall &Call) const;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -94,6 +94,8 @@
                  this->targetFeedHooks()),
       QuarantineSync(this->Store, this->Tasks, this->Settings.Host,
                      this->Dispatcher.quarantineReports()),
+      OriginStore(this->Store, this->Tasks, this->Dispatcher.versions(),
+                  this->Dispatcher.origins()),
       Registry(this->Store, this->Tasks, this->TokenSource.roster()),
       Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
@@ -203,6 +205,10 @@
       if (auto Target =
               platform::parseTargetEntry(Record.Key, Record.Value.value_or("")))
         Targets.push_back(Target.value());
+    this->Dispatcher.versions().onListGap();
+    for (const ListedTarget &Target : Targets)
+      this->Dispatcher.versions().onListed(Target.Service, Target.Version,
+                                           this->Tasks.Now());
     this->Dispatcher.targets().onFullList(Targets, this->Tasks.Now());
     this->HasTargets = true;
     logEvent(LogLevel::Info, "targets_read", {{"targets", Targets.size()}});
@@ -210,6 +216,9 @@
   Hooks.OnRecord = [this](const KeyedRecord &Record) {
     this->applyTargetRecord(Record);
   };
+  Hooks.OnCurrent = [this](TimePoint AsOf) {
+    this->Dispatcher.versions().onListRead(AsOf);
+  };
   Hooks.OnUnavailable = [this] {
     this->Dispatcher.targets().onListUnreachable(this->Tasks.Now());
     this->TokenSource.setLogReachable(false);
@@ -233,6 +242,8 @@
     this->Dispatcher.targets().onRemoved(Record.Key, Now);
     return;
   }
+  this->Dispatcher.versions().onListed(Target.value().Service,
+                                       Target.value().Version, Now);
   if (this->Dispatcher.targets().onListed(Target.value(), Now))
     logEvent(LogLevel::Info, "target_listed",
              {{"target", Record.Key},
@@ -254,6 +265,11 @@
       [this, IsStopped] { this->QuarantineSync.runReader(IsStopped); });
   this->Tasks.Spawn(
       [this, IsStopped] { this->QuarantineSync.runWriter(IsStopped); });
+  this->Tasks.Spawn(
+      [this, IsStopped] { this->OriginStore.runVersions(IsStopped); });
+  for (unsigned I = 0; I < this->Dispatcher.origins().policy().Partitions; ++I)
+    this->Tasks.Spawn(
+        [this, IsStopped, I] { this->OriginStore.runOrigins(I, IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Registry.runReader(IsStopped); });
   this->Tasks.Spawn([this, IsStopped] { this->Registry.runWriter(IsStopped); });
   this->Tasks.Spawn(
@@ -289,7 +305,8 @@
 }
 
 bool RelayService::isReady() const {
-  return !this->IsStopping && this->Dispatcher.config() && this->HasTargets;
+  return !this->IsStopping && this->Dispatcher.config() && this->HasTargets &&
+         this->Dispatcher.versions().hasRead();
 }
 
 StatusResponse RelayService::answerReady(const std::string &Path) const {
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -12,6 +12,7 @@
 #include "platform/PlatformSettings.h"
 #include "platform/RequestQuarantineSync.h"
 #include "platform/StoreFeed.h"
+#include "platform/StreamOriginStore.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -64,6 +65,7 @@
   platform::StoreFeed ConfigFeed;
   platform::StoreFeed TargetFeed;
   platform::RequestQuarantineSync QuarantineSync;
+  platform::StreamOriginStore OriginStore;
   platform::FleetRegistry Registry;
   boost::asio::signal_set Signals;
   bool HasTargets = false;
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -32,12 +32,22 @@
 
 void RelayFixture::addTarget(const std::string &Id,
                              const std::string &Version) {
+  this->InUse["engines"][Version] = VersionPhase::InUse;
+  this->Dispatcher.versions().onRead(this->InUse, this->Simulated.now());
+  this->listTarget(Id, Version);
+}
+
+void RelayFixture::listTarget(const std::string &Id,
+                              const std::string &Version) {
   ListedTarget Target;
   Target.Id = Id;
   Target.Service = "engines";
   Target.Address = "10.0.0.1:80";
   Target.Version = Version;
-  this->Dispatcher.targets().onListed(Target, this->Simulated.now());
+  TimePoint Now = this->Simulated.now();
+  this->Dispatcher.versions().onListed("engines", Version, Now);
+  this->Dispatcher.versions().onListRead(Now);
+  this->Dispatcher.targets().onListed(Target, Now);
 }
 
 void RelayFixture::removeTarget(const std::string &Id) {
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -47,8 +47,10 @@
 public:
   RelayFixture();
 
-  /// Adds a target of the service "engines".
+  /// Adds a target of the service "engines", or lists it again.
   void addTarget(const std::string &Id, const std::string &Version = "v1");
+  /// The target is in the list, but its version is not on record yet.
+  void listTarget(const std::string &Id, const std::string &Version);
   void removeTarget(const std::string &Id);
 
   /// Activates the configuration that the fields below describe.
@@ -79,6 +81,9 @@
   /// When the caller disconnects.
   TimePoint LeavesAt = TimePoint::max();
 
+  /// The versions on the log.
+  std::map<std::string, VersionSet> InUse;
+
   VirtualRuntime Simulated;
   Metrics Stats;
   TokenBroker Wallets;
--- a/Tests/LibRelay/StreamVersionTest.cpp
+++ b/Tests/LibRelay/StreamVersionTest.cpp
@@ -61,3 +61,127 @@
   CHECK(Relay.Status == 503);
   CHECK(Relay.SentCalls.size() == 1);
 }
+
+TEST_CASE("a stream goes on at another target of the version that began it") {
+  VersionRelay Relay;
+  Relay.addTarget("new", "v2");
+  Relay.addTarget("old-2", "v1");
+  Relay.removeTarget("new");
+  Relay.Responses = {streamOf(1, 2, true), streamOf(3, 4, false)};
+  Relay.BeforeSend = [&](std::size_t) { Relay.addTarget("new", "v2"); };
+  CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Done);
+  CHECK(Relay.SentCalls.size() == 2);
+  CHECK(Relay.SentCalls[1].Target != "new");
+  CHECK(Relay.SentCalls[1].ResumeAfter == 2);
+
+  Relay.Responses = {streamOf(3, 4, false)};
+  CHECK(Relay.serve(Relay.makeTakeUp()).End == RelayEnd::Done);
+  CHECK(Relay.SentCalls[2].Target != "new");
+}
+
+TEST_CASE("a stream that nobody knows is refused as not run while two versions "
+          "serve, and goes on while one does") {
+  VersionRelay Relay;
+  RelayCall TakeUp = Relay.makeTakeUp();
+  Relay.Responses = {streamOf(3, 4, false)};
+  CHECK(Relay.serve(TakeUp).End == RelayEnd::Done);
+  Relay.addTarget("new", "v2");
+  for (auto From :
+       {std::optional<std::string>("made-up"),
+        std::optional<std::string>("call-1"), std::optional<std::string>()}) {
+    TakeUp.TakenUpFrom = From;
+    RelayOutcome Outcome = Relay.serve(TakeUp);
+    CHECK(Outcome.Reason == RelayReason::StreamVersionUnknown);
+    CHECK(Outcome.End == RelayEnd::NotRun);
+    CHECK(Relay.Status == 503);
+  }
+  CHECK(Relay.SentCalls.size() == 1);
+}
+
+TEST_CASE("a stream of another team is not found by its id") {
+  VersionRelay Relay;
+  Relay.addTarget("new", "v2");
+  Relay.Responses = {streamOf(1, 2, true)};
+  Relay.Route.MaxTargets = 1;
+  Relay.configure();
+  Relay.serve(Relay.makeCall());
+  RelayTeam Other;
+  Other.Name = "other";
+  RelayCall TakeUp = Relay.makeTakeUp();
+  TakeUp.Team = &Other;
+  CHECK(Relay.serve(TakeUp).Reason == RelayReason::StreamVersionUnknown);
+}
+
+TEST_CASE("no stream begins at a version before it is on record, and one that "
+          "comes waits for that") {
+  VersionRelay Relay;
+  Relay.listTarget("new", "v2");
+  Relay.removeTarget("old");
+  Relay.Simulated.hooks().Spawn([&] {
+    Relay.Simulated.hooks().sleepUntil(Relay.Simulated.now() + 300ms);
+    Relay.addTarget("new", "v2");
+  });
+  Relay.Responses = {streamOf(1, 2, false)};
+  TimePoint Begin = Relay.Simulated.now();
+  CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Done);
+  CHECK(Relay.Simulated.now() - Begin >= 300ms);
+
+  Relay.listTarget("newest", "v3");
+  Relay.removeTarget("new");
+  RelayOutcome Outcome = Relay.serve(Relay.makeCall());
+  CHECK(Outcome.End == RelayEnd::NotRun);
+  CHECK(Relay.SentCalls.size() == 1);
+}
+
+TEST_CASE("a stream whose target started again with another version does not "
+          "go on") {
+  VersionRelay Relay;
+  Relay.addTarget("old-2", "v1");
+  Relay.addTarget("new", "v2");
+  Relay.Responses = {streamOf(1, 9, true), streamOf(10, 11, false)};
+  std::string First;
+  Relay.Simulated.hooks().Spawn([&] {
+    Relay.Simulated.hooks().sleepUntil(Relay.Simulated.now() + 40ms);
+    First = Relay.SentCalls.at(0).Target;
+    Relay.addTarget(First, First == "new" ? "v1" : "v2");
+  });
+  CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Broken);
+  CHECK(Relay.SentCalls.size() == 1);
+  CHECK(Relay.serve(Relay.makeTakeUp()).Reason ==
+        RelayReason::StreamVersionUnknown);
+}
+
+TEST_CASE("while versions are mixed, a stream does not go on at a target that "
+          "was lost before that is listed again") {
+  VersionRelay Relay;
+  Relay.addTarget("new", "v2");
+  Relay.removeTarget("new");
+  // The only target of the version is lost twice, by two calls.
+  Relay.Responses = {streamOf(1, 2, true), streamOf(3, 4, false)};
+  CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Broken);
+  Relay.Simulated.hooks().Spawn([&] {
+    Relay.Simulated.hooks().sleepUntil(Relay.Simulated.now() + 500ms);
+    Relay.addTarget("old", "v1");
+  });
+  TimePoint Begin = Relay.Simulated.now();
+  CHECK(Relay.serve(Relay.makeTakeUp()).End == RelayEnd::Done);
+  CHECK(Relay.Simulated.now() - Begin >= 500ms);
+}
+
+TEST_CASE("a stream that is taken up goes on at the service where it began") {
+  VersionRelay Relay;
+  Relay.Route.Services = {{"engines", 1}, {"others", 1}};
+  Relay.configure();
+  Relay.addTarget("old", "v1");
+  for (int I = 0; I < 20; ++I) {
+    RelayCall First = Relay.makeCall();
+    First.Id = "call-" + std::to_string(I);
+    RelayCall Second = First;
+    Second.Id = "take-up-" + std::to_string(I);
+    Second.TakenUpFrom = First.Id;
+    Relay.Responses = {streamOf(1, 2, false), streamOf(3, 4, false)};
+    bool IsFirstServed = Relay.serve(First).End == RelayEnd::Done;
+    bool IsSecondServed = Relay.serve(Second).End == RelayEnd::Done;
+    CHECK(IsFirstServed == IsSecondServed);
+  }
+}
--- a/Tests/LibRelay/TargetPickerTest.cpp
+++ b/Tests/LibRelay/TargetPickerTest.cpp
@@ -40,7 +40,12 @@
   std::string pick(TargetPicker &By, const RelayCall &Call,
                    const std::set<std::string> &Excluded = {},
                    const std::string &Service = "engines") {
-    TargetState *Chosen = By.pick(this->Targets, Service, Call, Excluded, Now);
+    TargetState *Chosen = By.pick(
+        this->Targets, Service, Call,
+        [&](const TargetState &Target) {
+          return !Excluded.contains(Target.Listed.Id);
+        },
+        Now);
     return Chosen ? Chosen->Listed.Id : "";
   }
 
--- /dev/null
+++ b/Tests/LibRelay/VersionFleet.h
@@ -0,0 +1,157 @@
+/// \file
+/// Simulation of hosts that relay streams of targets of several software
+/// versions, and of callers that take up streams that broke off.
+
+#ifndef BERGAMOTHOOK_TESTS_LIBRELAY_VERSIONFLEET_H
+#define BERGAMOTHOOK_TESTS_LIBRELAY_VERSIONFLEET_H
+
+#include "LibBase/Random.h"
+#include "LibRelay/OriginExchange.h"
+#include "LibTask/VirtualRuntime.h"
+
+#include <memory>
+
+namespace bergamothook {
+
+struct VersionFleetSettings {
+  int Hosts = 9;
+  double StreamsPerSecond = 60;
+  Duration MinStream = std::chrono::milliseconds(100);
+  Duration MaxStream = std::chrono::seconds(3);
+  /// Lost messages between hosts, per hundred.
+  std::uint64_t LostPerCent = 0;
+  Duration StoreDelay = std::chrono::milliseconds(5);
+  VersionPolicy Versions;
+};
+
+struct VersionFleetResults {
+  int Begun = 0;
+  int NotBegun = 0;
+  /// Streams that a caller took up while targets of their version served, and
+  /// those of them that went on.
+  int TakenUp = 0;
+  int GoneOn = 0;
+  /// Streams that went on at another version.
+  int Joined = 0;
+  /// Calls of the store for versions and origins.
+  int VersionReads = 0;
+  int VersionWrites = 0;
+  int OriginReads = 0;
+  int OriginWrites = 0;
+  int Messages = 0;
+  /// The longest time that a take-up waited for its version.
+  Duration LongestLookup{};
+};
+
+class VersionFleet {
+public:
+  VersionFleet(VersionFleetSettings Settings, std::uint64_t Seed);
+  ~VersionFleet();
+  VersionFleet(const VersionFleet &) = delete;
+  VersionFleet &operator=(const VersionFleet &) = delete;
+
+  void runFor(Duration Span);
+
+  /// Changes how many targets of a version are in service.
+  void setTargets(const std::string &Version, int Count);
+  /// Kills hosts with indices from \p First to below \p End, which breaks their
+  /// streams; start() starts them again.
+  void kill(int First, int End);
+  void start(int First, int End);
+  /// Breaks this share of all streams, without any loss of a host.
+  void breakStreams(double Share);
+  void setStoreOut(bool IsOut) { this->IsStoreOut = IsOut; }
+  /// Cuts the hosts with indices below \p Below off from the others and from
+  /// the store.
+  void split(int Below) { this->SplitBelow = Below; }
+  /// The store comes back from a copy of this age.
+  void restoreStore(Duration Age);
+  /// From now on, callers use few ids for all streams.
+  void reuseIds() { this->ReusesIds = true; }
+
+  VersionFleetResults Results;
+
+private:
+  struct Host {
+    Host(VersionFleet &Fleet, int Index, std::uint64_t Run);
+    std::uint64_t Run;
+    HostRoster Roster;
+    VersionRegister Versions;
+    std::map<std::uint16_t, PeerNode::Handler> Handlers;
+    OriginExchange Origins;
+    std::map<std::string, int> List;
+    TimePoint ListReadAt{};
+    TimePoint VersionsCheckAt{};
+    TimePoint OriginWriteAt{};
+    std::uint64_t VersionsEnd = 0;
+    std::uint64_t Era = 0;
+    std::map<unsigned, std::size_t> NextOrigin;
+  };
+
+  struct Stream {
+    std::string Id;
+    std::string Version;
+    int Host = 0;
+    TimePoint EndsAt{};
+    int TakeUps = 0;
+  };
+
+  struct Message {
+    int From = 0;
+    int To = 0;
+    std::uint16_t Kind = 0;
+    std::string Body;
+  };
+
+  /// What the store holds.
+  struct Content {
+    std::map<std::string, VersionSet> Versions;
+    std::uint64_t VersionsEnd = 0;
+    std::map<unsigned, std::vector<StreamOrigin>> Origins;
+  };
+
+  void step();
+  void stepHost(int Index);
+  void readList(Host &Reader);
+  Result<void> readVersions(int Index);
+  Result<void> readOrigins(int Index, unsigned Partition);
+  void writeVersions(int Index);
+  void beginStream();
+  void breakOff(Stream Broken);
+  void takeUp(Stream Broken);
+  bool reachesStore(int Index) const {
+    return !this->IsStoreOut && Index >= this->SplitBelow &&
+           this->Hosts[static_cast<std::size_t>(Index)];
+  }
+  Host *hostAt(int Index) {
+    return this->Hosts[static_cast<std::size_t>(Index)].get();
+  }
+  int randomHost();
+  Duration randomUpTo(Duration Limit);
+  TimePoint now() const { return this->Simulated.now(); }
+
+  VersionFleetSettings Settings;
+  Random Rng;
+  VirtualRuntime Simulated;
+  std::map<HostId, int> IndexOfHost;
+  std::vector<std::unique_ptr<Host>> Hosts;
+  /// Tasks may still refer to hosts that were killed.
+  std::vector<std::unique_ptr<Host>> KilledHosts;
+  std::map<std::string, int> Targets;
+  Content Store;
+  std::deque<std::pair<TimePoint, Content>> Copies;
+  std::uint64_t Era = 1;
+  std::vector<Stream> Streams;
+  std::multimap<TimePoint, Message> Network;
+  std::multimap<TimePoint, Stream> Broken;
+  std::uint64_t LastId = 0;
+  std::uint64_t LastRun = 0;
+  int SplitBelow = 0;
+  bool IsStoreOut = false;
+  bool ReusesIds = false;
+  int TakeUpsInProgress = 0;
+};
+
+} // namespace bergamothook
+
+#endif
--- /dev/null
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -0,0 +1,250 @@
+#include "VersionFleet.h"
+
+#include "LibObserve/StructuredLog.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int FleetSizes[] = {1, 9, 90, 300};
+
+VersionFleetSettings settingsOf(int Hosts) {
+  startLogging("test", "test", LogLevel::Error);
+  VersionFleetSettings Settings;
+  Settings.Hosts = Hosts;
+  Settings.StreamsPerSecond = 60 + Hosts;
+  return Settings;
+}
+
+/// No stream is of two versions, and streams that are taken up go on nearly as
+/// often as new ones begin.
+void checkResults(const VersionFleetResults &Results,
+                  double ExpectedShare = 0.9) {
+  CAPTURE(Results.TakenUp);
+  CAPTURE(Results.GoneOn);
+  CAPTURE(Results.NotBegun);
+  CAPTURE(Results.Begun);
+  CHECK(Results.Joined == 0);
+  CHECK(Results.TakenUp >= 12);
+  CHECK(Results.GoneOn >= ExpectedShare * Results.TakenUp);
+  CHECK(Results.NotBegun * 20 <= Results.Begun);
+  CHECK(Results.LongestLookup <= 700ms);
+}
+
+/// Replaces targets of one version by those of another, in steps.
+void roll(VersionFleet &Fleet, const std::string &From, const std::string &To,
+          int Targets, int Replaced) {
+  for (int Count = 1; Count <= Replaced; ++Count) {
+    Fleet.setTargets(To, Count);
+    Fleet.runFor(400ms);
+    Fleet.setTargets(From, Targets - Count);
+  }
+}
+
+} // namespace
+
+TEST_CASE("while one version serves, nothing is written for streams, and they "
+          "are taken up after the loss of all hosts") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    VersionFleet Fleet(settingsOf(Hosts), 1);
+    Fleet.setTargets("v1", 10);
+    Fleet.runFor(5s);
+    Fleet.Results = {};
+    Fleet.runFor(20s);
+    CHECK(Fleet.Results.VersionReads == 0);
+    for (int I = 0; I < 3; ++I) {
+      Fleet.kill(0, Hosts);
+      Fleet.runFor(1s);
+      Fleet.start(0, Hosts);
+      Fleet.runFor(4s);
+    }
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(4s);
+    checkResults(Fleet.Results, 0.97);
+    CHECK(Fleet.Results.OriginWrites == 0);
+    CHECK(Fleet.Results.OriginReads == 0);
+    CHECK(Fleet.Results.VersionWrites == 0);
+    // Each host reads once when it starts.
+    CHECK(Fleet.Results.VersionReads <= 3 * Hosts + Fleet.Results.TakenUp);
+  }
+}
+
+TEST_CASE("streams go on at their version during a release, when hosts and "
+          "targets are lost") {
+  for (int Hosts : FleetSizes)
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleet Fleet(settingsOf(Hosts), Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      roll(Fleet, "v1", "v2", 10, 5);
+      for (int I = 0; I < 4; ++I) {
+        Fleet.breakStreams(0.3);
+        if (Hosts > 1) {
+          Fleet.kill(0, Hosts / 3);
+          Fleet.runFor(1s);
+          Fleet.start(0, Hosts / 3);
+        }
+        Fleet.runFor(3s);
+      }
+      checkResults(Fleet.Results);
+    }
+}
+
+TEST_CASE("streams go on at their version after the loss of all hosts") {
+  for (int Hosts : FleetSizes)
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleet Fleet(settingsOf(Hosts), Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      roll(Fleet, "v1", "v2", 10, 5);
+      for (int I = 0; I < 4; ++I) {
+        Fleet.kill(0, Hosts);
+        Fleet.runFor(1s);
+        Fleet.start(0, Hosts);
+        Fleet.runFor(4s);
+      }
+      checkResults(Fleet.Results);
+    }
+}
+
+TEST_CASE("a version that came into service or left while all hosts were down "
+          "is not taken for the only one") {
+  for (int Hosts : FleetSizes)
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleet Fleet(settingsOf(Hosts), Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      Fleet.kill(0, Hosts);
+      Fleet.setTargets("v2", 10);
+      Fleet.setTargets("v1", 0);
+      Fleet.runFor(1s);
+      Fleet.start(0, Hosts);
+      Fleet.runFor(5s);
+      Fleet.setTargets("v3", 10);
+      Fleet.runFor(2s);
+      Fleet.setTargets("v2", 0);
+      Fleet.kill(0, Hosts);
+      Fleet.runFor(500ms);
+      Fleet.start(0, Hosts);
+      Fleet.runFor(5s);
+      CHECK(Fleet.Results.Joined == 0);
+      CHECK(Fleet.Results.NotBegun * 5 <= Fleet.Results.Begun);
+    }
+}
+
+TEST_CASE("a release is taken back, and three versions serve") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    VersionFleet Fleet(settingsOf(Hosts), 1);
+    Fleet.setTargets("v1", 10);
+    Fleet.runFor(5s);
+    roll(Fleet, "v1", "v2", 10, 7);
+    Fleet.breakStreams(0.5);
+    roll(Fleet, "v2", "v1", 7, 4);
+    Fleet.breakStreams(0.5);
+    roll(Fleet, "v1", "v3", 7, 3);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    checkResults(Fleet.Results);
+  }
+}
+
+TEST_CASE("streams go on at their version while the store is out, and messages "
+          "are lost") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    VersionFleetSettings Settings = settingsOf(Hosts);
+    Settings.LostPerCent = 10;
+    VersionFleet Fleet(Settings, 1);
+    Fleet.setTargets("v1", 10);
+    Fleet.runFor(5s);
+    Fleet.setStoreOut(true);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    Fleet.setStoreOut(false);
+    roll(Fleet, "v1", "v2", 10, 5);
+    Fleet.setStoreOut(true);
+    Fleet.runFor(1s);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    Fleet.setStoreOut(false);
+    Fleet.runFor(3s);
+    // Nobody can be asked by a fleet of one host, and answers are lost.
+    checkResults(Fleet.Results, Hosts > 1 ? 0.75 : 0.4);
+  }
+}
+
+TEST_CASE("hosts that are cut off from the others and from the store don't "
+          "guess") {
+  for (int Hosts : {9, 90, 300})
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleet Fleet(settingsOf(Hosts), Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      Fleet.split(Hosts / 3);
+      roll(Fleet, "v1", "v2", 10, 5);
+      Fleet.breakStreams(0.5);
+      Fleet.runFor(3s);
+      Fleet.split(0);
+      Fleet.breakStreams(0.5);
+      Fleet.runFor(3s);
+      CHECK(Fleet.Results.Joined == 0);
+    }
+}
+
+TEST_CASE("a store that comes back from a copy does not lose versions") {
+  for (int Hosts : FleetSizes)
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleet Fleet(settingsOf(Hosts), Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      roll(Fleet, "v1", "v2", 10, 5);
+      Fleet.setTargets("v1", 0);
+      Fleet.restoreStore(4s);
+      Fleet.runFor(2s);
+      Fleet.kill(0, Hosts);
+      Fleet.start(0, Hosts);
+      Fleet.runFor(4s);
+      Fleet.breakStreams(0.5);
+      Fleet.runFor(3s);
+      checkResults(Fleet.Results, 0.8);
+    }
+}
+
+TEST_CASE("callers that use ids twice do no harm to others, and the cost is "
+          "bounded") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    VersionFleet Fleet(settingsOf(Hosts), 1);
+    Fleet.setTargets("v1", 10);
+    Fleet.runFor(5s);
+    Fleet.Results = {};
+    roll(Fleet, "v1", "v2", 10, 5);
+    Fleet.runFor(18s);
+    // Two writers, for each of two partitions, of which each writes twenty
+    // times a second at most.
+    CHECK(Fleet.Results.OriginWrites <= 20 * 2 * 2 * 20 * 11 / 10);
+    CHECK(Fleet.Results.VersionReads <= 20 * Hosts);
+    CHECK(Fleet.Results.VersionWrites <= 2 + Hosts);
+    CHECK(Fleet.Results.Messages <= 4 * Fleet.Results.Begun);
+    Fleet.reuseIds();
+    Fleet.runFor(3s);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    CHECK(Fleet.Results.Joined == 0);
+  }
+}
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -164,6 +164,21 @@
         std::vector<std::string>{"9"});
 }
 
+TEST_CASE("a call states which stream it takes up, after which event") {
+  HttpRequestMessage Message = makeRequest();
+  CHECK_FALSE(decodeCall(makeConfig(), Message, Now).Call.isTakeUp());
+  Message.Head.Headers.add("Last-Event-Id", "4");
+  RelayCall Call = decodeCall(makeConfig(), Message, Now).Call;
+  CHECK(Call.isTakeUp());
+  CHECK(Call.streamAttempt() == Call.Id);
+  Message.Head.Headers.add("Resumes", "first");
+  Call = decodeCall(makeConfig(), Message, Now).Call;
+  CHECK(Call.TakenUpFrom == "first");
+  CHECK(Call.streamAttempt() == "first");
+  CHECK(valuesOf(makeTargetHead(Call, makeTarget(), 1s, {}), "Resumes") ==
+        std::vector<std::string>{"first"});
+}
+
 TEST_CASE("a call counts as not run only if the target states it") {
   RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
   auto Classify = [&](unsigned Status, std::vector<HeaderField> Fields) {
--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -74,12 +74,19 @@
   REQUIRE(Read);
   CHECK(Read.value().Id == "i-1");
   CHECK(Read.value().IsLeaving);
+  CHECK(Read.value().Version == "v1");
   CHECK(Read.value().StartedAt == 1700000000123);
   for (const char *Text :
        {"", "\xff\xfe", "[]", R"({"service":"s1"})",
-        R"({"service":"s1","addr":5,"zone":"e","slots":1,"state":"ready"})",
-        R"({"service":"s1","addr":"a:1","zone":"e","slots":1,"state":"odd"})",
-        R"({"service":"s1","addr":"a:1","zone":"e","slots":"1",
+        R"({"service":"s1","addr":5,"zone":"e","version":"v1","slots":1,
+           "state":"ready"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","version":"v1","slots":1,
+           "state":"odd"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","version":"v1","slots":"1",
+           "state":"ready"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","slots":1,
+           "state":"ready"})",
+        R"({"service":"s1","addr":"a:1","zone":"e","version":1,"slots":1,
            "state":"ready"})"})
     CHECK_FALSE(parseTargetEntry("i-1", Text));
 }
