--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -141,7 +141,7 @@
   return {200, Out};
 }
 
-FakeStore::Response FakeStore::newest(const Topic &Selected) {
+FakeStore::Response FakeStore::newest(const Topic &Selected) const {
   std::map<std::string, KeyedRecord> Newest;
   for (std::size_t I = 0; I < Selected.Records.size(); ++I) {
     KeyedRecord Record = platform::decodeKeyed(Selected.Records[I], I).value();
@@ -150,7 +150,7 @@
     else
       Newest.erase(Record.Key);
   }
-  json Entries = json::array();
+  json Entries(this->OddEntries);
   for (const auto &[Key, Record] : Newest)
     Entries.push_back({{"key", Key},
                        {"value", encodeBase64(*Record.Value)},
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -9,6 +9,7 @@
 #include "platform/StoreRecords.h"
 
 #include <map>
+#include <nlohmann/json.hpp>
 
 namespace bergamothook {
 
@@ -51,6 +52,8 @@
   void restore(const std::string &Topic, std::size_t Lost);
 
   StoreFault Fault = StoreFault::None;
+  /// What a list of newest records holds first, besides the records.
+  std::vector<nlohmann::json> OddEntries;
 
 private:
   struct Topic {
@@ -69,7 +72,7 @@
                   std::string_view Body);
   static Response read(const Topic &From,
                        const std::map<std::string, std::string> &Query);
-  static Response newest(const Topic &Selected);
+  Response newest(const Topic &Selected) const;
 
   Runtime Tasks;
   std::uint64_t Era = 0;
