--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -38,6 +38,8 @@
 /// Leaves file descriptors for targets, the store and the listening ports.
 constexpr std::size_t MaxCallerConnections = 2500;
 constexpr int CallerAcceptBacklog = 1024;
+/// How much of an unreadable entry is logged.
+constexpr std::size_t MaxLoggedBytes = 200;
 
 std::string makeProcessName(const std::string &Host, std::uint64_t Seed) {
   return Host + "#" + std::to_string(Seed);
@@ -205,6 +207,8 @@
       if (auto Target =
               platform::parseTargetEntry(Record.Key, Record.Value.value_or("")))
         Targets.push_back(Target.value());
+      else
+        this->logUnreadableTarget(Record);
     this->Dispatcher.versions().onListGap();
     for (const ListedTarget &Target : Targets)
       this->Dispatcher.versions().onListed(Target.Service, Target.Version,
@@ -237,8 +241,7 @@
   auto Target = platform::parseTargetEntry(Record.Key, *Record.Value);
   if (!Target) {
     // The unreadable entry replaces any earlier one, so the target is removed.
-    logEvent(LogLevel::Warning, "target_unreadable",
-             {{"target", Record.Key}, {"offset", Record.Offset}});
+    this->logUnreadableTarget(Record);
     this->Dispatcher.targets().onRemoved(Record.Key, Now);
     return;
   }
@@ -253,6 +256,20 @@
               {"leaving", Target.value().IsLeaving}});
 }
 
+void RelayService::logUnreadableTarget(const KeyedRecord &Record) {
+  // Another writer may write the same again and again.
+  std::uint64_t Content = hash64(Record.Value.value_or(""));
+  const std::uint64_t *Logged = this->UnreadableTargets.find(Record.Key);
+  if (Logged && *Logged == Content)
+    return;
+  this->UnreadableTargets.set(Record.Key, Content);
+  logEvent(LogLevel::Warning, "target_unreadable",
+           {{"target", Record.Key},
+            {"offset", Record.Offset},
+            {"bytes", Record.Value.value_or("").size()},
+            {"begins", Record.Value.value_or("").substr(0, MaxLoggedBytes)}});
+}
+
 Result<void> RelayService::start() {
   BOOST_OUTCOME_TRYV(this->Server.start());
   BOOST_OUTCOME_TRYV(this->ReadyServer.start());
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -39,6 +39,7 @@
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
   void applyConfigRecord(const platform::KeyedRecord &Record);
+  void logUnreadableTarget(const platform::KeyedRecord &Record);
   void applyTargetRecord(const platform::KeyedRecord &Record);
   bool isReady() const;
   StatusResponse answerReady(const std::string &Path) const;
@@ -68,6 +69,9 @@
   platform::StreamOriginStore OriginStore;
   platform::FleetRegistry Registry;
   boost::asio::signal_set Signals;
+  /// The hashes of entries that were logged as unreadable, by key.
+  static constexpr std::size_t MaxUnreadableTargets = 256;
+  RecentMap<std::string, std::uint64_t> UnreadableTargets{MaxUnreadableTargets};
   bool HasTargets = false;
   bool IsStopping = false;
   bool IsStopped = false;
