--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -363,7 +363,7 @@
       return AttemptEnd::NotRun;
     case ResponseVerdict::NotRun:
       this->recordRateLimit(Head.value(), Target, SentAt);
-      Exchange.Finish();
+      Exchange.FinishRefused();
       return AttemptEnd::NotRun;
     case ResponseVerdict::Unverified:
       Exchange.Abort();
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -49,6 +49,8 @@
   /// Ends the exchange and keeps the connection for reuse if its state allows
   /// it.
   std::function<void()> Finish;
+  /// Like Finish, after the target refused the call.
+  std::function<void()> FinishRefused;
   /// Closes the connection, which makes the target stop its work.
   std::function<void()> Abort;
 };
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -128,6 +128,7 @@
   Exchange.Finish = [this, State, Address = Target.Address] {
     State->finish(this->Idle, Address);
   };
+  Exchange.FinishRefused = Exchange.Finish;
   Exchange.Abort = [State] { State->abort(); };
   return Exchange;
 }
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -178,6 +178,7 @@
     Remaining->Pieces = Remaining->NextPieces;
   };
   Exchange.Finish = [] {};
+  Exchange.FinishRefused = [] {};
   Exchange.Abort = [this, Index] { this->SentCalls[Index].WasAborted = true; };
   return Exchange;
 }
--- /dev/null
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -0,0 +1,107 @@
+#include "LibRelayFront/TargetDialer.h"
+#include "LibNet/HttpReader.h"
+#include "LibNet/TcpListener.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A target on a port of this machine that refuses the first call on each
+/// connection, and writes that refusal once more before any later answer.
+struct RepeatingTarget {
+  explicit RepeatingTarget(NetRuntime &Loop)
+      : Tasks(Loop.hooks()),
+        Port(Loop, {"127.0.0.1:0", 16, 100, {}},
+             [this](const TcpConnection::Handle &Connection) {
+               this->serve(Connection);
+             }) {}
+
+  void serve(const TcpConnection::Handle &Connection) {
+    Event Changed;
+    ScopedEventAttachment Attached(Connection, Changed);
+    HttpRequestReader Reader(Connection, this->Tasks, Changed);
+    std::string Refusal;
+    while (
+        Reader.waitForFirstByte(this->Tasks.Now() + 5s, [] { return false; })) {
+      auto Message = Reader.read({1024, 1024}, this->Tasks.Now() + 1s, [] {});
+      if (!Message)
+        return;
+      std::string Id(Message.value().Head.Headers.find("Id").value_or(""));
+      auto Answer = [&](unsigned Status) {
+        HttpResponseHead Head;
+        Head.Status = Status;
+        Head.Headers.add("Id", Id);
+        return formatResponseHead(Head, BodyFraming::Length, 0);
+      };
+      bool IsFirst = Refusal.empty();
+      if (IsFirst)
+        Refusal = Answer(503);
+      (void)Connection->write(IsFirst ? Refusal : Refusal + Answer(200),
+                              this->Tasks.Now() + 1s);
+    }
+  }
+
+  Runtime Tasks;
+  TcpListener Port;
+};
+
+} // namespace
+
+TEST_CASE("a refusal written once more: it counts as the answer to the same "
+          "call that is sent again on the connection") {
+  NetRuntime Loop;
+  Runtime Tasks = Loop.hooks();
+  RepeatingTarget Target(Loop);
+  REQUIRE(Target.Port.start());
+  Tasks.Spawn([&] {
+    ListedTarget Listed;
+    Listed.Address = "127.0.0.1:" + std::to_string(Target.Port.port());
+    RelayRoute Route;
+    Event Changed;
+    CallerHooks Caller;
+    Caller.Changed = &Changed;
+    Caller.HasLeft = [] { return false; };
+    {
+      TargetDialer Dialer(Loop, {});
+      auto Send = [&](const std::string &Id) {
+        RelayCall Call;
+        Call.Id = Id;
+        Call.Route = &Route;
+        HttpRequestHead Head;
+        Head.Method = "POST";
+        Head.Target = "/";
+        Head.Headers.add("Id", Id);
+        TimePoint Deadline = Tasks.Now() + 2s;
+        auto Exchange =
+            Dialer.open(Listed, Call, Head, Caller, Deadline).value();
+        auto Answer = Exchange.ReadHead(Deadline).value();
+        (void)Exchange.ReadBody(Deadline);
+        if (Answer.Status == 503)
+          Exchange.FinishRefused();
+        else
+          Exchange.Finish();
+        return std::string(Answer.Headers.find("Id").value_or("")) + " " +
+               std::to_string(Answer.Status);
+      };
+      CHECK(Send("order-1") == "order-1 503");
+      // On the kept connection, the answer would be the repeated refusal while
+      // the target runs the call.
+      CHECK(Send("order-1") == "order-1 503");
+      CHECK(Dialer.connectionsMade() == 2);
+      // Another call finds the earlier refusal under its own identifier.
+      CHECK(Send("order-2") == "order-1 503");
+      CHECK(Dialer.connectionsMade() == 2);
+      // A call without an identifier can't tell whose an answer is.
+      CHECK(Send("") == " 503");
+      CHECK(Dialer.connectionsMade() == 3);
+      CHECK(Send("order-3") == "order-3 503");
+      CHECK(Dialer.connectionsMade() == 4);
+    }
+    Target.Port.stop();
+    Loop.stop();
+  });
+  Loop.run();
+}
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -200,6 +200,21 @@
         ResponseVerdict::Stale);
 }
 
+TEST_CASE("a refusal written once more: one that does not name its call counts "
+          "as the answer") {
+  RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
+  for (unsigned Status : {200U, 421U, 429U, 500U, 503U}) {
+    std::vector<HeaderField> Fields = {{"X-Bergamothook-Not-Executed", "1"},
+                                       {"X-Bergamothook-Server-Stamp", "s"}};
+    CHECK(classifyAnswer(answerOf(Status, Fields), Call) ==
+          ResponseVerdict::Unverified);
+    Fields.push_back({"X-Bergamothook-Attempt-Id", Call.Id});
+    Fields.push_back({"X-Bergamothook-Attempt-Id", "other"});
+    CHECK(classifyAnswer(answerOf(Status, Fields), Call) ==
+          ResponseVerdict::Unverified);
+  }
+}
+
 TEST_CASE("a refusal has a Retry-After field and no server stamp") {
   RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
   HttpResponseHead Head = makeRefusal(503, Call, 1250ms);
