Believe an answer only once it is known whose it is

Callers were told "not run, try again" for a call that a target ran, or the call ran at a second target, when a target wrote an earlier refusal once more on a kept connection.

Cause: an answer without an attempt id counted as the answer to the present call, and the id of a call that was refused before matches when the same call is sent again on the connection that the pool hands out first. Class of fault: a message is matched to a request by what may be missing or repeated.

An answer counts now if it names the present call and no other; else it is unknown, as a lost one. A connection does not carry a call again that was refused on it. A call without an id has a connection of its own.

The test of verdicts expected answers that name no call to count, which is the fault; it now names the call and keeps all its cases.

--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -25,9 +25,9 @@
   WrongTarget,
   /// A late response to an earlier call on the same connection.
   Stale,
-  /// A success without proof that the target produced it, or a status that
-  /// claims the call was not executed without the header field that guarantees
-  /// it.
+  /// An answer that does not name this call alone, a success without proof that
+  /// the target produced it, or a status that claims the call was not executed
+  /// without the header field that guarantees it.
   Unverified,
 };
 
@@ -49,7 +49,8 @@
   /// Ends the exchange and keeps the connection for reuse if its state allows
   /// it.
   std::function<void()> Finish;
-  /// Like Finish, after the target refused the call.
+  /// Like Finish, after the target refused the call. The connection does not
+  /// carry the same call again, since the target may repeat the refusal.
   std::function<void()> FinishRefused;
   /// Closes the connection, which makes the target stop its work.
   std::function<void()> Abort;
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -88,15 +88,30 @@
   bool MayRepeat = Call.Route->Kind == CallKind::Idempotent;
   Duration MaxIdle = MayRepeat ? this->Limits.Pool.IdleTime
                                : this->Limits.MaxIdleForNonIdempotent;
-  if (auto Reused =
-          this->Idle.acquire(Target.Address, MaxIdle, this->Tasks.Now()))
-    return Reused;
+  // An answer to a call without an identifier can't be told from a late one to
+  // an earlier call.
+  while (!Call.Id.empty()) {
+    auto Reused =
+        this->Idle.acquire(Target.Address, MaxIdle, this->Tasks.Now());
+    if (!Reused)
+      break;
+    if (!this->Refusals.find(refusalKey(Reused, Call)))
+      return Reused;
+    Reused->close();
+  }
   ++this->ConnectionsMade;
   return TcpConnection::connect(
       this->Loop, Target.Address, this->Limits.Connection,
       std::min(Deadline, this->Tasks.Now() + this->Limits.ConnectTimeout));
 }
 
+std::uint64_t TargetDialer::refusalKey(const TcpConnection::Handle &Connection,
+                                       const RelayCall &Call) {
+  // A new connection may have the address of a closed one, which costs no more
+  // than another connection.
+  return hash64(Call.Id, reinterpret_cast<std::uintptr_t>(Connection.get()));
+}
+
 Result<TargetExchange> TargetDialer::open(const ListedTarget &Target,
                                           const RelayCall &Call,
                                           const HttpRequestHead &Head,
@@ -125,10 +140,18 @@
     return State->Reader->readBody(Until, State->HasLeft);
   };
   Exchange.NextResponse = [State] { State->nextResponse(); };
-  Exchange.Finish = [this, State, Address = Target.Address] {
-    State->finish(this->Idle, Address);
+  bool HasId = !Call.Id.empty();
+  Exchange.Finish = [this, State, HasId, Address = Target.Address] {
+    if (HasId)
+      State->finish(this->Idle, Address);
+    else
+      State->abort();
+  };
+  Exchange.FinishRefused = [this, Key = refusalKey(Connection, Call),
+                            Finish = Exchange.Finish] {
+    this->Refusals.set(Key, true);
+    Finish();
   };
-  Exchange.FinishRefused = Exchange.Finish;
   Exchange.Abort = [State] { State->abort(); };
   return Exchange;
 }
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -43,10 +43,18 @@
                                         const RelayCall &Call,
                                         TimePoint Deadline);
 
+  /// More than are refused while a connection is idle.
+  static constexpr std::size_t MaxRefusals = 4096;
+
+  static std::uint64_t refusalKey(const TcpConnection::Handle &Connection,
+                                  const RelayCall &Call);
+
   NetRuntime &Loop;
   Runtime Tasks;
   DialerLimits Limits;
   HttpConnectionPool Idle;
+  /// Calls that were refused, with the connections that carried them.
+  RecentMap<std::uint64_t, bool> Refusals{MaxRefusals};
   std::uint64_t ConnectionsMade = 0;
 };
 
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -182,6 +182,12 @@
 TEST_CASE("a call counts as not run only if the target states it") {
   RelayCall Call = decodeCall(makeConfig(), makeRequest(), Now).Call;
   auto Classify = [&](unsigned Status, std::vector<HeaderField> Fields) {
+    bool IsNamed =
+        std::any_of(Fields.begin(), Fields.end(), [](const HeaderField &Field) {
+          return Field.Name == "X-Bergamothook-Attempt-Id";
+        });
+    if (!IsNamed)
+      Fields.push_back({"X-Bergamothook-Attempt-Id", Call.Id});
     return classifyAnswer(answerOf(Status, std::move(Fields)), Call);
   };
   CHECK(Classify(200, {{"X-Bergamothook-Server-Stamp", "s"}}) ==
