Look at streams of a version that has just come into service

The model of versions did not notice when a version was put to use at once: no stream of it was taken up within the age of a list.

--- a/Libraries/LibRelay/VersionRegister.cpp
+++ b/Libraries/LibRelay/VersionRegister.cpp
@@ -86,7 +86,8 @@
     auto Seen = this->Sightings.find(Service);
     if (Seen == this->Sightings.end() ||
         Known.size() >= this->Policy.MaxVersions ||
-        Age < this->Policy.AdmissionReadInterval)
+        Age < (Known.empty() ? this->Policy.TurnTime
+                             : this->Policy.AdmissionReadInterval))
       continue;
     for (const auto &[Version, Time] : Seen->second) {
       auto Found = Known.find(Version);
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -9,7 +9,6 @@
 constexpr Duration VersionsCheckInterval = std::chrono::milliseconds(100);
 constexpr Duration OriginWriteInterval = std::chrono::milliseconds(50);
 constexpr Duration CopyInterval = std::chrono::milliseconds(500);
-constexpr Duration MaxTakeUpDelay = std::chrono::milliseconds(2000);
 constexpr Duration MaxMessageDelay = std::chrono::milliseconds(5);
 constexpr int MaxTakeUps = 3;
 const std::string Service = "engines";
@@ -297,14 +296,16 @@
 
 void VersionFleet::breakOff(Stream Broken) {
   if (++Broken.TakeUps <= MaxTakeUps)
-    this->Broken.emplace(this->now() + this->randomUpTo(MaxTakeUpDelay),
+    this->Broken.emplace(this->now() +
+                             this->randomUpTo(this->Settings.MaxTakeUpDelay),
                          std::move(Broken));
 }
 
 void VersionFleet::takeUp(Stream Broken) {
   int Index = this->randomHost();
   if (Index < 0) {
-    this->Broken.emplace(this->now() + MaxTakeUpDelay, std::move(Broken));
+    this->Broken.emplace(this->now() + this->Settings.MaxTakeUpDelay,
+                         std::move(Broken));
     return;
   }
   ++this->TakeUpsInProgress;
--- a/Tests/LibRelay/VersionFleet.h
+++ b/Tests/LibRelay/VersionFleet.h
@@ -18,6 +18,8 @@
   double StreamsPerSecond = 60;
   Duration MinStream = std::chrono::milliseconds(100);
   Duration MaxStream = std::chrono::seconds(3);
+  /// How long after its end a caller takes up a stream, at most.
+  Duration MaxTakeUpDelay = std::chrono::seconds(2);
   /// Lost messages between hosts, per hundred.
   std::uint64_t LostPerCent = 0;
   Duration StoreDelay = std::chrono::milliseconds(5);
--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -225,6 +225,30 @@
     }
 }
 
+TEST_CASE(
+    "hosts with a list of a moment ago do not miss a version that has just "
+    "come into service") {
+  for (int Hosts : {9, 90, 300})
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleetSettings Settings = settingsOf(Hosts);
+      Settings.StreamsPerSecond *= 4;
+      Settings.MaxTakeUpDelay = 50ms;
+      VersionFleet Fleet(Settings, Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      Fleet.Results = {};
+      Fleet.setTargets("v2", 30);
+      for (int I = 0; I < 100; ++I) {
+        Fleet.runFor(20ms);
+        Fleet.breakStreams(0.5);
+      }
+      Fleet.runFor(1s);
+      checkResults(Fleet.Results);
+    }
+}
+
 TEST_CASE("callers that use ids twice do no harm to others, and the cost is "
           "bounded") {
   for (int Hosts : FleetSizes) {
