--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -115,16 +115,22 @@
   this->StreamVersion = this->Dispatcher.origins().resolve(
       this->Service, this->Stream, this->Call.ArrivedAt, this->Deadline,
       this->Caller.HasLeft);
-  AttemptEnd End = AttemptEnd::VersionUnknown;
-  if (this->StreamVersion) {
-    for (const TargetState *Target :
-         this->Dispatcher.targets().usable(this->Service))
-      if (this->matchVersion(*Target) != VersionMatch::No)
-        return true;
-    End = AttemptEnd::VersionNotServed;
-  }
-  this->finishFailed(End);
-  return false;
+  auto Usable = this->Dispatcher.targets().usable(this->Service);
+  bool IsServed =
+      this->StreamVersion &&
+      std::any_of(Usable.begin(), Usable.end(),
+                  [this](const TargetState *Target) {
+                    return this->matchVersion(*Target) != VersionMatch::No;
+                  });
+  const char *Found = IsServed              ? "served"
+                      : this->StreamVersion ? "not_served"
+                                            : "unknown";
+  this->Dispatcher.stats().count("relay_streams_taken_up_total{version=\"" +
+                                 std::string(Found) + "\"}");
+  if (!IsServed)
+    this->finishFailed(this->StreamVersion ? AttemptEnd::VersionNotServed
+                                           : AttemptEnd::VersionUnknown);
+  return IsServed;
 }
 
 void RelayCallHandler::runAttempts() {
@@ -223,7 +229,9 @@
   if (this->StreamVersion == Version)
     return;
   this->StreamVersion = Version;
-  this->Dispatcher.origins().onBegun(this->Service, {this->Stream, Version});
+  // Without an identifier, no caller can take the stream up.
+  if (!this->Call.Id.empty())
+    this->Dispatcher.origins().onBegun(this->Service, {this->Stream, Version});
 }
 
 bool RelayCallHandler::isOtherVersion(const ListedTarget &Target) const {
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -63,6 +63,7 @@
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
   TokenBroker &tokens() { return this->TokenSource; }
+  Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
   Random &rng() { return this->Rng; }
 
--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -249,6 +249,25 @@
     }
 }
 
+TEST_CASE("streams that began before a release go on during it") {
+  for (int Hosts : FleetSizes) {
+    CAPTURE(Hosts);
+    VersionFleetSettings Settings = settingsOf(Hosts);
+    Settings.MinStream = 10s;
+    Settings.MaxStream = 20s;
+    VersionFleet Fleet(Settings, 1);
+    Fleet.setTargets("v1", 10);
+    Fleet.runFor(9s);
+    Fleet.setTargets("v2", 1);
+    Fleet.runFor(2s);
+    Fleet.Results = {};
+    Fleet.kill(0, Hosts);
+    Fleet.start(0, Hosts);
+    Fleet.runFor(4s);
+    checkResults(Fleet.Results);
+  }
+}
+
 TEST_CASE("callers that use ids twice do no harm to others, and the cost is "
           "bounded") {
   for (int Hosts : FleetSizes) {
