--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -9,14 +9,31 @@
 
 namespace {
 
-constexpr int FleetSizes[] = {1, 9, 90, 300};
+const std::vector<int> FleetSizes = {1, 9, 90, 300};
 
-VersionFleetSettings settingsOf(int Hosts) {
+using Setup = std::function<void(VersionFleetSettings &)>;
+
+/// Runs \p Play on fleets of several sizes, whose targets are of one version so
+/// far.
+void onFleets(
+    const std::vector<int> &Sizes, std::uint64_t Seeds,
+    const std::function<void(VersionFleet &, int Hosts)> &Play,
+    const Setup &Change = [](VersionFleetSettings &) {}) {
   startLogging("test", "test", LogLevel::Error);
-  VersionFleetSettings Settings;
-  Settings.Hosts = Hosts;
-  Settings.StreamsPerSecond = 60 + Hosts;
-  return Settings;
+  for (int Hosts : Sizes)
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      CAPTURE(Hosts);
+      CAPTURE(Seed);
+      VersionFleetSettings Settings;
+      Settings.Hosts = Hosts;
+      Settings.StreamsPerSecond = 60 + Hosts;
+      Change(Settings);
+      VersionFleet Fleet(Settings, Seed);
+      Fleet.setTargets("v1", 10);
+      Fleet.runFor(5s);
+      Fleet.Results = {};
+      Play(Fleet, Hosts);
+    }
 }
 
 /// No stream is of two versions, and streams that are taken up go on nearly as
@@ -44,22 +61,22 @@
   }
 }
 
+/// Kills all hosts, which are back after \p Downtime.
+void restartAll(VersionFleet &Fleet, int Hosts, Duration Downtime) {
+  Fleet.kill(0, Hosts);
+  Fleet.runFor(Downtime);
+  Fleet.start(0, Hosts);
+}
+
 } // namespace
 
 TEST_CASE("while one version serves, nothing is written for streams, and they "
           "are taken up after the loss of all hosts") {
-  for (int Hosts : FleetSizes) {
-    CAPTURE(Hosts);
-    VersionFleet Fleet(settingsOf(Hosts), 1);
-    Fleet.setTargets("v1", 10);
-    Fleet.runFor(5s);
-    Fleet.Results = {};
+  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
     Fleet.runFor(20s);
     CHECK(Fleet.Results.VersionReads == 0);
     for (int I = 0; I < 3; ++I) {
-      Fleet.kill(0, Hosts);
-      Fleet.runFor(1s);
-      Fleet.start(0, Hosts);
+      restartAll(Fleet, Hosts, 1s);
       Fleet.runFor(4s);
     }
     Fleet.breakStreams(0.5);
@@ -70,84 +87,55 @@
     CHECK(Fleet.Results.VersionWrites == 0);
     // Each host reads once when it starts.
     CHECK(Fleet.Results.VersionReads <= 3 * Hosts + Fleet.Results.TakenUp);
-  }
+  });
 }
 
 TEST_CASE("streams go on at their version during a release, when hosts and "
           "targets are lost") {
-  for (int Hosts : FleetSizes)
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleet Fleet(settingsOf(Hosts), Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      roll(Fleet, "v1", "v2", 10, 5);
-      for (int I = 0; I < 4; ++I) {
-        Fleet.breakStreams(0.3);
-        if (Hosts > 1) {
-          Fleet.kill(0, Hosts / 3);
-          Fleet.runFor(1s);
-          Fleet.start(0, Hosts / 3);
-        }
-        Fleet.runFor(3s);
-      }
-      checkResults(Fleet.Results);
+  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+    roll(Fleet, "v1", "v2", 10, 5);
+    for (int I = 0; I < 4; ++I) {
+      Fleet.breakStreams(0.3);
+      if (Hosts > 1)
+        restartAll(Fleet, Hosts / 3, 1s);
+      Fleet.runFor(3s);
     }
+    checkResults(Fleet.Results);
+  });
 }
 
 TEST_CASE("streams go on at their version after the loss of all hosts") {
-  for (int Hosts : FleetSizes)
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleet Fleet(settingsOf(Hosts), Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      roll(Fleet, "v1", "v2", 10, 5);
-      for (int I = 0; I < 4; ++I) {
-        Fleet.kill(0, Hosts);
-        Fleet.runFor(1s);
-        Fleet.start(0, Hosts);
-        Fleet.runFor(4s);
-      }
-      checkResults(Fleet.Results);
+  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+    roll(Fleet, "v1", "v2", 10, 5);
+    for (int I = 0; I < 4; ++I) {
+      restartAll(Fleet, Hosts, 1s);
+      Fleet.runFor(4s);
     }
+    checkResults(Fleet.Results);
+  });
 }
 
 TEST_CASE("a version that came into service or left while all hosts were down "
           "is not taken for the only one") {
-  for (int Hosts : FleetSizes)
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleet Fleet(settingsOf(Hosts), Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      Fleet.kill(0, Hosts);
-      Fleet.setTargets("v2", 10);
-      Fleet.setTargets("v1", 0);
-      Fleet.runFor(1s);
-      Fleet.start(0, Hosts);
-      Fleet.runFor(5s);
-      Fleet.setTargets("v3", 10);
-      Fleet.runFor(2s);
-      Fleet.setTargets("v2", 0);
-      Fleet.kill(0, Hosts);
-      Fleet.runFor(500ms);
-      Fleet.start(0, Hosts);
-      Fleet.runFor(5s);
-      CHECK(Fleet.Results.Joined == 0);
-      CHECK(Fleet.Results.NotBegun * 5 <= Fleet.Results.Begun);
-    }
+  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+    Fleet.kill(0, Hosts);
+    Fleet.setTargets("v2", 10);
+    Fleet.setTargets("v1", 0);
+    Fleet.runFor(1s);
+    Fleet.start(0, Hosts);
+    Fleet.runFor(5s);
+    Fleet.setTargets("v3", 10);
+    Fleet.runFor(2s);
+    Fleet.setTargets("v2", 0);
+    restartAll(Fleet, Hosts, 500ms);
+    Fleet.runFor(5s);
+    CHECK(Fleet.Results.Joined == 0);
+    CHECK(Fleet.Results.NotBegun * 5 <= Fleet.Results.Begun);
+  });
 }
 
 TEST_CASE("a release is taken back, and three versions serve") {
-  for (int Hosts : FleetSizes) {
-    CAPTURE(Hosts);
-    VersionFleet Fleet(settingsOf(Hosts), 1);
-    Fleet.setTargets("v1", 10);
-    Fleet.runFor(5s);
+  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int) {
     roll(Fleet, "v1", "v2", 10, 7);
     Fleet.breakStreams(0.5);
     roll(Fleet, "v2", "v1", 7, 4);
@@ -156,18 +144,12 @@
     Fleet.breakStreams(0.5);
     Fleet.runFor(3s);
     checkResults(Fleet.Results);
-  }
+  });
 }
 
 TEST_CASE("streams go on at their version while the store is out, and messages "
           "are lost") {
-  for (int Hosts : FleetSizes) {
-    CAPTURE(Hosts);
-    VersionFleetSettings Settings = settingsOf(Hosts);
-    Settings.LostPerCent = 10;
-    VersionFleet Fleet(Settings, 1);
-    Fleet.setTargets("v1", 10);
-    Fleet.runFor(5s);
+  auto Play = [](VersionFleet &Fleet, int Hosts) {
     Fleet.setStoreOut(true);
     Fleet.breakStreams(0.5);
     Fleet.runFor(3s);
@@ -181,101 +163,75 @@
     Fleet.runFor(3s);
     // Nobody can be asked by a fleet of one host, and answers are lost.
     checkResults(Fleet.Results, Hosts > 1 ? 0.75 : 0.4);
-  }
+  };
+  onFleets(FleetSizes, 1, Play,
+           [](VersionFleetSettings &Settings) { Settings.LostPerCent = 10; });
 }
 
 TEST_CASE("hosts that are cut off from the others and from the store don't "
           "guess") {
-  for (int Hosts : {9, 90, 300})
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleet Fleet(settingsOf(Hosts), Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      Fleet.split(Hosts / 3);
-      roll(Fleet, "v1", "v2", 10, 5);
-      Fleet.breakStreams(0.5);
-      Fleet.runFor(3s);
-      Fleet.split(0);
-      Fleet.breakStreams(0.5);
-      Fleet.runFor(3s);
-      CHECK(Fleet.Results.Joined == 0);
-    }
+  onFleets({9, 90, 300}, 3, [](VersionFleet &Fleet, int Hosts) {
+    Fleet.split(Hosts / 3);
+    roll(Fleet, "v1", "v2", 10, 5);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    Fleet.split(0);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    CHECK(Fleet.Results.Joined == 0);
+  });
 }
 
 TEST_CASE("a store that comes back from a copy does not lose versions") {
-  for (int Hosts : FleetSizes)
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleet Fleet(settingsOf(Hosts), Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      roll(Fleet, "v1", "v2", 10, 5);
-      Fleet.setTargets("v1", 0);
-      Fleet.restoreStore(4s);
-      Fleet.runFor(2s);
-      Fleet.kill(0, Hosts);
-      Fleet.start(0, Hosts);
-      Fleet.runFor(4s);
-      Fleet.breakStreams(0.5);
-      Fleet.runFor(3s);
-      checkResults(Fleet.Results, 0.8);
-    }
+  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+    roll(Fleet, "v1", "v2", 10, 5);
+    Fleet.setTargets("v1", 0);
+    Fleet.restoreStore(4s);
+    Fleet.runFor(2s);
+    restartAll(Fleet, Hosts, 0s);
+    Fleet.runFor(4s);
+    Fleet.breakStreams(0.5);
+    Fleet.runFor(3s);
+    checkResults(Fleet.Results, 0.8);
+  });
 }
 
 TEST_CASE(
     "hosts with a list of a moment ago do not miss a version that has just "
     "come into service") {
-  for (int Hosts : {9, 90, 300})
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      CAPTURE(Hosts);
-      CAPTURE(Seed);
-      VersionFleetSettings Settings = settingsOf(Hosts);
-      Settings.StreamsPerSecond *= 4;
-      Settings.MaxTakeUpDelay = 50ms;
-      VersionFleet Fleet(Settings, Seed);
-      Fleet.setTargets("v1", 10);
-      Fleet.runFor(5s);
-      Fleet.Results = {};
-      Fleet.setTargets("v2", 30);
-      for (int I = 0; I < 100; ++I) {
-        Fleet.runFor(20ms);
-        Fleet.breakStreams(0.5);
-      }
-      Fleet.runFor(1s);
-      checkResults(Fleet.Results);
+  auto Play = [](VersionFleet &Fleet, int) {
+    Fleet.setTargets("v2", 30);
+    for (int I = 0; I < 100; ++I) {
+      Fleet.runFor(20ms);
+      Fleet.breakStreams(0.5);
     }
+    Fleet.runFor(1s);
+    checkResults(Fleet.Results);
+  };
+  onFleets({9, 90, 300}, 3, Play, [](VersionFleetSettings &Settings) {
+    Settings.StreamsPerSecond *= 4;
+    Settings.MaxTakeUpDelay = 50ms;
+  });
 }
 
 TEST_CASE("streams that began before a release go on during it") {
-  for (int Hosts : FleetSizes) {
-    CAPTURE(Hosts);
-    VersionFleetSettings Settings = settingsOf(Hosts);
-    Settings.MinStream = 10s;
-    Settings.MaxStream = 20s;
-    VersionFleet Fleet(Settings, 1);
-    Fleet.setTargets("v1", 10);
-    Fleet.runFor(9s);
+  auto Play = [](VersionFleet &Fleet, int Hosts) {
+    Fleet.runFor(4s);
     Fleet.setTargets("v2", 1);
     Fleet.runFor(2s);
-    Fleet.Results = {};
-    Fleet.kill(0, Hosts);
-    Fleet.start(0, Hosts);
+    restartAll(Fleet, Hosts, 0s);
     Fleet.runFor(4s);
     checkResults(Fleet.Results);
-  }
+  };
+  onFleets(FleetSizes, 1, Play, [](VersionFleetSettings &Settings) {
+    Settings.MinStream = 10s;
+    Settings.MaxStream = 20s;
+  });
 }
 
 TEST_CASE("callers that use ids twice do no harm to others, and the cost is "
           "bounded") {
-  for (int Hosts : FleetSizes) {
-    CAPTURE(Hosts);
-    VersionFleet Fleet(settingsOf(Hosts), 1);
-    Fleet.setTargets("v1", 10);
-    Fleet.runFor(5s);
-    Fleet.Results = {};
+  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     Fleet.runFor(18s);
     // Two writers, for each of two partitions, of which each writes twenty
@@ -289,5 +245,5 @@
     Fleet.breakStreams(0.5);
     Fleet.runFor(3s);
     CHECK(Fleet.Results.Joined == 0);
-  }
+  });
 }
