Keep the versions that a restore loses when the read itself finds the restore

If the read of versions was the first call to see the new era of the store, the older records replaced what was known before it was kept, so a version in use was forgotten: streams of it were refused, and another version could be taken for the only one.

A version that can't be taken notice of is logged.

Failing before: the check that version 2 may still begin streams, right after such a read, in "a version is used once it is on record".

--- a/Libraries/LibRelay/VersionRegister.cpp
+++ b/Libraries/LibRelay/VersionRegister.cpp
@@ -4,30 +4,30 @@
 
 namespace bergamothook {
 
-void VersionRegister::onListed(const std::string &Service,
+bool VersionRegister::onListed(const std::string &Service,
                                const std::string &Version, TimePoint Now) {
   if (this->Sightings.size() >= this->Policy.MaxServices &&
       !this->Sightings.contains(Service))
-    return;
+    return false;
   auto &Seen = this->Sightings[Service];
   std::erase_if(Seen, [&](const auto &Entry) {
     return Now - Entry.second.Last >= this->Policy.StreamLife;
   });
   auto Found = Seen.find(Version);
   if (Found == Seen.end() && Seen.size() >= this->Policy.MaxVersions)
-    return;
+    return false;
   if (Found == Seen.end())
     Found = Seen.emplace(Version, Sighting{Now, Now}).first;
   Found->second.Last = Now;
   if (!this->FirstListAsOf)
     this->FirstListAsOf = Now;
+  return true;
 }
 
 void VersionRegister::onRead(const std::map<std::string, VersionSet> &Newest,
                              TimePoint AsOf) {
   this->Records = Newest;
   this->ReadAsOf = AsOf;
-  this->MustRead = false;
   for (auto &[Service, Versions] : this->Lost)
     std::erase_if(Versions, [&, &Service = Service](const auto &Entry) {
       return this->Records[Service].contains(Entry.first);
@@ -49,7 +49,6 @@
 void VersionRegister::onLogRestored() {
   for (const auto &[Service, Versions] : this->Records)
     this->Lost[Service].insert(Versions.begin(), Versions.end());
-  this->MustRead = true;
   this->updateKnown();
 }
 
@@ -76,7 +75,7 @@
 }
 
 bool VersionRegister::isReadDue(TimePoint Now) const {
-  if (!this->ReadAsOf || this->MustRead)
+  if (this->mustRead())
     return true;
   Duration Age = Now - *this->ReadAsOf;
   for (const std::string &Service : this->Services) {
@@ -104,7 +103,7 @@
 
 std::map<std::string, VersionSet> VersionRegister::proposals(TimePoint Now) {
   std::map<std::string, VersionSet> Proposed;
-  if (!this->ReadAsOf || this->MustRead)
+  if (this->mustRead())
     return Proposed;
   for (const std::string &Service : this->Services) {
     auto Found = this->Records.find(Service);
@@ -189,7 +188,7 @@
 
 bool VersionRegister::isCurrent(const std::string &Service,
                                 TimePoint TakenUpAt) const {
-  if (!this->ReadAsOf || this->MustRead)
+  if (this->mustRead())
     return false;
   if (*this->ReadAsOf >= TakenUpAt)
     return true;
--- a/Libraries/LibRelay/VersionRegister.h
+++ b/Libraries/LibRelay/VersionRegister.h
@@ -66,21 +66,23 @@
     this->Services = std::move(Services);
   }
 
-  /// Records that a target of \p Version is in the list.
-  void onListed(const std::string &Service, const std::string &Version,
+  /// Records that a target of \p Version is in the list. \returns false if
+  /// there are too many versions to take notice of this one.
+  bool onListed(const std::string &Service, const std::string &Version,
                 TimePoint Now);
 
   /// Records that the list is complete as of \p AsOf.
   void onListRead(TimePoint AsOf) { this->ListAsOf = AsOf; }
 
-  /// Records that changes of the list may have been missed.
-  void onListGap() { this->MustRead = true; }
+  /// Records that changes of the list before \p Now may have been missed.
+  void onListGap(TimePoint Now) { this->MissedUntil = Now; }
 
   /// Records the content of the log as of \p AsOf: all records, also those of
   /// services that have none.
   void onRead(const std::map<std::string, VersionSet> &Records, TimePoint AsOf);
 
-  /// The log is a copy that may lack what was read before.
+  /// What is read next is of a copy of the log that may lack what was read
+  /// before.
   void onLogRestored();
 
   /// \returns whether the log was ever read.
@@ -118,6 +120,9 @@
     TimePoint Last{};
   };
 
+  bool mustRead() const {
+    return !this->ReadAsOf || *this->ReadAsOf < this->MissedUntil;
+  }
   void updateKnown();
   const VersionSet &known(const std::string &Service) const;
   bool hasUnknownVersion(const std::string &Service) const;
@@ -143,7 +148,8 @@
   std::optional<TimePoint> ListAsOf;
   std::optional<TimePoint> FirstListAsOf;
   std::optional<TimePoint> ReadAsOf;
-  bool MustRead = true;
+  /// A version may have come and gone unseen before this time.
+  TimePoint MissedUntil{};
 };
 
 } // namespace bergamothook
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -209,10 +209,9 @@
         Targets.push_back(Target.value());
       else
         this->logUnreadableTarget(Record);
-    this->Dispatcher.versions().onListGap();
+    this->Dispatcher.versions().onListGap(this->Tasks.Now());
     for (const ListedTarget &Target : Targets)
-      this->Dispatcher.versions().onListed(Target.Service, Target.Version,
-                                           this->Tasks.Now());
+      this->noteVersion(Target);
     this->Dispatcher.targets().onFullList(Targets, this->Tasks.Now());
     this->HasTargets = true;
     logEvent(LogLevel::Info, "targets_read", {{"targets", Targets.size()}});
@@ -245,8 +244,7 @@
     this->Dispatcher.targets().onRemoved(Record.Key, Now);
     return;
   }
-  this->Dispatcher.versions().onListed(Target.value().Service,
-                                       Target.value().Version, Now);
+  this->noteVersion(Target.value());
   if (this->Dispatcher.targets().onListed(Target.value(), Now))
     logEvent(LogLevel::Info, "target_listed",
              {{"target", Record.Key},
@@ -256,6 +254,15 @@
               {"leaving", Target.value().IsLeaving}});
 }
 
+void RelayService::noteVersion(const ListedTarget &Target) {
+  if (!this->Dispatcher.versions().onListed(Target.Service, Target.Version,
+                                            this->Tasks.Now()))
+    logEvent(LogLevel::Warning, "too_many_versions",
+             {{"target", Target.Id},
+              {"target_service", Target.Service},
+              {"version", Target.Version}});
+}
+
 void RelayService::logUnreadableTarget(const KeyedRecord &Record) {
   // Another writer may write the same again and again.
   std::uint64_t Content = hash64(Record.Value.value_or(""));
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -39,6 +39,7 @@
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
   void applyConfigRecord(const platform::KeyedRecord &Record);
+  void noteVersion(const ListedTarget &Target);
   void logUnreadableTarget(const platform::KeyedRecord &Record);
   void applyTargetRecord(const platform::KeyedRecord &Record);
   bool isReady() const;
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -187,6 +187,8 @@
     Stepped.NextOrigin.clear();
     Stepped.Versions.onLogRestored();
     Stepped.Origins.onLogRestored();
+    Stepped.VersionsEnd = this->Store.VersionsEnd;
+    Stepped.Versions.onRead(this->Store.Versions, Now);
   }
   if (Stepped.VersionsCheckAt <= Now) {
     Stepped.VersionsCheckAt = Now + VersionsCheckInterval;
--- a/Tests/Platform/StreamOriginStoreTest.cpp
+++ b/Tests/Platform/StreamOriginStoreTest.cpp
@@ -96,6 +96,8 @@
 
     // The store loses what was written, and is told again.
     Fixture.Store.restore(std::string(wire::VersionTopic), 1);
+    CHECK(First.Stored.readVersions());
+    CHECK(First.Versions.mayBegin(Service, "v2"));
     Wait([&] {
       auto Newest = Fixture.Client->readNewest(wire::VersionTopic, 0);
       return Newest && Newest.value().Records.size() == 1 &&
