--- a/Tests/LibRelay/StreamVersionTest.cpp
+++ b/Tests/LibRelay/StreamVersionTest.cpp
@@ -86,7 +86,7 @@
   Relay.Responses = {streamOf(3, 4, false)};
   CHECK(Relay.serve(TakeUp).End == RelayEnd::Done);
   Relay.addTarget("new", "v2");
-  for (auto From :
+  for (const auto &From :
        {std::optional<std::string>("made-up"),
         std::optional<std::string>("call-1"), std::optional<std::string>()}) {
     TakeUp.TakenUpFrom = From;
