Accept a stream of the only version while the store gives no answer

While one version served and the store did not answer at all, a stream that a caller took up at another host was refused: the read of the log had not failed yet when the lookup gave up, so what the homes said did not count. A read without an answer counts as failed then.

--- a/Libraries/LibRelay/OriginExchange.cpp
+++ b/Libraries/LibRelay/OriginExchange.cpp
@@ -282,6 +282,10 @@
                              this->knownVersion(Stream, *Asked);
                     });
   this->Lookups.erase(Number);
+  if (!Asked->IsLogRead) {
+    Asked->HasLogFailed = true;
+    Only = this->onlyVersion(Service, TakenUpAt, Asked.get());
+  }
   if (Only)
     return Only;
   auto Known = this->knownVersion(Stream, *Asked);
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -220,29 +220,36 @@
   Reader.Versions.onListRead(this->now());
 }
 
+VersionFleet::Host *VersionFleet::awaitStore(int Index) {
+  const Host *Before = this->hostAt(Index);
+  bool IsAnswered = this->reachesStore(Index);
+  this->Simulated.hooks().sleepUntil(
+      this->now() +
+      (IsAnswered ? this->Settings.StoreDelay : this->Settings.StoreTimeout));
+  Host *After = this->hostAt(Index);
+  return After == Before && IsAnswered && this->reachesStore(Index) ? After
+                                                                    : nullptr;
+}
+
 Result<void> VersionFleet::readVersions(int Index) {
   ++this->Results.VersionReads;
-  const Host *Reader = this->hostAt(Index);
   TimePoint Begin = this->now();
-  this->Simulated.hooks().sleepUntil(Begin + this->Settings.StoreDelay);
-  Host *Left = this->hostAt(Index);
-  if (!Left || Left != Reader || !this->reachesStore(Index))
+  Host *Reader = this->awaitStore(Index);
+  if (!Reader)
     return storeFailure();
-  Left->VersionsEnd = this->Store.VersionsEnd;
-  Left->Versions.onRead(this->Store.Versions, Begin);
+  Reader->VersionsEnd = this->Store.VersionsEnd;
+  Reader->Versions.onRead(this->Store.Versions, Begin);
   return success();
 }
 
 Result<void> VersionFleet::readOrigins(int Index, unsigned Partition) {
   ++this->Results.OriginReads;
-  const Host *Reader = this->hostAt(Index);
-  this->Simulated.hooks().sleepUntil(this->now() + this->Settings.StoreDelay);
-  Host *Left = this->hostAt(Index);
-  if (!Left || Left != Reader || !this->reachesStore(Index))
+  Host *Reader = this->awaitStore(Index);
+  if (!Reader)
     return storeFailure();
   const auto &Stored = this->Store.Origins[Partition];
-  std::size_t &Next = Left->NextOrigin[Partition];
-  Left->Origins.onRead(
+  std::size_t &Next = Reader->NextOrigin[Partition];
+  Reader->Origins.onRead(
       {Stored.begin() + static_cast<std::ptrdiff_t>(Next), Stored.end()});
   Next = Stored.size();
   return success();
--- a/Tests/LibRelay/VersionFleet.h
+++ b/Tests/LibRelay/VersionFleet.h
@@ -23,6 +23,8 @@
   /// Lost messages between hosts, per hundred.
   std::uint64_t LostPerCent = 0;
   Duration StoreDelay = std::chrono::milliseconds(5);
+  /// How long a call waits for a store that does not answer.
+  Duration StoreTimeout = std::chrono::milliseconds(1500);
   VersionPolicy Versions;
 };
 
@@ -115,6 +117,9 @@
   void step();
   void stepHost(int Index);
   void readList(Host &Reader);
+  /// Waits for the store. \returns the host, unless it was killed meanwhile or
+  /// does not reach the store.
+  Host *awaitStore(int Index);
   Result<void> readVersions(int Index);
   Result<void> readOrigins(int Index, unsigned Partition);
   void writeVersions(int Index);
