--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -101,6 +101,9 @@
       CHECK(Dialer.connectionsMade() == 4);
     }
     Target.Port.stop();
+    // The target's tasks end when the dialer's connections are closed.
+    while (Target.Port.connections() > 0)
+      Tasks.sleepUntil(Tasks.Now() + 5ms);
     Loop.stop();
   });
   Loop.run();
