Accept versions of the configuration above 2^53 again

A change that the store had accepted would not have come into force if its version was 2^53 or more: bounding what is read from entries of other writers bounded the version of the configuration too, which is compared exactly and may use all of 64 bits.

Failing before: "a version of the configuration may use all of 64 bits".

--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -58,6 +58,17 @@
   CHECK(Config.findService("s2")->EngineSlots == 0);
 }
 
+TEST_CASE("a version of the configuration may use all of 64 bits") {
+  for (std::uint64_t Version : {std::uint64_t{1} << 53, std::uint64_t{0} - 1}) {
+    std::string Text = Manifest;
+    Text.replace(Text.find("\"version\":7"), 11,
+                 "\"version\":" + std::to_string(Version));
+    auto Read = parseManifest(Text);
+    REQUIRE(Read);
+    CHECK(Read.value()->Version == Version);
+  }
+}
+
 TEST_CASE("an invalid manifest is rejected") {
   CHECK_FALSE(parseManifest(""));
   CHECK_FALSE(parseManifest("[]"));
