Do not take a record for missing because it can't be read

Since pages of newest records are read entry by entry, an entry that can't be read was left out in every topic. For budgets that meant that nobody holds the tokens, which others could then take and spend again; for versions, that no version was in use. Before, such a page failed as a whole.

An entry whose key can be read stays in the list without a value, which each reader rejects in its own way. Entries without a key fail the reading of budgets and of versions, since they may be of any team or service.

Failing before: a page with odd entries gave budgets ("a list with one is not read"), and "a record of versions that can't be read is taken for none".

--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -6,6 +6,7 @@
 #include "platform/RequestQuarantineSync.h"
 #include "platform/StoreFeed.h"
 #include "platform/StreamOriginStore.h"
+#include "platform/WalletStore.h"
 #include "platform/WireNames.h"
 
 #include <nlohmann/json.hpp>
@@ -148,6 +149,8 @@
         {{"key", "i-3"}, {"value", "***"}, {"offset", 0}},
         {{"key", "i-4"}, {"value", "AAAA"}, {"offset", -1}},
         {{"key", "i-5"}}};
+    // What can't be read may be a share of a budget.
+    CHECK_FALSE(makeWalletLog(*Fixture.Client, 0).ReadNewest());
     auto Newest = Fixture.Client->readNewest(Topic, 0);
     CHECK(Newest);
     if (!Newest)
@@ -160,6 +163,31 @@
   });
 }
 
+TEST_CASE("an odd entry: a record of versions that can't be read is taken for "
+          "none") {
+  PlatformFixture Fixture;
+  Fixture.run([&] {
+    Fixture.Store.OddEntries = {
+        {{"key", "engines"}, {"value", "***"}, {"offset", 0}}};
+    HostRoster Roster({"host1", "domain", "", 1}, {});
+    Runtime Tasks = Fixture.Loop.hooks();
+    VersionRegister Versions({}, [](const std::string &) { return 0U; });
+    Versions.setServices({"engines"});
+    OriginExchange Origins({}, Versions, Roster,
+                           {Tasks,
+                            [](HostId, std::uint16_t, std::string_view) {},
+                            [](std::uint16_t, PeerNode::Handler) {},
+                            {},
+                            {}});
+    StreamOriginStore Stored(*Fixture.Client, Tasks, Versions, Origins);
+    CHECK(Stored.readVersions());
+    Versions.onListed("engines", "v1", Tasks.Now());
+    CHECK(Versions.isMixed("engines"));
+    // Nothing is written before other hosts can know of the version.
+    CHECK(Versions.proposals(Tasks.Now()).empty());
+  });
+}
+
 TEST_CASE("odd records of each topic are read or rejected on the stack of a "
           "task") {
   struct Topic {
