Found a fleet, and join it, beside other records in its topic

One odd record in the topic of the founding record kept hosts that start from joining, for good: the first key of the topic was read whatever it was, and a fleet could only be founded in an empty topic.

--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -188,6 +188,26 @@
   });
 }
 
+TEST_CASE("an odd entry: a fleet can't be founded beside it") {
+  PlatformFixture Fixture;
+  Fixture.run([&] {
+    const std::string Topic(wire::FoundingTopic);
+    Fixture.Store.put(Topic, "another", "1");
+    HostRoster Roster({"host1", "domain", "", 1}, {});
+    Runtime Tasks = Fixture.Loop.hooks();
+    FleetRegistry Registry(*Fixture.Client, Tasks, Roster);
+    TimePoint End = Tasks.Now() + 4s;
+    auto Join = [&](unsigned Partitions) {
+      auto Founding = Registry.readOrCreateFounding(
+          std::string(64, '1'), Partitions, [&] { return Tasks.Now() >= End; });
+      return Founding ? Founding->Partitions : 0;
+    };
+    CHECK(Join(4) == 4);
+    Fixture.Store.put(Topic, "a third one", "1");
+    CHECK(Join(5) == 4);
+  });
+}
+
 TEST_CASE("odd records of each topic are read or rejected on the stack of a "
           "task") {
   struct Topic {
