Go on reading budgets behind a share that can't be read

One odd record in a partition of the budgets stopped its reading, on all hosts and for all teams in it: requests of these teams were refused for want of tokens.

A share that can't be read counts as the whole budget of the team that its key names. So no tokens of that team are taken, as before, and those of the others are. The process that the key names writes its share again; what it holds itself does not depend on an odd record. A record whose key names no team is no share.

The test that expected the read to fail is replaced by one that expects no tokens of that team to be taken, while those of another one are.

--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -92,7 +92,8 @@
                     TimePoint Now) {
   for (const WalletRecord &Record : Records) {
     // This process knows its share better than a copy of it.
-    bool IsCopy = Record.Share.Era < this->era() || Record.Share.IsWitnessed;
+    bool IsCopy = Record.Share.Era < this->era() || Record.Share.IsWitnessed ||
+                  Record.IsUnreadable;
     if (Record.Key.Process == this->Self && IsCopy)
       this->ShareTable.setOwnOnLog(Record);
     else
--- a/Libraries/LibWallet/WalletRecord.h
+++ b/Libraries/LibWallet/WalletRecord.h
@@ -53,11 +53,16 @@
   auto operator<=>(const WalletKey &) const = default;
 };
 
+/// More than any budget, and small enough that thousands of them can be added.
+constexpr Tokens UnboundedTokens = 1'000'000'000'000'000;
+
 /// One record with its offset in the log.
 struct WalletRecord {
   WalletKey Key;
   WalletShare Share;
   std::uint64_t Offset = 0;
+  /// The share can't be read: the process may hold the whole budget.
+  bool IsUnreadable = false;
 };
 
 std::string encodeWalletKey(const WalletKey &Key);
--- a/Libraries/LibWallet/WalletShareTable.cpp
+++ b/Libraries/LibWallet/WalletShareTable.cpp
@@ -22,9 +22,10 @@
   Position.Offset = Record.Offset;
   Position.HeldOnLog = Record.Share.Held;
   Position.CommittedOnLog = Record.Share.Committed;
-  bool IsCurrent = Record.Share.Era >= this->Era && !Record.Share.IsWitnessed;
+  bool IsCurrent = Record.Share.Era >= this->Era && !Record.Share.IsWitnessed &&
+                   !Record.IsUnreadable;
   // An append of an earlier era may land late.
-  if (Position.IsCurrent && !IsCurrent)
+  if (Position.IsCurrent && !IsCurrent && !Record.IsUnreadable)
     return;
   WalletShare Share = Record.Share;
   if (!IsCurrent) {
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -69,12 +69,48 @@
 }
 
 TEST_CASE(
-    "an unreadable wallet record fails the read, so no tokens are taken") {
+    "of a team with an unreadable share no tokens are taken, and those of "
+    "others are") {
   PlatformFixture Fixture;
-  Fixture.Store.put(std::string(wire::WalletTopic), "team\nhost#1",
-                    "\x09later");
-  Fixture.run(
-      [&] { CHECK_FALSE(makeWalletLog(*Fixture.Client, 0).ReadNewest()); });
+  const std::string Topic(wire::WalletTopic);
+  Fixture.Store.put(Topic, "team\nhost#1", "\x09later");
+  Fixture.run([&] {
+    WalletLog Log = makeWalletLog(*Fixture.Client, 0);
+    TimePoint Now{1h};
+    Wallet Reading("host#2", {});
+    for (const char *Team : {"team", "other"})
+      Reading.setBudget(Team, 1000);
+    auto Read = [&] {
+      auto Page = Reading.isReady() ? Log.Read(Reading.shareTable().end())
+                                    : Log.ReadNewest();
+      REQUIRE(Page);
+      Reading.onRead(Page.value().Records, Page.value().End, Now);
+    };
+    auto MayReserve = [&](const std::string &Team) {
+      if (Reading.reserve(Team, 10, Now))
+        return true;
+      auto Records = Reading.planRound(Now += 1s);
+      CHECK(Log.AppendAt(Reading.shareTable().end(), Records) ==
+            WalletAppend::Done);
+      Reading.onAppended(Reading.shareTable().end() + Records.size(), Now);
+      return Reading.reserve(Team, 10, Now).has_value();
+    };
+    Read();
+    Now += 10s;
+    CHECK_FALSE(MayReserve("team"));
+    CHECK(MayReserve("other"));
+    // The process writes its share again, and another writer odd records.
+    Fixture.Store.put(Topic, "team\nhost#1", encodeWalletShare({100, 0, 0, 0}));
+    Fixture.Store.put(Topic, "no share", "1");
+    Fixture.Store.put(Topic, "", "1");
+    Read();
+    CHECK(MayReserve("team"));
+    // What this process holds itself does not depend on an odd record.
+    Fixture.Store.put(Topic, "other\nhost#2", "odd");
+    Read();
+    CHECK(Reading.view("other").Held <= 1000);
+    CHECK(MayReserve("other"));
+  });
 }
 
 TEST_CASE("a feed reads a snapshot, then updates, and recovers from a gap") {
