--- a/Libraries/LibRelay/OriginExchange.cpp
+++ b/Libraries/LibRelay/OriginExchange.cpp
@@ -202,10 +202,10 @@
 
 void OriginExchange::readLog(const std::shared_ptr<Lookup> &Asked,
                              const std::string &Service, const Hash128 &Stream,
-                             TimePoint TakenUpAt) {
-  this->Hooks.Tasks.Spawn([this, Asked, Service, Stream, TakenUpAt] {
+                             TimePoint ResumedAt) {
+  this->Hooks.Tasks.Spawn([this, Asked, Service, Stream, ResumedAt] {
     Result<void> Read = success();
-    if (!this->Versions.isCurrent(Service, TakenUpAt))
+    if (!this->Versions.isCurrent(Service, ResumedAt))
       Read = this->Hooks.ReadVersions();
     if (Read && !this->Versions.onlyVersion(Service))
       Read = this->Hooks.ReadOrigins(this->partitionOf(Stream));
@@ -216,10 +216,10 @@
 }
 
 std::optional<VersionId>
-OriginExchange::onlyVersion(const std::string &Service, TimePoint TakenUpAt,
+OriginExchange::onlyVersion(const std::string &Service, TimePoint ResumedAt,
                             const Lookup *Asked) const {
   auto Only = this->Versions.onlyVersion(Service);
-  if (Only && this->Versions.isCurrent(Service, TakenUpAt))
+  if (Only && this->Versions.isCurrent(Service, ResumedAt))
     return versionIdOf(*Only);
   if (!Asked)
     return std::nullopt;
@@ -253,20 +253,20 @@
 
 std::optional<VersionId>
 OriginExchange::resolve(const std::string &Service, const Hash128 &Stream,
-                        TimePoint TakenUpAt, TimePoint Deadline,
+                        TimePoint ResumedAt, TimePoint Deadline,
                         const std::function<bool()> &IsCancelled) {
-  if (auto Only = this->onlyVersion(Service, TakenUpAt, nullptr))
+  if (auto Only = this->onlyVersion(Service, ResumedAt, nullptr))
     return Only;
   auto Asked = std::make_shared<Lookup>();
   std::uint64_t Number = ++this->LastNumber;
   this->Lookups.emplace(Number, Asked);
   this->ask(*Asked, Number, Service, Stream);
-  this->readLog(Asked, Service, Stream, TakenUpAt);
+  this->readLog(Asked, Service, Stream, ResumedAt);
   // What this host knows itself does not suffice: a caller may have used the
   // same id at another host.
   std::optional<VersionId> Only;
   auto IsDone = [&] {
-    Only = this->onlyVersion(Service, TakenUpAt, Asked.get());
+    Only = this->onlyVersion(Service, ResumedAt, Asked.get());
     return Only || IsCancelled() ||
            (Asked->IsLogRead && Asked->Unanswered.empty());
   };
@@ -284,7 +284,7 @@
   this->Lookups.erase(Number);
   if (!Asked->IsLogRead) {
     Asked->HasLogFailed = true;
-    Only = this->onlyVersion(Service, TakenUpAt, Asked.get());
+    Only = this->onlyVersion(Service, ResumedAt, Asked.get());
   }
   if (Only)
     return Only;
--- a/Libraries/LibRelay/OriginExchange.h
+++ b/Libraries/LibRelay/OriginExchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// Finds out at which software version a stream began that a caller takes up.
+/// Finds out at which software version a stream began that a caller resumes.
 ///
 /// While the targets of a service are of one version, nothing is exchanged.
 /// Otherwise the host that relays a stream reports its version to a home in
@@ -85,11 +85,11 @@
   /// Applies origins that were read from the log.
   void onRead(const std::vector<StreamOrigin> &Origins);
 
-  /// \returns the version at which the stream began that a caller takes up at
-  /// \p TakenUpAt; nothing if it can't be known. Blocks the calling task until
+  /// \returns the version at which the stream began that a caller resumes at
+  /// \p ResumedAt; nothing if it can't be known. Blocks the calling task until
   /// \p Deadline at most, or until \p IsCancelled returns true.
   std::optional<VersionId> resolve(const std::string &Service,
-                                   const Hash128 &Stream, TimePoint TakenUpAt,
+                                   const Hash128 &Stream, TimePoint ResumedAt,
                                    TimePoint Deadline,
                                    const std::function<bool()> &IsCancelled);
 
@@ -128,9 +128,9 @@
   std::optional<VersionId> knownVersion(const Hash128 &Stream,
                                         const Lookup &Asked) const;
   void readLog(const std::shared_ptr<Lookup> &Asked, const std::string &Service,
-               const Hash128 &Stream, TimePoint TakenUpAt);
+               const Hash128 &Stream, TimePoint ResumedAt);
   std::optional<VersionId> onlyVersion(const std::string &Service,
-                                       TimePoint TakenUpAt,
+                                       TimePoint ResumedAt,
                                        const Lookup *Asked) const;
   TimePoint now() const { return this->Hooks.Tasks.Now(); }
 
--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -31,21 +31,23 @@
   /// When the caller stops waiting; TimePoint::max() if it did not say.
   TimePoint CallerDeadline = TimePoint::max();
   std::string Model;
-  /// The caller takes up a stream that broke off: the id of its attempt that
+  /// The caller resumes a stream that broke off: the id of its attempt that
   /// brought the first event, and the last event that it has, as it states
   /// them.
-  std::optional<std::string> TakenUpFrom;
-  std::optional<std::string> TakenUpAfter;
+  std::optional<std::string> ResumedAttempt;
+  std::optional<std::string> ResumedAfter;
   /// In prompt order.
   std::vector<PromptPart> Parts;
   std::int64_t PromptTokens = 0;
   std::int64_t MaxOutputTokens = 0;
 
-  bool isTakeUp() const { return this->TakenUpFrom || this->TakenUpAfter; }
+  bool isResumption() const {
+    return this->ResumedAttempt || this->ResumedAfter;
+  }
 
   /// The id of the attempt of which the stream of this call is, or will be.
   const std::string &streamAttempt() const {
-    return this->TakenUpFrom ? *this->TakenUpFrom : this->Id;
+    return this->ResumedAttempt ? *this->ResumedAttempt : this->Id;
   }
 
   int priority() const {
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -57,7 +57,7 @@
   this->chooseService();
   if (this->isQuarantined()) {
     this->finishFailed(AttemptEnd::Quarantined);
-  } else if (this->mayTakeUp() && this->reserveTokens()) {
+  } else if (this->mayResume() && this->reserveTokens()) {
     this->runAttempts();
     this->settle();
   }
@@ -71,7 +71,7 @@
   for (const ServiceShare &Share : Shares)
     Sum += Share.Weight;
   std::uint64_t Drawn = 0;
-  // A stream that is taken up goes on at the service where it began.
+  // A stream is resumed at the service where it began.
   if (Shares.size() > 1 && this->Call.Route->hasResumableStreams())
     Drawn = Sum > 0 ? hash64(this->Call.streamAttempt()) % Sum : 0;
   else if (Sum > 0)
@@ -108,7 +108,7 @@
   return false;
 }
 
-bool RelayCallHandler::mayTakeUp() {
+bool RelayCallHandler::mayResume() {
   if (!this->Versions.resolve(this->Service, this->Deadline,
                               this->Caller.HasLeft)) {
     this->finishFailed(AttemptEnd::VersionUnknown);
@@ -275,8 +275,8 @@
 }
 
 void RelayCallHandler::logResumption(const ListedTarget &Target) const {
-  if (!this->HasStreamStarted && !this->Call.TakenUpFrom &&
-      !this->Call.TakenUpAfter)
+  if (!this->HasStreamStarted && !this->Call.ResumedAttempt &&
+      !this->Call.ResumedAfter)
     return;
   auto Shorten = [](const std::optional<std::string> &Text) {
     return Text.value_or("").substr(0, MaxLoggedBytes);
@@ -285,9 +285,9 @@
   logEvent(LogLevel::Warning, "stream_resumed",
            {{"request", this->Call.Id},
             {"by", this->HasStreamStarted ? "host" : "caller"},
-            {"first_request", Shorten(this->Call.TakenUpFrom)},
+            {"first_request", Shorten(this->Call.ResumedAttempt)},
             {"after_event",
-             Last ? std::to_string(*Last) : Shorten(this->Call.TakenUpAfter)},
+             Last ? std::to_string(*Last) : Shorten(this->Call.ResumedAfter)},
             {"first_target", this->FirstTarget.Id},
             {"first_version", this->FirstTarget.Version},
             {"target", Target.Id},
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -48,9 +48,8 @@
   bool reserveTokens();
   void runAttempts();
   void chooseService();
-  /// \returns whether the stream may go on that the caller takes up, if it does
-  /// so.
-  bool mayTakeUp();
+  /// \returns whether the call may resume the stream that it names, if any.
+  bool mayResume();
   TargetState *chooseTarget();
   /// Chooses among targets that match, and waits for those that don't yet.
   TargetState *awaitTarget();
--- a/Libraries/LibRelay/StreamVersionRule.cpp
+++ b/Libraries/LibRelay/StreamVersionRule.cpp
@@ -10,14 +10,14 @@
   this->Service = ServiceOfCall;
   this->Stream = streamIdOf(this->Call.Team ? this->Call.Team->Name : "",
                             this->Service, this->Call.streamAttempt());
-  if (!this->IsResumable || !this->Call.isTakeUp())
+  if (!this->IsResumable || !this->Call.isResumption())
     return true;
   this->Version = this->Dispatcher.origins().resolve(
       this->Service, this->Stream, this->Call.ArrivedAt, Deadline, HasLeft);
   const char *Found = !this->Version     ? "unknown"
                       : this->hasMatch() ? "served"
                                          : "not_served";
-  this->Dispatcher.stats().count("relay_streams_taken_up_total{version=\"" +
+  this->Dispatcher.stats().count("relay_streams_resumed_total{version=\"" +
                                  std::string(Found) + "\"}");
   return this->Version.has_value();
 }
@@ -53,7 +53,7 @@
   if (this->Version == Next)
     return;
   this->Version = Next;
-  // Without an identifier, no caller can take the stream up.
+  // Without an identifier, no caller can resume the stream.
   if (!this->Call.Id.empty())
     this->Dispatcher.origins().onBegun(this->Service, {this->Stream, Next});
 }
--- a/Libraries/LibRelay/StreamVersionRule.h
+++ b/Libraries/LibRelay/StreamVersionRule.h
@@ -1,5 +1,5 @@
 /// \file
-/// The targets at which the stream of one call may begin or go on, by their
+/// The targets at which the stream of one call may begin or continue, by their
 /// software versions.
 
 #ifndef BERGAMOTHOOK_LIBRELAY_STREAMVERSIONRULE_H
@@ -17,7 +17,7 @@
   No
 };
 
-/// A stream that may be resumed begins at a version on record, and goes on at
+/// A stream that may be resumed begins at a version on record, and continues at
 /// the version that began it. Other calls may be sent to any target.
 class StreamVersionRule {
 public:
@@ -25,7 +25,7 @@
       : Dispatcher(Dispatcher), Call(Call),
         IsResumable(Call.Route->hasResumableStreams()) {}
 
-  /// Finds the version of the stream that the caller takes up, if it does so.
+  /// Finds the version of the stream that the call resumes, if any.
   /// Blocks the calling task until \p Deadline at most. \returns whether the
   /// version is known, or is not needed.
   bool resolve(const std::string &Service, TimePoint Deadline,
--- a/Libraries/LibRelay/VersionRegister.cpp
+++ b/Libraries/LibRelay/VersionRegister.cpp
@@ -197,13 +197,13 @@
 }
 
 bool VersionRegister::isCurrent(const std::string &Service,
-                                TimePoint TakenUpAt) const {
+                                TimePoint ResumedAt) const {
   if (this->mustRead())
     return false;
-  if (*this->ReadAsOf >= TakenUpAt)
+  if (*this->ReadAsOf >= ResumedAt)
     return true;
   return this->ListAsOf &&
-         TakenUpAt - *this->ListAsOf < this->Policy.ListTolerance &&
+         ResumedAt - *this->ListAsOf < this->Policy.ListTolerance &&
          !this->hasUnknownVersion(Service);
 }
 
--- a/Libraries/LibRelay/VersionRegister.h
+++ b/Libraries/LibRelay/VersionRegister.h
@@ -24,7 +24,7 @@
 enum class VersionPhase : std::uint8_t {
   /// Streams may begin at the version.
   InUse,
-  /// No stream begins at it any more, but callers may take one up.
+  /// No stream begins at it any more, but callers may resume one.
   Leaving,
 };
 
@@ -32,7 +32,7 @@
 using VersionSet = std::map<std::string, VersionPhase>;
 
 struct VersionPolicy {
-  /// How long after its beginning a caller may take up a stream.
+  /// How long after its beginning a caller may resume a stream.
   Duration StreamLife = std::chrono::seconds(60);
   /// A version is added to the record this long after it was first listed, and
   /// a list that is older than this is not relied on. So a host that relies on
@@ -98,9 +98,9 @@
   /// \returns whether a stream may begin at \p Version.
   bool mayBegin(const std::string &Service, const std::string &Version) const;
 
-  /// \returns whether what is known covers every stream that a caller can take
-  /// up at \p TakenUpAt.
-  bool isCurrent(const std::string &Service, TimePoint TakenUpAt) const;
+  /// \returns whether what is known covers every stream that a caller can
+  /// resume at \p ResumedAt.
+  bool isCurrent(const std::string &Service, TimePoint ResumedAt) const;
 
   /// \returns the only version at which streams can have begun; nothing if
   /// there are several, or none.
--- a/Tests/LibRelay/StreamVersionTest.cpp
+++ b/Tests/LibRelay/StreamVersionTest.cpp
@@ -28,12 +28,12 @@
       this->Dispatcher.resends().onRequest("engines", this->Simulated.now());
   }
 
-  /// The caller takes up the stream that its attempt "call-1" began.
-  RelayCall makeTakeUp() {
+  /// The caller resumes the stream that its attempt "call-1" began.
+  RelayCall makeResumption() {
     RelayCall Call = this->makeCall();
     Call.Id = "call-2";
-    Call.TakenUpFrom = "call-1";
-    Call.TakenUpAfter = "2";
+    Call.ResumedAttempt = "call-1";
+    Call.ResumedAfter = "2";
     return Call;
   }
 };
@@ -56,13 +56,13 @@
   Relay.serve(Relay.makeCall());
   Relay.addTarget("new", "v2");
   Relay.removeTarget("old");
-  RelayOutcome Outcome = Relay.serve(Relay.makeTakeUp());
+  RelayOutcome Outcome = Relay.serve(Relay.makeResumption());
   CHECK(Outcome.End == RelayEnd::NotRun);
   CHECK(Relay.Status == 503);
   CHECK(Relay.SentCalls.size() == 1);
 }
 
-TEST_CASE("a stream goes on at another target of the version that began it") {
+TEST_CASE("a stream continues at another target of the version that began it") {
   VersionRelay Relay;
   Relay.addTarget("new", "v2");
   Relay.addTarget("old-2", "v1");
@@ -75,22 +75,22 @@
   CHECK(Relay.SentCalls[1].ResumeAfter == 2);
 
   Relay.Responses = {streamOf(3, 4, false)};
-  CHECK(Relay.serve(Relay.makeTakeUp()).End == RelayEnd::Done);
+  CHECK(Relay.serve(Relay.makeResumption()).End == RelayEnd::Done);
   CHECK(Relay.SentCalls[2].Target != "new");
 }
 
 TEST_CASE("a stream that nobody knows is refused as not run while two versions "
-          "serve, and goes on while one does") {
+          "serve, and continues while one does") {
   VersionRelay Relay;
-  RelayCall TakeUp = Relay.makeTakeUp();
+  RelayCall Resumption = Relay.makeResumption();
   Relay.Responses = {streamOf(3, 4, false)};
-  CHECK(Relay.serve(TakeUp).End == RelayEnd::Done);
+  CHECK(Relay.serve(Resumption).End == RelayEnd::Done);
   Relay.addTarget("new", "v2");
   for (const auto &From :
        {std::optional<std::string>("made-up"),
         std::optional<std::string>("call-1"), std::optional<std::string>()}) {
-    TakeUp.TakenUpFrom = From;
-    RelayOutcome Outcome = Relay.serve(TakeUp);
+    Resumption.ResumedAttempt = From;
+    RelayOutcome Outcome = Relay.serve(Resumption);
     CHECK(Outcome.Reason == RelayReason::StreamVersionUnknown);
     CHECK(Outcome.End == RelayEnd::NotRun);
     CHECK(Relay.Status == 503);
@@ -107,9 +107,9 @@
   Relay.serve(Relay.makeCall());
   RelayTeam Other;
   Other.Name = "other";
-  RelayCall TakeUp = Relay.makeTakeUp();
-  TakeUp.Team = &Other;
-  CHECK(Relay.serve(TakeUp).Reason == RelayReason::StreamVersionUnknown);
+  RelayCall Resumption = Relay.makeResumption();
+  Resumption.Team = &Other;
+  CHECK(Relay.serve(Resumption).Reason == RelayReason::StreamVersionUnknown);
 }
 
 TEST_CASE("no stream begins at a version before it is on record, and one that "
@@ -134,7 +134,7 @@
 }
 
 TEST_CASE("a stream whose target started again with another version does not "
-          "go on") {
+          "continue") {
   VersionRelay Relay;
   Relay.addTarget("old-2", "v1");
   Relay.addTarget("new", "v2");
@@ -147,12 +147,13 @@
   });
   CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Broken);
   CHECK(Relay.SentCalls.size() == 1);
-  CHECK(Relay.serve(Relay.makeTakeUp()).Reason ==
+  CHECK(Relay.serve(Relay.makeResumption()).Reason ==
         RelayReason::StreamVersionUnknown);
 }
 
-TEST_CASE("while versions are mixed, a stream does not go on at a target that "
-          "was lost before that is listed again") {
+TEST_CASE(
+    "while versions are mixed, a stream does not continue at a target that "
+    "was lost before that is listed again") {
   VersionRelay Relay;
   Relay.addTarget("new", "v2");
   Relay.removeTarget("new");
@@ -164,11 +165,11 @@
     Relay.addTarget("old", "v1");
   });
   TimePoint Begin = Relay.Simulated.now();
-  CHECK(Relay.serve(Relay.makeTakeUp()).End == RelayEnd::Done);
+  CHECK(Relay.serve(Relay.makeResumption()).End == RelayEnd::Done);
   CHECK(Relay.Simulated.now() - Begin >= 500ms);
 }
 
-TEST_CASE("a stream that is taken up goes on at the service where it began") {
+TEST_CASE("a stream is resumed at the service where it began") {
   VersionRelay Relay;
   Relay.Route.Services = {{"engines", 1}, {"others", 1}};
   Relay.configure();
@@ -177,8 +178,8 @@
     RelayCall First = Relay.makeCall();
     First.Id = "call-" + std::to_string(I);
     RelayCall Second = First;
-    Second.Id = "take-up-" + std::to_string(I);
-    Second.TakenUpFrom = First.Id;
+    Second.Id = "resumption-" + std::to_string(I);
+    Second.ResumedAttempt = First.Id;
     Relay.Responses = {streamOf(1, 2, false), streamOf(3, 4, false)};
     bool IsFirstServed = Relay.serve(First).End == RelayEnd::Done;
     bool IsSecondServed = Relay.serve(Second).End == RelayEnd::Done;
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -10,7 +10,7 @@
 constexpr Duration OriginWriteInterval = std::chrono::milliseconds(50);
 constexpr Duration CopyInterval = std::chrono::milliseconds(500);
 constexpr Duration MaxMessageDelay = std::chrono::milliseconds(5);
-constexpr int MaxTakeUps = 3;
+constexpr int MaxResumptions = 3;
 const std::string Service = "engines";
 
 std::error_code storeFailure() {
@@ -72,7 +72,7 @@
 }
 
 VersionFleet::~VersionFleet() {
-  this->Simulated.runUntil([this] { return this->TakeUpsInProgress == 0; },
+  this->Simulated.runUntil([this] { return this->ResumptionsInProgress == 0; },
                            std::chrono::minutes(1));
 }
 
@@ -171,7 +171,7 @@
   while (!this->Broken.empty() && this->Broken.begin()->first <= Now) {
     Stream Next = std::move(this->Broken.begin()->second);
     this->Broken.erase(this->Broken.begin());
-    this->takeUp(std::move(Next));
+    this->resume(std::move(Next));
   }
 }
 
@@ -304,38 +304,38 @@
 }
 
 void VersionFleet::breakOff(Stream Broken) {
-  if (++Broken.TakeUps <= MaxTakeUps)
+  if (++Broken.Resumptions <= MaxResumptions)
     this->Broken.emplace(this->now() +
-                             this->randomUpTo(this->Settings.MaxTakeUpDelay),
+                             this->randomUpTo(this->Settings.MaxResumeDelay),
                          std::move(Broken));
 }
 
-void VersionFleet::takeUp(Stream Broken) {
+void VersionFleet::resume(Stream Broken) {
   int Index = this->randomHost();
   if (Index < 0) {
-    this->Broken.emplace(this->now() + this->Settings.MaxTakeUpDelay,
+    this->Broken.emplace(this->now() + this->Settings.MaxResumeDelay,
                          std::move(Broken));
     return;
   }
-  ++this->TakeUpsInProgress;
+  ++this->ResumptionsInProgress;
   this->Simulated.hooks().Spawn([this, Index, Broken] {
     Host *Relaying = this->hostAt(Index);
     TimePoint Begin = this->now();
     auto Version = Relaying->Origins.resolve(
         Service, streamIdOf("team", Service, Broken.Id), Begin,
         Begin + std::chrono::seconds(5), [] { return false; });
-    --this->TakeUpsInProgress;
+    --this->ResumptionsInProgress;
     if (this->hostAt(Index) != Relaying)
       return; // The host was killed meanwhile.
     this->Results.LongestLookup =
         std::max(this->Results.LongestLookup, this->now() - Begin);
     bool IsServed = this->Targets.contains(Broken.Version) &&
                     Relaying->List.contains(Broken.Version);
-    this->Results.TakenUp += IsServed ? 1 : 0;
+    this->Results.Resumed += IsServed ? 1 : 0;
     if (!Version)
       return;
     if (*Version == versionIdOf(Broken.Version)) {
-      this->Results.GoneOn += IsServed ? 1 : 0;
+      this->Results.Continued += IsServed ? 1 : 0;
       Stream Next = Broken;
       Next.Host = Index;
       if (IsServed)
--- a/Tests/LibRelay/VersionFleet.h
+++ b/Tests/LibRelay/VersionFleet.h
@@ -1,6 +1,6 @@
 /// \file
 /// Simulation of hosts that relay streams of targets of several software
-/// versions, and of callers that take up streams that broke off.
+/// versions, and of callers that resume streams that broke off.
 
 #ifndef BERGAMOTHOOK_TESTS_LIBRELAY_VERSIONFLEET_H
 #define BERGAMOTHOOK_TESTS_LIBRELAY_VERSIONFLEET_H
@@ -18,8 +18,8 @@
   double StreamsPerSecond = 60;
   Duration MinStream = std::chrono::milliseconds(100);
   Duration MaxStream = std::chrono::seconds(3);
-  /// How long after its end a caller takes up a stream, at most.
-  Duration MaxTakeUpDelay = std::chrono::seconds(2);
+  /// How long after its end a caller resumes a stream, at most.
+  Duration MaxResumeDelay = std::chrono::seconds(2);
   /// Lost messages between hosts, per hundred.
   std::uint64_t LostPerCent = 0;
   Duration StoreDelay = std::chrono::milliseconds(5);
@@ -31,11 +31,11 @@
 struct VersionFleetResults {
   int Begun = 0;
   int NotBegun = 0;
-  /// Streams that a caller took up while targets of their version served, and
-  /// those of them that went on.
-  int TakenUp = 0;
-  int GoneOn = 0;
-  /// Streams that went on at another version.
+  /// Streams that a caller resumed while targets of their version served, and
+  /// those of them that continued.
+  int Resumed = 0;
+  int Continued = 0;
+  /// Streams that continued at another version.
   int Joined = 0;
   /// Calls of the store for versions and origins.
   int VersionReads = 0;
@@ -43,7 +43,7 @@
   int OriginReads = 0;
   int OriginWrites = 0;
   int Messages = 0;
-  /// The longest time that a take-up waited for its version.
+  /// The longest time that a resumption waited for its version.
   Duration LongestLookup{};
 };
 
@@ -97,7 +97,7 @@
     std::string Version;
     int Host = 0;
     TimePoint EndsAt{};
-    int TakeUps = 0;
+    int Resumptions = 0;
   };
 
   struct Message {
@@ -125,7 +125,7 @@
   void writeVersions(int Index);
   void beginStream();
   void breakOff(Stream Broken);
-  void takeUp(Stream Broken);
+  void resume(Stream Broken);
   bool reachesStore(int Index) const {
     return !this->IsStoreOut && Index >= this->SplitBelow &&
            this->Hosts[static_cast<std::size_t>(Index)];
@@ -156,7 +156,7 @@
   int SplitBelow = 0;
   bool IsStoreOut = false;
   bool ReusesIds = false;
-  int TakeUpsInProgress = 0;
+  int ResumptionsInProgress = 0;
 };
 
 } // namespace bergamothook
--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -36,17 +36,17 @@
     }
 }
 
-/// No stream is of two versions, and streams that are taken up go on nearly as
-/// often as new ones begin.
+/// No stream is of two versions, and resumed streams continue nearly as often
+/// as new ones begin.
 void checkResults(const VersionFleetResults &Results,
                   double ExpectedShare = 0.9) {
-  CAPTURE(Results.TakenUp);
-  CAPTURE(Results.GoneOn);
+  CAPTURE(Results.Resumed);
+  CAPTURE(Results.Continued);
   CAPTURE(Results.NotBegun);
   CAPTURE(Results.Begun);
   CHECK(Results.Joined == 0);
-  CHECK(Results.TakenUp >= 12);
-  CHECK(Results.GoneOn >= ExpectedShare * Results.TakenUp);
+  CHECK(Results.Resumed >= 12);
+  CHECK(Results.Continued >= ExpectedShare * Results.Resumed);
   CHECK(Results.NotBegun * 20 <= Results.Begun);
   CHECK(Results.LongestLookup <= 700ms);
 }
@@ -71,7 +71,7 @@
 } // namespace
 
 TEST_CASE("while one version serves, nothing is written for streams, and they "
-          "are taken up after the loss of all hosts") {
+          "are resumed after the loss of all hosts") {
   onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
     Fleet.runFor(20s);
     CHECK(Fleet.Results.VersionReads == 0);
@@ -86,11 +86,11 @@
     CHECK(Fleet.Results.OriginReads == 0);
     CHECK(Fleet.Results.VersionWrites == 0);
     // Each host reads once when it starts.
-    CHECK(Fleet.Results.VersionReads <= 3 * Hosts + Fleet.Results.TakenUp);
+    CHECK(Fleet.Results.VersionReads <= 3 * Hosts + Fleet.Results.Resumed);
   });
 }
 
-TEST_CASE("streams go on at their version during a release, when hosts and "
+TEST_CASE("streams continue at their version during a release, when hosts and "
           "targets are lost") {
   onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
@@ -104,7 +104,7 @@
   });
 }
 
-TEST_CASE("streams go on at their version after the loss of all hosts") {
+TEST_CASE("streams continue at their version after the loss of all hosts") {
   onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     for (int I = 0; I < 4; ++I) {
@@ -147,8 +147,9 @@
   });
 }
 
-TEST_CASE("streams go on at their version while the store is out, and messages "
-          "are lost") {
+TEST_CASE(
+    "streams continue at their version while the store is out, and messages "
+    "are lost") {
   auto Play = [](VersionFleet &Fleet, int Hosts) {
     Fleet.setStoreOut(true);
     Fleet.breakStreams(0.5);
@@ -210,11 +211,11 @@
   };
   onFleets({9, 90, 300}, 3, Play, [](VersionFleetSettings &Settings) {
     Settings.StreamsPerSecond *= 4;
-    Settings.MaxTakeUpDelay = 50ms;
+    Settings.MaxResumeDelay = 50ms;
   });
 }
 
-TEST_CASE("streams that began before a release go on during it") {
+TEST_CASE("streams that began before a release continue during it") {
   auto Play = [](VersionFleet &Fleet, int Hosts) {
     Fleet.runFor(4s);
     Fleet.setTargets("v2", 1);
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -164,16 +164,16 @@
         std::vector<std::string>{"9"});
 }
 
-TEST_CASE("a call states which stream it takes up, after which event") {
+TEST_CASE("a call states which stream it resumes, after which event") {
   HttpRequestMessage Message = makeRequest();
-  CHECK_FALSE(decodeCall(makeConfig(), Message, Now).Call.isTakeUp());
+  CHECK_FALSE(decodeCall(makeConfig(), Message, Now).Call.isResumption());
   Message.Head.Headers.add("Last-Event-Id", "4");
   RelayCall Call = decodeCall(makeConfig(), Message, Now).Call;
-  CHECK(Call.isTakeUp());
+  CHECK(Call.isResumption());
   CHECK(Call.streamAttempt() == Call.Id);
   Message.Head.Headers.add("Resumes", "first");
   Call = decodeCall(makeConfig(), Message, Now).Call;
-  CHECK(Call.TakenUpFrom == "first");
+  CHECK(Call.ResumedAttempt == "first");
   CHECK(Call.streamAttempt() == "first");
   CHECK(valuesOf(makeTargetHead(Call, makeTarget(), 1s, {}), "Resumes") ==
         std::vector<std::string>{"first"});
