Read a message without reserving the length that its head states

Cause: the string body of Boost.Beast reserves the stated length when the first byte of a body is parsed, and the limit for answers was 2^40. std::bad_alloc left the task and ended the process. Requests reserved what a caller states in the same way, up to the configured limit. Evidence: a test that records the largest single allocation sees bytes for a stated length of 2^30, both for responses and for requests; chunks and bodies without a length ask for nothing of the kind.

Change: the parsers use a body that grows as bytes arrive. That there is no memory for a message is NetError::OutOfMemory, which ends that call alone: 502 if it may have run, 503 if not; the target counts as faulty, the request is not suspected of crashing targets, and a repeatable call goes to another target. An exception in the task of a connection is logged and ends that connection; tasks that run as long as the process go on after a pause.

The sum over all calls is not bounded by this.

--- a/Libraries/LibNet/DatagramSocket.cpp
+++ b/Libraries/LibNet/DatagramSocket.cpp
@@ -3,6 +3,8 @@
 #include "LibNet/NetError.h"
 #include "LibNet/TcpConnection.h"
 
+#include <new>
+
 namespace bergamothook {
 
 using boost::asio::ip::udp;
@@ -69,7 +71,11 @@
     // Also reports errors of earlier sends, such as an unreachable port.
     if (ReceiveFailure)
       break;
-    this->Handler(std::string(this->Buffer.data(), Count));
+    try {
+      this->Handler(std::string(this->Buffer.data(), Count));
+    } catch (const std::bad_alloc &) {
+      // Datagrams may be lost anyway.
+    }
   }
   this->receiveNext();
 }
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -2,7 +2,8 @@
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <new>
+#include <stdexcept>
 
 namespace bergamothook {
 
@@ -10,6 +11,42 @@
 
 namespace detail {
 
+/// A body in a string that grows as bytes arrive. The string body of Beast
+/// reserves the length that the head states, which any sender can choose.
+struct GrowingBody {
+  using value_type = std::string;
+
+  class reader { // NOLINT(readability-identifier-naming): Beast's name.
+  public:
+    template <bool IsRequest, typename Fields>
+    reader(http::header<IsRequest, Fields> &, value_type &Body) : Body(Body) {}
+
+    void init(const boost::optional<std::uint64_t> &,
+              boost::system::error_code &Failure) {
+      Failure = {};
+    }
+
+    template <typename Buffers>
+    std::size_t put(const Buffers &Received,
+                    boost::system::error_code &Failure) {
+      Failure = {};
+      std::size_t Bytes = 0;
+      for (auto At = boost::asio::buffer_sequence_begin(Received);
+           At != boost::asio::buffer_sequence_end(Received); ++At) {
+        boost::asio::const_buffer Part = *At;
+        this->Body.append(static_cast<const char *>(Part.data()), Part.size());
+        Bytes += Part.size();
+      }
+      return Bytes;
+    }
+
+    void finish(boost::system::error_code &Failure) { Failure = {}; }
+
+  private:
+    value_type &Body;
+  };
+};
+
 /// Feeds bytes to a Beast parser. \returns how many it consumed.
 template <typename Parser>
 std::size_t feed(Parser &Into, std::string_view Bytes,
@@ -25,7 +62,14 @@
 template <typename Parser>
 std::size_t feed(Parser &Into, std::string_view Bytes,
                  boost::system::error_code &Failure) {
-  return Into.put(boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+  try {
+    return Into.put(boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
+  } catch (const std::bad_alloc &) {
+    Failure = make_error_code(boost::system::errc::not_enough_memory);
+  } catch (const std::length_error &) {
+    Failure = make_error_code(boost::system::errc::not_enough_memory);
+  }
+  return 0;
 }
 
 template <typename Parser>
@@ -43,6 +87,8 @@
     return NetError::HeadTooLarge;
   if (Failure == http::error::body_limit)
     return NetError::BodyTooLarge;
+  if (Failure == boost::system::errc::not_enough_memory)
+    return NetError::OutOfMemory;
   return NetError::Malformed;
 }
 
@@ -56,7 +102,8 @@
   return Out;
 }
 
-HttpRequestHead toRequestHead(const http::request<http::string_body> &Message) {
+HttpRequestHead
+toRequestHead(const http::request<detail::GrowingBody> &Message) {
   HttpRequestHead Head;
   auto Method = Message.method_string();
   auto Target = Message.target();
@@ -82,7 +129,7 @@
 Result<HttpRequestMessage>
 HttpRequestReader::read(const HttpReadLimits &Limits, TimePoint Deadline,
                         const std::function<void()> &OnContinue) {
-  http::request_parser<http::string_body> Parser;
+  http::request_parser<detail::GrowingBody> Parser;
   Parser.eager(true);
   Parser.header_limit(Limits.MaxHeadBytes);
   Parser.body_limit(Limits.MaxBodyBytes);
@@ -132,7 +179,7 @@
 } // namespace
 
 struct HttpResponseReader::State {
-  std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<http::response_parser<detail::GrowingBody>> Parser;
   bool HasNoBody = false;
   bool HasFailed = false;
 
@@ -173,6 +220,8 @@
       UnconsumedBytes -= Consumed;
       if (Failure && Failure != http::error::need_more) {
         this->ParseState->HasFailed = true;
+        if (Failure == boost::system::errc::not_enough_memory)
+          return NetError::OutOfMemory;
         return NetError::Malformed;
       }
     }
--- a/Libraries/LibNet/NetError.cpp
+++ b/Libraries/LibNet/NetError.cpp
@@ -24,6 +24,8 @@
     return "the body of the message is too large";
   case NetError::Cancelled:
     return "the wait was given up";
+  case NetError::OutOfMemory:
+    return "there is no memory for the message";
   }
   return "unknown network error";
 }
--- a/Libraries/LibNet/NetError.h
+++ b/Libraries/LibNet/NetError.h
@@ -25,6 +25,8 @@
   BodyTooLarge,
   /// The caller cancelled the wait.
   Cancelled,
+  /// There is no memory for the bytes of the message.
+  OutOfMemory,
 };
 
 std::error_code make_error_code(NetError Value);
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <new>
 #include <sys/socket.h>
 
 namespace bergamothook {
@@ -148,7 +149,11 @@
       this->Received.erase(0, this->Consumed);
       this->Consumed = 0;
     }
-    this->Received.append(ReadBuffer.data(), Bytes);
+    try {
+      this->Received.append(ReadBuffer.data(), Bytes);
+    } catch (const std::bad_alloc &) {
+      return this->end(true);
+    }
   }
   this->readAhead();
   this->notify();
@@ -178,7 +183,13 @@
   }
   if (Bytes.empty())
     return success();
-  this->Unsent.append(Bytes);
+  try {
+    this->Unsent.append(Bytes);
+  } catch (const std::bad_alloc &) {
+    // The first bytes of the message may have been sent.
+    this->abort();
+    return NetError::OutOfMemory;
+  }
   this->sendQueued();
   bool HasRoom = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
     return this->WasLost || this->IsClosed ||
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -3,6 +3,7 @@
 #include "LibNet/NetError.h"
 #include "LibObserve/StructuredLog.h"
 
+#include <new>
 #include <nlohmann/json.hpp>
 
 namespace bergamothook::detail {
@@ -30,6 +31,8 @@
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
 /// Tokens held by other hosts are returned within one or two of their rounds.
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
+/// Memory is freed as soon as other calls end.
+constexpr Duration MemoryRetryAfter = std::chrono::milliseconds(500);
 /// A request that crashes targets is quarantined for minutes.
 constexpr Duration QuarantineRetryAfter = std::chrono::minutes(1);
 /// A version that was listed is put to use within a second, and targets write
@@ -54,17 +57,26 @@
       Versions(Dispatcher, Call) {}
 
 RelayOutcome RelayCallHandler::run() {
-  this->chooseService();
-  if (this->isQuarantined()) {
-    this->finishFailed(AttemptEnd::Quarantined);
-  } else if (this->mayResume() && this->reserveTokens()) {
-    this->runAttempts();
-    this->settle();
+  try {
+    this->runCall();
+  } catch (const std::bad_alloc &) {
+    // A caller gets one answer.
+    if (!this->IsAnswered)
+      this->finishFailed(AttemptEnd::OutOfMemory);
   }
+  this->settle();
   this->Outcome.Total = this->now() - this->Call.ArrivedAt;
   return this->Outcome;
 }
 
+void RelayCallHandler::runCall() {
+  this->chooseService();
+  if (this->isQuarantined())
+    this->finishFailed(AttemptEnd::Quarantined);
+  else if (this->mayResume() && this->reserveTokens())
+    this->runAttempts();
+}
+
 void RelayCallHandler::chooseService() {
   const auto &Shares = this->Call.Route->Services;
   std::uint64_t Sum = 0;
@@ -216,22 +228,18 @@
 AttemptEnd RelayCallHandler::attempt(const ListedTarget &Target) {
   TargetDirectory &Targets = this->Dispatcher.targets();
   this->EventsFromTarget = 0;
-  TimePoint StartedAt = this->now();
-  this->SentAt = StartedAt;
-  Duration TimeLeft = this->Deadline - StartedAt;
+  this->SentAt = this->now();
+  Duration TimeLeft = this->Deadline - this->SentAt;
   HttpRequestHead Head =
       this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
   this->logResumption(Target);
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
   this->IsPrefillPending = true;
-  auto Opened =
-      this->Hooks.Open(Target, this->Call, Head, this->Caller, this->Deadline);
-  AttemptEnd End = AttemptEnd::NotSent;
-  if (Opened || Opened.error() != NetError::ConnectFailed) {
-    this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
-    ++this->Outcome.Sends;
-    End = Opened ? this->readResponse(Opened.value(), Target, StartedAt)
-                 : this->attemptEndOf(Opened.error());
+  AttemptEnd End = AttemptEnd::OutOfMemory;
+  try {
+    End = this->exchange(Target, Head);
+  } catch (const std::bad_alloc &) {
+    // The exchange has closed its connection.
   }
   if (this->IsPrefillPending)
     Targets.onPrefillDone(Target.Id, this->Call.PromptTokens);
@@ -240,6 +248,18 @@
   return End;
 }
 
+AttemptEnd RelayCallHandler::exchange(const ListedTarget &Target,
+                                      const HttpRequestHead &Head) {
+  auto Opened =
+      this->Hooks.Open(Target, this->Call, Head, this->Caller, this->Deadline);
+  if (!Opened && Opened.error() == NetError::ConnectFailed)
+    return AttemptEnd::NotSent;
+  this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
+  ++this->Outcome.Sends;
+  return Opened ? this->readResponse(Opened.value(), Target)
+                : this->attemptEndOf(Opened.error());
+}
+
 AttemptEnd RelayCallHandler::attemptEndOf(std::error_code Failure) const {
   if (this->Caller.HasLeft())
     return AttemptEnd::CallerLeft;
@@ -248,6 +268,8 @@
   if (Failure == NetError::Malformed || Failure == NetError::HeadTooLarge ||
       Failure == NetError::BodyTooLarge)
     return AttemptEnd::Malformed;
+  if (Failure == NetError::OutOfMemory)
+    return AttemptEnd::OutOfMemory;
   return AttemptEnd::Lost;
 }
 
@@ -296,20 +318,18 @@
 }
 
 void RelayCallHandler::recordRateLimit(const HttpResponseHead &Head,
-                                       const ListedTarget &Target,
-                                       TimePoint SentAt) {
+                                       const ListedTarget &Target) {
   RateLimitField Field = this->Hooks.ReadRateLimit(Head);
   if (!Field.UnreadableText)
     return this->Dispatcher.limiter().onAnswer(Target.runKey(), Field.PerSecond,
-                                               SentAt, this->now());
+                                               this->SentAt, this->now());
   logEvent(LogLevel::Warning, "target_limit_unreadable",
            {{"target", Target.Id},
             {"value", Field.UnreadableText->substr(0, MaxLoggedBytes)}});
 }
 
 AttemptEnd RelayCallHandler::readResponse(TargetExchange &Exchange,
-                                          const ListedTarget &Target,
-                                          TimePoint SentAt) {
+                                          const ListedTarget &Target) {
   std::size_t StaleBytes = 0;
   for (;;) {
     auto Head = Exchange.ReadHead(this->Deadline);
@@ -323,7 +343,7 @@
       this->Dispatcher.targets().onReplaced(this->Outcome.Target);
       return AttemptEnd::NotRun;
     case ResponseVerdict::NotRun:
-      this->recordRateLimit(Head.value(), Target, SentAt);
+      this->recordRateLimit(Head.value(), Target);
       Exchange.FinishRefused();
       return AttemptEnd::NotRun;
     case ResponseVerdict::Unverified:
@@ -337,7 +357,7 @@
       Exchange.NextResponse();
       continue;
     case ResponseVerdict::Ran:
-      this->recordRateLimit(Head.value(), Target, SentAt);
+      this->recordRateLimit(Head.value(), Target);
       if (isEventStream(Head.value()))
         return this->relayStream(Exchange, std::move(Head.value()), Target);
       return this->relayBuffered(Exchange, std::move(Head.value()));
@@ -366,9 +386,16 @@
     return AttemptEnd::Failed;
   }
   this->Outcome.Status = Head.Status;
-  if (!this->Caller.SendResponse(Head, Body))
-    return AttemptEnd::CallerLeft;
-  return AttemptEnd::Done;
+  return this->sendResponse(Head, Body) ? AttemptEnd::Done
+                                        : AttemptEnd::CallerLeft;
+}
+
+bool RelayCallHandler::sendResponse(const HttpResponseHead &Head,
+                                    std::string_view Body) {
+  // Without memory for the answer, SendResponse throws before it writes.
+  auto Sent = this->Caller.SendResponse(Head, Body);
+  this->IsAnswered = true;
+  return static_cast<bool>(Sent);
 }
 
 AttemptEnd RelayCallHandler::relayStream(TargetExchange &Exchange,
@@ -473,6 +500,7 @@
     Targets.onLost(Id, this->now());
     [[fallthrough]];
   case AttemptEnd::Malformed:
+  case AttemptEnd::OutOfMemory:
     Targets.onFailure(Id, this->now());
     break;
   case AttemptEnd::Failed:
@@ -536,6 +564,7 @@
   case AttemptEnd::Failed:
   case AttemptEnd::Lost:
   case AttemptEnd::Malformed:
+  case AttemptEnd::OutOfMemory:
     if (!this->isRepeatAllowed())
       return false;
     break;
@@ -556,8 +585,8 @@
   if (this->TargetFailure) {
     // The target's own failure response is passed on unchanged.
     this->Outcome.Status = this->TargetFailure->first.Status;
-    if (!this->Caller.SendResponse(this->TargetFailure->first,
-                                   this->TargetFailure->second))
+    if (!this->sendResponse(this->TargetFailure->first,
+                            this->TargetFailure->second))
       return this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
     return this->finish(RelayEnd::Done, RelayReason::None);
   }
@@ -567,6 +596,8 @@
       return this->refuse(504, RelayEnd::Unknown, RelayReason::DeadlinePassed);
     if (End == AttemptEnd::Quarantined)
       return this->refuse(502, RelayEnd::Unknown, RelayReason::Quarantined);
+    if (End == AttemptEnd::OutOfMemory)
+      return this->refuse(502, RelayEnd::Unknown, RelayReason::OutOfMemory);
     return this->refuse(502, RelayEnd::Unknown,
                         End == AttemptEnd::Malformed
                             ? RelayReason::MalformedResponse
@@ -579,6 +610,9 @@
                         this->Admission == SendAdmission::Busy
                             ? ProbeRetryAfter
                             : QuarantineRetryAfter);
+  if (End == AttemptEnd::OutOfMemory)
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::OutOfMemory,
+                        MemoryRetryAfter);
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
@@ -608,10 +642,9 @@
                               std::optional<Duration> RetryAfter) {
   this->finish(End, Reason);
   this->Outcome.Status = Status;
-  auto Sent = this->Caller.SendResponse(
-      this->Hooks.MakeRefusal(Status, this->Call, RetryAfter),
-      refusalBody(Reason, End));
-  if (!Sent)
+  if (!this->sendResponse(
+          this->Hooks.MakeRefusal(Status, this->Call, RetryAfter),
+          refusalBody(Reason, End)))
     this->Outcome.End = RelayEnd::CallerLeft;
 }
 
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -24,6 +24,8 @@
   Lost,
   /// The answer is malformed.
   Malformed,
+  /// There is no memory for the answer.
+  OutOfMemory,
   /// The deadline passed.
   OutOfTime,
   /// The request crashed targets before, so it is not sent.
@@ -45,6 +47,7 @@
   RelayOutcome run();
 
 private:
+  void runCall();
   bool reserveTokens();
   void runAttempts();
   void chooseService();
@@ -60,19 +63,21 @@
   /// when this call was to be sent to them.
   std::vector<std::string> rateLimitedTargets();
   AttemptEnd attempt(const ListedTarget &Target);
+  /// Sends the call and reads the answer.
+  AttemptEnd exchange(const ListedTarget &Target, const HttpRequestHead &Head);
   /// Reads and discards the body of a stale response. \returns why the
   /// connection can no longer be used, if it cannot.
   std::optional<AttemptEnd> discardStaleBody(TargetExchange &Exchange,
                                              std::size_t &DiscardedBytes) const;
   SendKind sendKind() const;
   void logResumption(const ListedTarget &Target) const;
-  void recordRateLimit(const HttpResponseHead &Head, const ListedTarget &Target,
-                       TimePoint SentAt);
-  AttemptEnd readResponse(TargetExchange &Exchange, const ListedTarget &Target,
-                          TimePoint SentAt);
+  void recordRateLimit(const HttpResponseHead &Head,
+                       const ListedTarget &Target);
+  AttemptEnd readResponse(TargetExchange &Exchange, const ListedTarget &Target);
   AttemptEnd relayBuffered(TargetExchange &Exchange, HttpResponseHead Head);
   AttemptEnd relayStream(TargetExchange &Exchange, HttpResponseHead Head,
                          const ListedTarget &Target);
+  bool sendResponse(const HttpResponseHead &Head, std::string_view Body);
   AttemptEnd attemptEndOf(std::error_code Failure) const;
   bool forwardEvents(const EventBatch &Batch);
   bool shouldRetry(AttemptEnd End);
@@ -112,6 +117,8 @@
   /// When the call was sent to the current target.
   TimePoint SentAt{};
   EventSplitter Events;
+  /// A response other than a stream was written.
+  bool IsAnswered = false;
   bool HasStreamStarted = false;
   /// The target that sent the first event.
   ListedTarget FirstTarget;
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -52,6 +52,8 @@
     return "the software version at which the stream began is not known";
   case RelayReason::StreamVersionNotServed:
     return "no target serves the software version at which the stream began";
+  case RelayReason::OutOfMemory:
+    return "there is no memory for the message";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -50,6 +50,7 @@
   RateLimited,
   StreamVersionUnknown,
   StreamVersionNotServed,
+  OutOfMemory,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -6,6 +6,22 @@
 
 namespace bergamothook {
 
+namespace detail {
+
+/// Counts something for the duration of a scope.
+class ScopedCount {
+public:
+  explicit ScopedCount(std::size_t &Count) : Count(Count) { ++this->Count; }
+  ~ScopedCount() { --this->Count; }
+  ScopedCount(const ScopedCount &) = delete;
+  ScopedCount &operator=(const ScopedCount &) = delete;
+
+private:
+  std::size_t &Count;
+};
+
+} // namespace detail
+
 namespace {
 
 /// How long a write may block on a caller that does not read.
@@ -20,6 +36,8 @@
     return 413;
   if (Failure == NetError::TimedOut)
     return 408;
+  if (Failure == NetError::OutOfMemory)
+    return 503;
   return 400;
 }
 
@@ -43,7 +61,7 @@
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
       Listener(Loop, this->Settings.Listen,
                [this](const TcpConnection::Handle &Connection) {
-                 this->serveConnection(Connection);
+                 this->handleConnection(Connection);
                }),
       Stop(this->Settings.Stop) {}
 
@@ -63,10 +81,26 @@
                                    : CallerLimits{};
 }
 
-void RelayServer::serveConnection(const TcpConnection::Handle &Connection) {
+void RelayServer::handleConnection(const TcpConnection::Handle &Connection) {
   Session Client(Connection, this->Tasks);
   ScopedEventAttachment Attached(Connection, Client.Changed);
-  this->Sessions.insert(&Client.Changed);
+  try {
+    this->Sessions.insert(&Client.Changed);
+    this->serveConnection(Client);
+  } catch (const std::exception &Failure) {
+    // One connection must not end the process, and with it all others.
+    logEvent(LogLevel::Error, "connection_failed",
+             {{"reason", Failure.what()}});
+    Client.MustAbort = true;
+  }
+  this->Sessions.erase(&Client.Changed);
+  if (Client.MustAbort)
+    Connection->abort();
+  else
+    Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
+}
+
+void RelayServer::serveConnection(Session &Client) {
   while (!Client.MustClose && this->waitForRequest(Client)) {
     CallerLimits Limits = this->limits();
     auto Message = Client.Reader.read(
@@ -79,17 +113,10 @@
       this->refuseMessage(Client, Message.error());
       break;
     }
-    ++this->InProgress;
-    bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
-    --this->InProgress;
-    if (!KeepsOpen)
+    detail::ScopedCount Counted(this->InProgress);
+    if (!this->serveRequest(Client, std::move(Message.value())))
       break;
   }
-  this->Sessions.erase(&Client.Changed);
-  if (Client.MustAbort)
-    Connection->abort();
-  else
-    Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
 }
 
 bool RelayServer::waitForRequest(Session &Client) {
@@ -159,7 +186,13 @@
 
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
-  DecodedCall Decoded = this->Decoder(std::move(Message), this->Tasks.Now());
+  DecodedCall Decoded;
+  try {
+    Decoded = this->Decoder(std::move(Message), this->Tasks.Now());
+  } catch (const std::bad_alloc &) {
+    this->refuseMessage(Client, NetError::OutOfMemory);
+    return false;
+  }
   if (Decoded.RefusalStatus == 0 &&
       !this->Stop.accepts(Decoded.Call.deadline(), this->Tasks.Now())) {
     Decoded.RefusalStatus = 503;
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -57,7 +57,8 @@
 private:
   struct Session;
 
-  void serveConnection(const TcpConnection::Handle &Connection);
+  void handleConnection(const TcpConnection::Handle &Connection);
+  void serveConnection(Session &Client);
   bool serveRequest(Session &Client, HttpRequestMessage Message);
   bool waitForRequest(Session &Client);
   void refuseMessage(Session &Client, std::error_code Failure);
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <new>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -25,6 +26,8 @@
 constexpr Duration TargetPause = std::chrono::milliseconds(350);
 constexpr Duration TargetWait = std::chrono::milliseconds(500);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(200);
+/// How long a task that ran out of memory pauses.
+constexpr Duration TaskRestartPause = std::chrono::milliseconds(200);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 /// What is kept of the time before the kill for handing budgets back, which is
 /// one round on the store.
@@ -283,25 +286,20 @@
   BOOST_OUTCOME_TRYV(this->MetricsServer.start());
   BOOST_OUTCOME_TRYV(this->PeerSocket.start());
   auto IsStopped = [this] { return this->IsStopped; };
-  this->Tasks.Spawn([this, IsStopped] { this->ConfigFeed.run(IsStopped); });
-  this->Tasks.Spawn([this, IsStopped] { this->TargetFeed.run(IsStopped); });
-  this->Tasks.Spawn(
-      [this, IsStopped] { this->QuarantineSync.runReader(IsStopped); });
-  this->Tasks.Spawn(
-      [this, IsStopped] { this->QuarantineSync.runWriter(IsStopped); });
-  this->Tasks.Spawn(
-      [this, IsStopped] { this->OriginStore.runVersions(IsStopped); });
+  this->spawnLoop([=, this] { this->ConfigFeed.run(IsStopped); });
+  this->spawnLoop([=, this] { this->TargetFeed.run(IsStopped); });
+  this->spawnLoop([=, this] { this->QuarantineSync.runReader(IsStopped); });
+  this->spawnLoop([=, this] { this->QuarantineSync.runWriter(IsStopped); });
+  this->spawnLoop([=, this] { this->OriginStore.runVersions(IsStopped); });
   for (unsigned I = 0; I < this->Dispatcher.origins().policy().Partitions; ++I)
-    this->Tasks.Spawn(
-        [this, IsStopped, I] { this->OriginStore.runOrigins(I, IsStopped); });
-  this->Tasks.Spawn([this, IsStopped] { this->Registry.runReader(IsStopped); });
-  this->Tasks.Spawn([this, IsStopped] { this->Registry.runWriter(IsStopped); });
-  this->Tasks.Spawn(
-      [this, IsStopped] { this->Registry.runFoundingKeeper(IsStopped); });
-  this->Tasks.Spawn([this] { this->joinFleet(); });
-  this->Tasks.Spawn([this] { this->TokenSource.run(); });
-  this->Tasks.Spawn([this, IsStopped] { this->Dialer.runExpiry(IsStopped); });
-  this->Tasks.Spawn([this] { this->runHousekeeping(); });
+    this->spawnLoop([=, this] { this->OriginStore.runOrigins(I, IsStopped); });
+  this->spawnLoop([=, this] { this->Registry.runReader(IsStopped); });
+  this->spawnLoop([=, this] { this->Registry.runWriter(IsStopped); });
+  this->spawnLoop([=, this] { this->Registry.runFoundingKeeper(IsStopped); });
+  this->spawnLoop([this] { this->joinFleet(); });
+  this->spawnLoop([this] { this->TokenSource.run(); });
+  this->spawnLoop([=, this] { this->Dialer.runExpiry(IsStopped); });
+  this->spawnLoop([this] { this->runHousekeeping(); });
   this->waitForSignal();
   logEvent(LogLevel::Info, "started",
            {{"process", this->ProcessName},
@@ -310,6 +308,20 @@
   return success();
 }
 
+void RelayService::spawnLoop(std::function<void()> Run) {
+  this->Tasks.Spawn([this, Run = std::move(Run)] {
+    while (!this->IsStopped) {
+      try {
+        return Run();
+      } catch (const std::bad_alloc &) {
+        // Calls in progress free memory as they end.
+        logEvent(LogLevel::Error, "task_out_of_memory", {});
+        this->Tasks.sleepUntil(this->Tasks.Now() + TaskRestartPause);
+      }
+    }
+  });
+}
+
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -45,6 +45,8 @@
   bool isReady() const;
   StatusResponse answerReady(const std::string &Path) const;
   StatusResponse answerMetrics(const std::string &Path);
+  /// Spawns a task that goes on after it ran out of memory.
+  void spawnLoop(std::function<void()> Run);
   void waitForSignal();
   void reload();
   void stop();
--- a/Tests/LibNet/Depends.cmake
+++ b/Tests/LibNet/Depends.cmake
@@ -1,1 +1,4 @@
-list(APPEND DEPENDS LibNet)
+find_package(rapidcheck REQUIRED)
+list(APPEND DEPENDS LibNet rapidcheck)
+# The replaced allocator must not be inlined into its callers.
+set(SEPARATE_UNITS ON)
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -472,3 +472,36 @@
   // The fifth crash may not be followed by more than three sends.
   CHECK(Sends <= 8);
 }
+
+// Guards against an exception that left the task of one call and ended the
+// process, with the calls of all others (review/1).
+TEST_CASE("a call for whose answer there is no memory is told so, and nothing "
+          "else is concluded from it") {
+  Relay Fixture;
+  Fixture.setKind(CallKind::NonIdempotent);
+  bool Throws = false;
+  SUBCASE("as the answer is read") {}
+  SUBCASE("anywhere else in the exchange") { Throws = true; }
+  ScriptedResponse Endless;
+  Endless.ConnectionError = NetError::OutOfMemory;
+  Endless.ThrowsBadAlloc = Throws;
+  RelayOutcome Outcome = Fixture.runScript({Endless});
+  CHECK(Outcome.End == RelayEnd::Unknown);
+  CHECK(Outcome.Reason == RelayReason::OutOfMemory);
+  CHECK(Fixture.Status == 502);
+  CHECK(Fixture.SentCalls.size() == 1);
+  CHECK(Fixture.Dispatcher.quarantine().size() == 0);
+  // The target has no call in progress any more.
+  CHECK(Fixture.Dispatcher.targets().find(Outcome.Target)->Running == 0);
+}
+
+TEST_CASE("a repeatable call goes to another target if there is no memory for "
+          "the answer") {
+  Relay Fixture;
+  Fixture.setKind(CallKind::Idempotent);
+  ScriptedResponse Endless;
+  Endless.ConnectionError = NetError::OutOfMemory;
+  RelayOutcome Outcome = Fixture.runScript({Endless, completeStream(1, 1)});
+  CHECK(Outcome.End == RelayEnd::Done);
+  CHECK(Fixture.SentCalls.size() == 2);
+}
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -146,6 +146,8 @@
   TargetExchange Exchange;
   Exchange.ReadHead = [=](TimePoint Deadline) -> Result<HttpResponseHead> {
     BOOST_OUTCOME_TRYV(Wait(Remaining->HeadAfter, Deadline));
+    if (Remaining->ThrowsBadAlloc)
+      throw std::bad_alloc();
     if (Remaining->Pieces.empty() && Remaining->ConnectionError)
       return Remaining->ConnectionError;
     HttpResponseHead Head;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -23,6 +23,8 @@
   std::vector<std::pair<Duration, std::string>> Pieces;
   /// The body of the next response on the same connection.
   std::vector<std::pair<Duration, std::string>> NextPieces;
+  /// Memory runs out as the head is read.
+  bool ThrowsBadAlloc = false;
   /// How the connection ends after the pieces; unset for a complete response.
   std::error_code ConnectionError;
   /// The response has neither a length nor chunks.
