Decide the version of a resumed stream by the stream first, and by all hosts

Cause: a host that could not read the log took the only version that it and the homes knew for the only one in service, and did so before it looked at what the homes know of the stream. That the log is silent here says nothing of other hosts: the three that are turned away may be the homes.

Change: what is known of the stream goes first, and a contradiction is refused without a time to return. Without the log, a host asks all others: each keeps the versions at which it may begin streams, so if all know the same one and no other, no stream began at another one. A host that is silent, or left within the last minute, makes the version unknown. The related paths: times of lists and records come from a clock that counts suspension; a host relies on its list only after it watched it for ten seconds, since a version that was listed before came into service without the delay that this trust needs; such a version counts as new. The metric of resumed streams names the basis of each decision.

The check of reads after a start counts calls that resume a stream instead of those that were decided: hosts read the record once for each until they have watched the list, also for calls whose host is killed.

--- a/Libraries/LibRelay/OriginExchange.cpp
+++ b/Libraries/LibRelay/OriginExchange.cpp
@@ -3,6 +3,7 @@
 #include "LibPeer/MessageCodec.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bergamothook {
 
@@ -180,11 +181,14 @@
   auto Found = this->Origins.find(Question.Stream);
   Answer.IsKnown = Found.has_value();
   Answer.Version = Found.value_or(AmbiguousVersion);
-  auto Only = this->Versions.onlyVersion(Question.Service);
+  Answer.IsCurrent =
+      this->Versions.isCurrent(Question.Service, this->leaseNow());
+  std::optional<VersionId> Only = this->unmixedVersion(Question.Service);
+  if (auto Recorded = this->Versions.onlyVersion(Question.Service);
+      Recorded && Answer.IsCurrent)
+    Only = versionIdOf(*Recorded);
   Answer.IsOnly = Only.has_value();
-  Answer.IsCurrent = this->Versions.isCurrent(Question.Service, this->now());
-  if (Only)
-    Answer.OnlyVersion = versionIdOf(*Only);
+  Answer.OnlyVersion = Only.value_or(AmbiguousVersion);
   this->Hooks.Send(From.Host,
                    static_cast<std::uint16_t>(OriginMessageKind::Answer),
                    encodeMessage(Answer));
@@ -193,55 +197,122 @@
 void OriginExchange::onAnswer(const Incarnation &From,
                               const OriginAnswer &Answer) {
   auto Found = this->Lookups.find(Answer.Number);
-  if (Found == this->Lookups.end() ||
-      Found->second->Unanswered.erase(From.Host) == 0)
+  if (Found == this->Lookups.end())
+    return this->onPollAnswer(From, Answer);
+  if (Found->second->Unanswered.erase(From.Host) == 0)
     return;
   Found->second->Answers.push_back(Answer);
   Found->second->Changed.notify();
 }
 
-void OriginExchange::readLog(const std::shared_ptr<Lookup> &Asked,
-                             const std::string &Service, const Hash128 &Stream,
-                             TimePoint ResumedAt) {
-  this->Hooks.Tasks.Spawn([this, Asked, Service, Stream, ResumedAt] {
+void OriginExchange::onPollAnswer(const Incarnation &From,
+                                  const OriginAnswer &Answer) {
+  auto Found = std::find_if(
+      this->Polls.begin(), this->Polls.end(),
+      [&](const auto &Each) { return Each.second.Number == Answer.Number; });
+  if (Found == this->Polls.end() ||
+      Found->second.Unanswered.erase(From.Host) == 0)
+    return;
+  Poll &Asked = Found->second;
+  if (!Answer.IsOnly || Answer.OnlyVersion != Asked.OnlyVersion)
+    Asked.IsRefuted = true;
+  if (Asked.isSettled())
+    for (auto &[Number, Waiting] : this->Lookups)
+      Waiting->Changed.notify();
+}
+
+std::optional<VersionId>
+OriginExchange::unmixedVersion(const std::string &Service) const {
+  auto Only = this->Versions.onlyVersion(Service);
+  if (!Only || this->Versions.isMixed(Service))
+    return std::nullopt;
+  return versionIdOf(*Only);
+}
+
+void OriginExchange::pollFleet(const std::string &Service,
+                               TimePoint ResumedAt) {
+  auto Only = this->unmixedVersion(Service);
+  if (!Only)
+    return;
+  TimePoint Now = this->leaseNow();
+  auto [Position, IsFirst] = this->Polls.try_emplace(Service);
+  Poll &Latest = Position->second;
+  Duration Interval = this->Policy.PollInterval +
+                      this->Policy.PollIntervalPerHost *
+                          static_cast<Duration::rep>(this->Roster.hosts());
+  bool MayBegin =
+      IsFirst || (Now - Latest.BegunAt >= Interval &&
+                  (Latest.isSettled() ||
+                   Now - Latest.BegunAt >= this->Policy.PollTimeout));
+  if (MayBegin && (IsFirst || Latest.BegunAt < ResumedAt)) {
+    Latest = {};
+    Latest.Number = ++this->LastNumber;
+    Latest.BegunAt = Now;
+    Latest.OnlyVersion = *Only;
+    // A host that left may have begun streams that are still resumed.
+    TimePoint RemovedAfter =
+        this->Hooks.Tasks.Now() - this->Versions.policy().StreamLife;
+    for (HostId Each : this->Roster.firstHosts(
+             Service, std::numeric_limits<std::size_t>::max(), RemovedAfter))
+      if (Each != this->Roster.self().id())
+        Latest.Unanswered.insert(Each);
+    this->askUnanswered(Service, Latest);
+  } else if (!Latest.isSettled() &&
+             Now - Latest.AskedAt >= this->Policy.PollRepeat) {
+    this->askUnanswered(Service, Latest);
+  }
+}
+
+void OriginExchange::askUnanswered(const std::string &Service, Poll &Asked) {
+  Asked.AskedAt = this->leaseNow();
+  std::string Question =
+      encodeMessage(OriginQuestion{Asked.Number, {}, Service});
+  for (HostId Host : Asked.Unanswered)
+    this->Hooks.Send(Host,
+                     static_cast<std::uint16_t>(OriginMessageKind::Question),
+                     Question);
+}
+
+const OriginExchange::Poll *OriginExchange::pollFor(const std::string &Service,
+                                                    TimePoint ResumedAt) const {
+  auto Found = this->Polls.find(Service);
+  if (Found == this->Polls.end() || Found->second.BegunAt < ResumedAt)
+    return nullptr;
+  return &Found->second;
+}
+
+void OriginExchange::readLog(const std::shared_ptr<Lookup> &Asked) {
+  this->Hooks.Tasks.Spawn([this, Asked] {
     Result<void> Read = success();
-    if (!this->Versions.isCurrent(Service, ResumedAt))
+    if (!this->Versions.isCurrent(Asked->Service, Asked->ResumedAt))
       Read = this->Hooks.ReadVersions();
-    if (Read && !this->Versions.onlyVersion(Service))
-      Read = this->Hooks.ReadOrigins(this->partitionOf(Stream));
+    if (Read && !this->Versions.onlyVersion(Asked->Service))
+      Read = this->Hooks.ReadOrigins(this->partitionOf(Asked->Stream));
     Asked->IsLogRead = true;
     Asked->HasLogFailed = !Read;
     Asked->Changed.notify();
   });
 }
 
-std::optional<VersionId>
-OriginExchange::onlyVersion(const std::string &Service, TimePoint ResumedAt,
-                            const Lookup *Asked) const {
-  auto Only = this->Versions.onlyVersion(Service);
-  if (Only && this->Versions.isCurrent(Service, ResumedAt))
-    return versionIdOf(*Only);
-  if (!Asked)
-    return std::nullopt;
-  for (const OriginAnswer &Answer : Asked->Answers)
+OriginDecision OriginExchange::recordedVersion(const Lookup &Asked) const {
+  auto Only = this->Versions.onlyVersion(Asked.Service);
+  if (Only && this->Versions.isCurrent(Asked.Service, Asked.ResumedAt))
+    return {versionIdOf(*Only), OriginBasis::Record};
+  for (const OriginAnswer &Answer : Asked.Answers)
     if (Answer.IsOnly && Answer.IsCurrent)
-      return Answer.OnlyVersion;
-  // While no host reaches the log, no version is added to the record.
-  bool IsLogOut = Asked->HasLogFailed && Only && !Asked->Answers.empty() &&
-                  Asked->Unanswered.empty();
-  bool AllAgree = std::all_of(Asked->Answers.begin(), Asked->Answers.end(),
-                              [&](const OriginAnswer &Answer) {
-                                return Only && Answer.IsOnly &&
-                                       Answer.OnlyVersion == versionIdOf(*Only);
-                              });
-  if (IsLogOut && AllAgree)
-    return versionIdOf(*Only);
-  return std::nullopt;
+      return {Answer.OnlyVersion, OriginBasis::Record};
+  // A host keeps the versions at which it may begin streams. So if every host
+  // knows one version only, no stream began at another one.
+  const Poll *Asking = this->pollFor(Asked.Service, Asked.ResumedAt);
+  if (Asking && !Asking->IsRefuted && Asking->Unanswered.empty() &&
+      this->unmixedVersion(Asked.Service) == Asking->OnlyVersion)
+    return {Asking->OnlyVersion, OriginBasis::Fleet};
+  return {};
 }
 
 std::optional<VersionId>
-OriginExchange::knownVersion(const Hash128 &Stream, const Lookup &Asked) const {
-  std::optional<VersionId> Known = this->Origins.find(Stream);
+OriginExchange::knownVersion(const Lookup &Asked) const {
+  std::optional<VersionId> Known = this->Origins.find(Asked.Stream);
   for (const OriginAnswer &Answer : Asked.Answers) {
     if (!Answer.IsKnown)
       continue;
@@ -251,51 +322,77 @@
   return Known;
 }
 
-std::optional<VersionId>
+OriginDecision OriginExchange::decide(const Lookup &Asked) const {
+  OriginDecision Recorded = this->recordedVersion(Asked);
+  std::optional<VersionId> Known = this->knownVersion(Asked);
+  if (!Known)
+    return Recorded;
+  if (Known == AmbiguousVersion ||
+      (Recorded.Version && Recorded.Version != Known))
+    return {std::nullopt, OriginBasis::Contradiction};
+  return {Known, OriginBasis::Stream};
+}
+
+bool OriginExchange::isLookupDone(const Lookup &Asked, bool AwaitsHomes) const {
+  if (this->recordedVersion(Asked).Version)
+    return true;
+  if (AwaitsHomes && !Asked.Unanswered.empty())
+    return false;
+  if (!AwaitsHomes && this->knownVersion(Asked))
+    return true;
+  if (!Asked.IsLogRead)
+    return false;
+  if (!Asked.HasLogFailed || this->knownVersion(Asked) ||
+      !this->unmixedVersion(Asked.Service))
+    return true;
+  const Poll *Asking = this->pollFor(Asked.Service, Asked.ResumedAt);
+  return Asking && Asking->isSettled();
+}
+
+OriginDecision
 OriginExchange::resolve(const std::string &Service, const Hash128 &Stream,
                         TimePoint ResumedAt, TimePoint Deadline,
                         const std::function<bool()> &IsCancelled) {
-  if (auto Only = this->onlyVersion(Service, ResumedAt, nullptr))
-    return Only;
+  const Runtime &Tasks = this->Hooks.Tasks;
   auto Asked = std::make_shared<Lookup>();
+  Asked->Service = Service;
+  Asked->Stream = Stream;
+  TimePoint Begin = this->now();
+  Asked->ResumedAt = this->leaseNow() - (Begin - ResumedAt);
+  if (this->recordedVersion(*Asked).Version)
+    return this->decide(*Asked);
   std::uint64_t Number = ++this->LastNumber;
   this->Lookups.emplace(Number, Asked);
-  this->ask(*Asked, Number, Service, Stream);
-  this->readLog(Asked, Service, Stream, ResumedAt);
+  this->askHomes(*Asked, Number);
+  this->readLog(Asked);
   // What this host knows itself does not suffice: a caller may have used the
   // same id at another host.
-  std::optional<VersionId> Only;
-  auto IsDone = [&] {
-    Only = this->onlyVersion(Service, ResumedAt, Asked.get());
-    return Only || IsCancelled() ||
-           (Asked->IsLogRead && Asked->Unanswered.empty());
-  };
-  const Runtime &Tasks = this->Hooks.Tasks;
-  TimePoint Begin = this->now();
-  if (!Tasks.waitUntil(Asked->Changed,
-                       std::min(Deadline, Begin + this->Policy.HomeTimeout),
-                       IsDone))
-    Tasks.waitUntil(Asked->Changed,
-                    std::min(Deadline, Begin + this->Policy.LookupTimeout),
-                    [&] {
-                      return IsDone() || Asked->IsLogRead ||
-                             this->knownVersion(Stream, *Asked);
-                    });
-  this->Lookups.erase(Number);
-  if (!Asked->IsLogRead) {
-    Asked->HasLogFailed = true;
-    Only = this->onlyVersion(Service, ResumedAt, Asked.get());
+  TimePoint HomesEnd = std::min(Deadline, Begin + this->Policy.HomeTimeout);
+  TimePoint End = std::min(Deadline, Begin + this->Policy.LookupTimeout);
+  for (;;) {
+    TimePoint Now = this->now();
+    bool AwaitsHomes = Now < HomesEnd;
+    if (IsCancelled() || Now >= End || this->isLookupDone(*Asked, AwaitsHomes))
+      break;
+    // The log may not answer at all.
+    if (Asked->HasLogFailed || (!AwaitsHomes && !Asked->IsLogRead))
+      this->pollFleet(Service, Asked->ResumedAt);
+    std::uint64_t Seen = Asked->Changed.generation();
+    TimePoint Next = std::min(End, Now + this->Policy.PollRepeat);
+    if (AwaitsHomes)
+      Next = std::min(Next, HomesEnd);
+    Tasks.waitUntil(Asked->Changed, Next, [&] {
+      return IsCancelled() || Asked->Changed.generation() != Seen;
+    });
   }
-  if (Only)
-    return Only;
-  auto Known = this->knownVersion(Stream, *Asked);
-  return Known == AmbiguousVersion ? std::nullopt : Known;
+  this->Lookups.erase(Number);
+  return this->decide(*Asked);
 }
 
-void OriginExchange::ask(Lookup &Asked, std::uint64_t Number,
-                         const std::string &Service, const Hash128 &Stream) {
-  std::string Question = encodeMessage(OriginQuestion{Number, Stream, Service});
-  for (HostId Home : this->Roster.homes(this->partitionOf(Stream))) {
+void OriginExchange::askHomes(Lookup &Asked, std::uint64_t Number) {
+  std::string Question =
+      encodeMessage(OriginQuestion{Number, Asked.Stream, Asked.Service});
+  for (HostId Home : this->Roster.homes(this->partitionOf(Asked.Stream))) {
     if (Home == this->Roster.self().id())
       continue;
     Asked.Unanswered.insert(Home);
@@ -305,4 +402,20 @@
   }
 }
 
+const char *nameOf(OriginBasis Basis) {
+  switch (Basis) {
+  case OriginBasis::Stream:
+    return "stream";
+  case OriginBasis::Record:
+    return "record";
+  case OriginBasis::Fleet:
+    return "fleet";
+  case OriginBasis::Contradiction:
+    return "contradiction";
+  case OriginBasis::Unknown:
+    return "unknown";
+  }
+  return "unknown_basis";
+}
+
 } // namespace bergamothook
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -76,6 +76,7 @@
 OriginHooks RelayDispatcher::originHooks() {
   OriginHooks Chosen;
   Chosen.Tasks = this->Hooks.Tasks;
+  Chosen.LeaseClock = this->Hooks.LeaseClock;
   Chosen.Send = [this](HostId To, std::uint16_t Kind, std::string_view Body) {
     this->TokenSource.sendMessage(To, Kind, Body);
   };
--- a/Libraries/LibRelay/StreamVersionRule.cpp
+++ b/Libraries/LibRelay/StreamVersionRule.cpp
@@ -12,13 +12,15 @@
                             this->Service, this->Call.streamAttempt());
   if (!this->IsResumable || !this->Call.isResumption())
     return true;
-  this->Version = this->Dispatcher.origins().resolve(
+  OriginDecision Decision = this->Dispatcher.origins().resolve(
       this->Service, this->Stream, this->Call.ArrivedAt, Deadline, HasLeft);
+  this->Version = Decision.Version;
   const char *Found = !this->Version     ? "unknown"
                       : this->hasMatch() ? "served"
                                          : "not_served";
   this->Dispatcher.stats().count("relay_streams_resumed_total{version=\"" +
-                                 std::string(Found) + "\"}");
+                                 std::string(Found) + "\",basis=\"" +
+                                 nameOf(Decision.Basis) + "\"}");
   return this->Version.has_value();
 }
 
--- a/Libraries/LibRelay/VersionRegister.cpp
+++ b/Libraries/LibRelay/VersionRegister.cpp
@@ -18,6 +18,8 @@
     return false;
   if (Found == Seen.end())
     Found = Seen.emplace(Version, Sighting{Now, Now}).first;
+  if (Now - Found->second.Last >= this->Policy.SightingGap)
+    Found->second.First = Now;
   Found->second.Last = Now;
   if (!this->FirstListAsOf)
     this->FirstListAsOf = Now;
@@ -196,15 +198,20 @@
   return Found != Known.end() && Found->second == VersionPhase::InUse;
 }
 
+bool VersionRegister::hasWatchedList(TimePoint ResumedAt) const {
+  return this->ListAsOf && this->FirstListAsOf &&
+         ResumedAt - *this->ListAsOf < this->Policy.ListTolerance &&
+         ResumedAt - std::max(*this->FirstListAsOf, this->MissedUntil) >=
+             2 * this->Policy.SightingGap;
+}
+
 bool VersionRegister::isCurrent(const std::string &Service,
                                 TimePoint ResumedAt) const {
   if (this->mustRead())
     return false;
   if (*this->ReadAsOf >= ResumedAt)
     return true;
-  return this->ListAsOf &&
-         ResumedAt - *this->ListAsOf < this->Policy.ListTolerance &&
-         !this->hasUnknownVersion(Service);
+  return this->hasWatchedList(ResumedAt) && !this->hasUnknownVersion(Service);
 }
 
 std::optional<std::string>
--- a/Libraries/LibRelay/VersionRegister.h
+++ b/Libraries/LibRelay/VersionRegister.h
@@ -38,6 +38,10 @@
   /// a list that is older than this is not relied on. So a host that relies on
   /// its list has seen each version that any host uses.
   Duration ListTolerance = std::chrono::milliseconds(500);
+  /// A version that was not listed for this long counts as listed for the first
+  /// time when it is listed again. Longer than the list keeps the entry of a
+  /// target that is gone.
+  Duration SightingGap = std::chrono::seconds(5);
   /// The host that ranks first for a service writes its record; each next one
   /// waits this much longer.
   Duration TurnTime = std::chrono::milliseconds(400);
@@ -50,7 +54,8 @@
   std::size_t MaxServices = 1024;
 };
 
-/// What one host knows of the records. Not thread-safe.
+/// What one host knows of the records. Times count those in which the machine
+/// was suspended, since other hosts go on in them. Not thread-safe.
 class VersionRegister {
 public:
   /// \p RankOf returns the position of this host in the order in which hosts
@@ -98,6 +103,10 @@
   /// \returns whether a stream may begin at \p Version.
   bool mayBegin(const std::string &Service, const std::string &Version) const;
 
+  /// \returns whether the list was read without a gap for so long before \p
+  /// ResumedAt that each version that any host uses was seen in it.
+  bool hasWatchedList(TimePoint ResumedAt) const;
+
   /// \returns whether what is known covers every stream that a caller can
   /// resume at \p ResumedAt.
   bool isCurrent(const std::string &Service, TimePoint ResumedAt) const;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -99,8 +99,8 @@
                  this->targetFeedHooks()),
       QuarantineSync(this->Store, this->Tasks, this->Settings.Host,
                      this->Dispatcher.quarantineReports()),
-      OriginStore(this->Store, this->Tasks, this->Dispatcher.versions(),
-                  this->Dispatcher.origins()),
+      OriginStore(this->Store, this->Tasks, readLeaseClock,
+                  this->Dispatcher.versions(), this->Dispatcher.origins()),
       Registry(this->Store, this->Tasks, this->TokenSource.roster()),
       Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
@@ -203,6 +203,7 @@
 
 platform::FeedHooks RelayService::targetFeedHooks() {
   platform::FeedHooks Hooks;
+  Hooks.Clock = readLeaseClock;
   Hooks.OnRestored = [this] { this->Dispatcher.targets().onListRestored(); };
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
     std::vector<ListedTarget> Targets;
@@ -212,7 +213,7 @@
         Targets.push_back(Target.value());
       else
         this->logUnreadableTarget(Record);
-    this->Dispatcher.versions().onListGap(this->Tasks.Now());
+    this->Dispatcher.versions().onListGap(readLeaseClock());
     for (const ListedTarget &Target : Targets)
       this->noteVersion(Target);
     this->Dispatcher.targets().onFullList(Targets, this->Tasks.Now());
@@ -259,7 +260,7 @@
 
 void RelayService::noteVersion(const ListedTarget &Target) {
   if (!this->Dispatcher.versions().onListed(Target.Service, Target.Version,
-                                            this->Tasks.Now()))
+                                            readLeaseClock()))
     logEvent(LogLevel::Warning, "too_many_versions",
              {{"target", Target.Id},
               {"target_service", Target.Service},
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -38,7 +38,7 @@
                  return Rank;
                }),
       Origins({}, this->Versions, this->Roster,
-              {Fleet.Simulated.hooks(),
+              {Fleet.runtimeOf(*this), [&Fleet] { return Fleet.now(); },
                [&Fleet, Index](HostId To, std::uint16_t Kind,
                                std::string_view Body) {
                  ++Fleet.Results.Messages;
@@ -76,6 +76,46 @@
                            std::chrono::minutes(1));
 }
 
+Runtime VersionFleet::runtimeOf(const Host &Process) {
+  Runtime Hooks = this->Simulated.hooks();
+  Hooks.Now = [this, &Process] { return this->now() - Process.Suspended; };
+  Hooks.WaitOn = [Shared = Hooks.WaitOn, &Process](
+                     Event &Signal, std::uint64_t Seen, TimePoint Deadline) {
+    Shared(Signal, Seen,
+           Deadline == TimePoint::max() ? Deadline
+                                        : Deadline + Process.Suspended);
+  };
+  return Hooks;
+}
+
+void VersionFleet::freeze(std::set<int> Stopped, bool Suspends) {
+  this->Frozen = std::move(Stopped);
+  this->IsSuspended = Suspends;
+}
+
+void VersionFleet::leave(int Index) {
+  this->kill(Index, Index + 1);
+  for (int Other = 0; Other < this->Settings.Hosts; ++Other)
+    if (this->hostAt(Other) && this->reachesStore(Other))
+      this->hostAt(Other)->Roster.remove(
+          entryOf(Index, 1).Name, this->now() - this->hostAt(Other)->Suspended);
+}
+
+std::set<int> VersionFleet::homesOf(unsigned Partition) {
+  std::set<int> Homes;
+  for (HostId Home : this->hostAt(0)->Roster.homes(Partition))
+    Homes.insert(this->IndexOfHost.at(Home));
+  return Homes;
+}
+
+bool VersionFleet::isCut(const Message &Sent) const {
+  if ((Sent.To < this->SplitBelow) != (Sent.From < this->SplitBelow))
+    return true;
+  bool IsFromInside = this->CutPeers.contains(Sent.From);
+  bool IsToInside = this->CutPeers.contains(Sent.To);
+  return IsFromInside != IsToInside && (IsFromInside || this->IsCutBothWays);
+}
+
 Duration VersionFleet::randomUpTo(Duration Limit) {
   return std::chrono::duration_cast<Duration>(Limit * this->Rng.uniform());
 }
@@ -84,7 +124,7 @@
   for (int Tries = 0; Tries < 4 * this->Settings.Hosts; ++Tries) {
     int Index = static_cast<int>(
         this->Rng.below(static_cast<std::uint64_t>(this->Settings.Hosts)));
-    if (this->hostAt(Index))
+    if (this->hostAt(Index) && !this->Frozen.contains(Index))
       return Index;
   }
   return -1;
@@ -111,9 +151,14 @@
 }
 
 void VersionFleet::start(int First, int End) {
-  for (int Index = First; Index < End; ++Index)
+  for (int Index = First; Index < End; ++Index) {
     this->Hosts[static_cast<std::size_t>(Index)] =
         std::make_unique<Host>(*this, Index, ++this->LastRun);
+    // Hosts that reach the store see its entry.
+    for (int Other = 0; Other < this->Settings.Hosts; ++Other)
+      if (this->hostAt(Other) && this->reachesStore(Other))
+        this->hostAt(Other)->Roster.put(entryOf(Index, 1));
+  }
 }
 
 void VersionFleet::breakStreams(double Share) {
@@ -151,16 +196,18 @@
   while (!this->Network.empty() && this->Network.begin()->first <= Now) {
     Message Arrived = std::move(this->Network.begin()->second);
     this->Network.erase(this->Network.begin());
-    bool IsCut =
-        (Arrived.To < this->SplitBelow) != (Arrived.From < this->SplitBelow);
     Host *To = this->hostAt(Arrived.To);
-    if (To && !IsCut)
+    if (To && this->Frozen.contains(Arrived.To))
+      this->Network.emplace(Now + StepTime, std::move(Arrived));
+    else if (To && !this->isCut(Arrived))
       (void)To->Handlers.at(Arrived.Kind)({entryOf(Arrived.From, 0).id(), 1},
                                           Arrived.Body);
   }
   for (int Index = 0; Index < this->Settings.Hosts; ++Index)
-    if (this->hostAt(Index))
+    if (this->hostAt(Index) && !this->Frozen.contains(Index))
       this->stepHost(Index);
+    else if (this->hostAt(Index) && this->IsSuspended)
+      this->hostAt(Index)->Suspended += StepTime;
   double PerStep = this->Settings.StreamsPerSecond *
                    std::chrono::duration<double>(StepTime).count();
   for (; PerStep > 0; PerStep -= 1)
@@ -223,9 +270,11 @@
 VersionFleet::Host *VersionFleet::awaitStore(int Index) {
   const Host *Before = this->hostAt(Index);
   bool IsAnswered = this->reachesStore(Index);
+  // A store that turns a host away says so at once.
+  bool IsRefused = this->TurnedAway.contains(Index);
   this->Simulated.hooks().sleepUntil(
-      this->now() +
-      (IsAnswered ? this->Settings.StoreDelay : this->Settings.StoreTimeout));
+      this->now() + (IsAnswered || IsRefused ? this->Settings.StoreDelay
+                                             : this->Settings.StoreTimeout));
   Host *After = this->hostAt(Index);
   return After == Before && IsAnswered && this->reachesStore(Index) ? After
                                                                     : nullptr;
@@ -318,17 +367,22 @@
     return;
   }
   ++this->ResumptionsInProgress;
+  ++this->Results.Resumptions;
   this->Simulated.hooks().Spawn([this, Index, Broken] {
     Host *Relaying = this->hostAt(Index);
     TimePoint Begin = this->now();
-    auto Version = Relaying->Origins.resolve(
-        Service, streamIdOf("team", Service, Broken.Id), Begin,
-        Begin + std::chrono::seconds(5), [] { return false; });
+    TimePoint HostBegin = Begin - Relaying->Suspended;
+    auto Version =
+        Relaying->Origins
+            .resolve(Service, streamIdOf("team", Service, Broken.Id), HostBegin,
+                     HostBegin + std::chrono::seconds(5), [] { return false; })
+            .Version;
     --this->ResumptionsInProgress;
     if (this->hostAt(Index) != Relaying)
       return; // The host was killed meanwhile.
-    this->Results.LongestLookup =
-        std::max(this->Results.LongestLookup, this->now() - Begin);
+    if (this->Frozen.empty())
+      this->Results.LongestLookup =
+          std::max(this->Results.LongestLookup, this->now() - Begin);
     bool IsServed = this->Targets.contains(Broken.Version) &&
                     Relaying->List.contains(Broken.Version);
     this->Results.Resumed += IsServed ? 1 : 0;
--- a/Tests/LibRelay/VersionFleet.h
+++ b/Tests/LibRelay/VersionFleet.h
@@ -31,6 +31,8 @@
 struct VersionFleetResults {
   int Begun = 0;
   int NotBegun = 0;
+  /// Calls that resume a stream, also at hosts that are killed meanwhile.
+  int Resumptions = 0;
   /// Streams that a caller resumed while targets of their version served, and
   /// those of them that continued.
   int Resumed = 0;
@@ -65,6 +67,27 @@
   /// Breaks this share of all streams, without any loss of a host.
   void breakStreams(double Share);
   void setStoreOut(bool IsOut) { this->IsStoreOut = IsOut; }
+  /// The store refuses these hosts and serves the others.
+  void turnAway(std::set<int> Refused) {
+    this->TurnedAway = std::move(Refused);
+  }
+  /// Messages from hosts in \p From to hosts that are not in it are lost, and
+  /// with \p BothWays also those to it.
+  void cutPeers(std::set<int> From, bool BothWays) {
+    this->CutPeers = std::move(From);
+    this->IsCutBothWays = BothWays;
+  }
+  /// These hosts stand still: they do nothing, and what is sent to them waits.
+  /// If \p IsSuspended, their steady clocks stand still too.
+  void freeze(std::set<int> Hosts, bool IsSuspended);
+  void setLostPerCent(std::uint64_t PerCent) {
+    this->Settings.LostPerCent = PerCent;
+  }
+  /// Kills a host that takes itself off the list of hosts; those that reach the
+  /// store forget it.
+  void leave(int Index);
+  /// \returns the hosts that are asked for the streams of one partition.
+  std::set<int> homesOf(unsigned Partition);
   /// Cuts the hosts with indices below \p Below off from the others and from
   /// the store.
   void split(int Below) { this->SplitBelow = Below; }
@@ -79,6 +102,8 @@
   struct Host {
     Host(VersionFleet &Fleet, int Index, std::uint64_t Run);
     std::uint64_t Run;
+    /// How long the machine was suspended.
+    Duration Suspended{};
     HostRoster Roster;
     VersionRegister Versions;
     std::map<std::uint16_t, PeerNode::Handler> Handlers;
@@ -126,8 +151,11 @@
   void beginStream();
   void breakOff(Stream Broken);
   void resume(Stream Broken);
+  Runtime runtimeOf(const Host &Process);
+  bool isCut(const Message &Sent) const;
   bool reachesStore(int Index) const {
     return !this->IsStoreOut && Index >= this->SplitBelow &&
+           !this->TurnedAway.contains(Index) && !this->Frozen.contains(Index) &&
            this->Hosts[static_cast<std::size_t>(Index)];
   }
   Host *hostAt(int Index) {
@@ -154,6 +182,11 @@
   std::uint64_t LastId = 0;
   std::uint64_t LastRun = 0;
   int SplitBelow = 0;
+  std::set<int> TurnedAway;
+  std::set<int> CutPeers;
+  bool IsCutBothWays = false;
+  std::set<int> Frozen;
+  bool IsSuspended = false;
   bool IsStoreOut = false;
   bool ReusesIds = false;
   int ResumptionsInProgress = 0;
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -175,11 +175,13 @@
     Versions.setServices({"engines"});
     OriginExchange Origins({}, Versions, Roster,
                            {Tasks,
+                            Tasks.Now,
                             [](HostId, std::uint16_t, std::string_view) {},
                             [](std::uint16_t, PeerNode::Handler) {},
                             {},
                             {}});
-    StreamOriginStore Stored(*Fixture.Client, Tasks, Versions, Origins);
+    StreamOriginStore Stored(*Fixture.Client, Tasks, Tasks.Now, Versions,
+                             Origins);
     CHECK(Stored.readVersions());
     Versions.onListed("engines", "v1", Tasks.Now());
     CHECK(Versions.isMixed("engines"));
--- a/Tests/Platform/StreamOriginStoreTest.cpp
+++ b/Tests/Platform/StreamOriginStoreTest.cpp
@@ -21,11 +21,13 @@
         Versions({}, [Rank](const std::string &) { return Rank; }),
         Origins({}, this->Versions, this->Roster,
                 {this->Tasks,
+                 this->Tasks.Now,
                  [](HostId, std::uint16_t, std::string_view) {},
                  [](std::uint16_t, PeerNode::Handler) {},
                  {},
                  {}}),
-        Stored(*Fixture.Client, this->Tasks, this->Versions, this->Origins) {
+        Stored(*Fixture.Client, this->Tasks, this->Tasks.Now, this->Versions,
+               this->Origins) {
     this->Versions.setServices({Service});
   }
 
@@ -49,8 +51,9 @@
 
   std::optional<VersionId> resolve() {
     TimePoint Now = this->Tasks.Now();
-    return this->Origins.resolve(Service, this->Stream, Now, Now + 2s,
-                                 [] { return false; });
+    return this->Origins
+        .resolve(Service, this->Stream, Now, Now + 2s, [] { return false; })
+        .Version;
   }
 
   Hash128 Stream = streamIdOf("team", Service, "call-1");
