Bound the bytes of messages in sum, by the memory of the settings

Cause: each message had a bound of its own, 8 MB for a body, and nothing bounded their number. The same held for requests, for bytes that callers do not read, and for responses of the store. A line of a chunk without end was not refused but waited for until the deadline.

Change: MemoryBudget counts what connections and calls hold beyond 8 KB each, up to an eighth of limits.memoryMb, which is read now. An account grows while each of its owners (team, target, requests still being read) holds no more than what is left after that, so no owner, nor any number of them, takes all. The call that asks is refused at once, 502 or 503 by what is true; bytes that can't be queued are sent in parts. The kernel's receive buffers are set to 32 KB.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -129,6 +129,15 @@
 Result<HttpRequestMessage>
 HttpRequestReader::read(const HttpReadLimits &Limits, TimePoint Deadline,
                         const std::function<void()> &OnContinue) {
+  auto Message = this->readMessage(Limits, Deadline, OnContinue);
+  if (!Message)
+    this->Connection->keep(0);
+  return Message;
+}
+
+Result<HttpRequestMessage>
+HttpRequestReader::readMessage(const HttpReadLimits &Limits, TimePoint Deadline,
+                               const std::function<void()> &OnContinue) {
   http::request_parser<detail::GrowingBody> Parser;
   Parser.eager(true);
   Parser.header_limit(Limits.MaxHeadBytes);
@@ -144,6 +153,8 @@
       return toNetError(Failure);
     std::size_t UnconsumedBytes = Bytes.size() - Consumed;
     this->Connection->consume(Consumed);
+    if (!this->Connection->keep(Parser.get().body().size()))
+      return NetError::OutOfMemory;
     if (Parser.is_done())
       break;
     if (Parser.is_header_done() && !HasCheckedExpect) {
@@ -154,12 +165,17 @@
     // A head larger than the receive buffer would never become complete.
     if (!Parser.is_header_done() && UnconsumedBytes > Limits.MaxHeadBytes)
       return NetError::HeadTooLarge;
+    // Neither would the line of a chunk.
+    if (this->Connection->isFull())
+      return NetError::Malformed;
     bool ConditionMet = this->Tasks.waitUntil(this->Changed, Deadline, [&] {
       return this->Connection->unread().size() > UnconsumedBytes ||
-             this->Connection->hasEnded();
+             this->Connection->hasEnded() || this->Connection->lacksMemory();
     });
     if (this->Connection->unread().size() > UnconsumedBytes)
       continue;
+    if (this->Connection->lacksMemory())
+      return NetError::OutOfMemory;
     return ConditionMet ? this->Connection->endReason()
                         : make_error_code(NetError::TimedOut);
   }
@@ -230,11 +246,17 @@
       return success();
     bool ConditionMet = this->Tasks.waitUntil(*this->Changed, Deadline, [&] {
       return this->Connection->unread().size() > UnconsumedBytes ||
-             this->Connection->hasEnded() || IsCancelled();
+             this->Connection->hasEnded() || IsCancelled() ||
+             this->Connection->isFull() || this->Connection->lacksMemory();
     });
     if (this->Connection->unread().size() > UnconsumedBytes)
       continue;
     this->ParseState->HasFailed = true;
+    if (this->Connection->lacksMemory())
+      return NetError::OutOfMemory;
+    // A line of a chunk without end.
+    if (this->Connection->isFull())
+      return NetError::Malformed;
     if (this->Connection->hasEnded()) {
       boost::system::error_code Failure;
       if (!this->Connection->wasLost() && Parser.is_header_done() &&
@@ -293,15 +315,23 @@
 Result<std::string>
 HttpResponseReader::readAll(std::size_t MaxBytes, TimePoint Deadline,
                             const std::function<bool()> &IsCancelled) {
-  std::string Out;
-  for (;;) {
-    BOOST_OUTCOME_TRY(Piece, this->readBody(Deadline, IsCancelled));
-    Out += Piece.Bytes;
-    if (Out.size() > MaxBytes)
-      return NetError::BodyTooLarge;
-    if (Piece.IsLast)
-      return Out;
+  Result<std::string> Out = std::string();
+  for (bool IsLast = false; Out && !IsLast;) {
+    auto Piece = this->readBody(Deadline, IsCancelled);
+    std::size_t Size =
+        Piece ? Out.value().size() + Piece.value().Bytes.size() : 0;
+    if (!Piece)
+      Out = Piece.error();
+    else if (Size > MaxBytes)
+      Out = NetError::BodyTooLarge;
+    else if (!this->Connection->keep(Size))
+      Out = NetError::OutOfMemory;
+    else
+      Out.value() += Piece.value().Bytes;
+    IsLast = Piece && Piece.value().IsLast;
   }
+  this->Connection->keep(0);
+  return Out;
 }
 
 bool HttpResponseReader::canReuse() const {
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -35,12 +35,17 @@
                         const std::function<bool()> &IsCancelled);
 
   /// Reads one request. \p OnContinue is called when the client sent
-  /// "Expect: 100-continue" and waits for the interim response.
+  /// "Expect: 100-continue" and waits for the interim response. The connection
+  /// keeps the size of the body until TcpConnection::keep() is called again.
   Result<HttpRequestMessage> read(const HttpReadLimits &Limits,
                                   TimePoint Deadline,
                                   const std::function<void()> &OnContinue);
 
 private:
+  Result<HttpRequestMessage>
+  readMessage(const HttpReadLimits &Limits, TimePoint Deadline,
+              const std::function<void()> &OnContinue);
+
   TcpConnection::Handle Connection;
   Runtime Tasks;
   Event &Changed;
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -6,12 +6,17 @@
 #include <netinet/tcp.h>
 #include <new>
 #include <sys/socket.h>
+#include <utility>
 
 namespace bergamothook {
 
 namespace {
 /// Larger than a typical burst of events.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// Up to this size, one write with a copy is cheaper than two writes.
+constexpr std::size_t MaxCopiedBytes = 16 * 1024;
+/// Less is not worth a system call.
+constexpr std::size_t MinReadBytes = 2 * 1024;
 } // namespace
 
 using boost::asio::ip::tcp;
@@ -33,7 +38,8 @@
 TcpConnection::TcpConnection(NetRuntime &Loop, tcp::socket Socket,
                              TcpLimits Limits)
     : Loop(Loop), Tasks(Loop.hooks()), Socket(std::move(Socket)),
-      Limits(Limits) {}
+      Limits(std::move(Limits)),
+      Memory(this->Limits.Memory, this->Limits.Owners) {}
 
 TcpConnection::~TcpConnection() {
   boost::system::error_code Ignored; // A destructor can't report errors.
@@ -42,7 +48,8 @@
 
 TcpConnection::Handle TcpConnection::adopt(NetRuntime &Loop, tcp::socket Socket,
                                            TcpLimits Limits) {
-  Handle Connection(new TcpConnection(Loop, std::move(Socket), Limits));
+  Handle Connection(
+      new TcpConnection(Loop, std::move(Socket), std::move(Limits)));
   Connection->setOptions();
   Connection->readAhead();
   return Connection;
@@ -55,8 +62,14 @@
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     return NetError::ConnectFailed;
+  boost::system::error_code Ignored; // Options are best effort.
+  tcp::socket Socket(Loop.context());
+  Socket.open(Endpoint.value().protocol(), Ignored);
+  Socket.set_option(
+      boost::asio::socket_base::receive_buffer_size(Limits.ReceiveBufferBytes),
+      Ignored);
   Handle Connection(
-      new TcpConnection(Loop, tcp::socket(Loop.context()), Limits));
+      new TcpConnection(Loop, std::move(Socket), std::move(Limits)));
   // Shared with the handler, which may run after this call has returned.
   struct Progress {
     bool IsDone = false;
@@ -111,14 +124,34 @@
     if (this->Received.capacity() > ReadBufferBytes)
       this->Received.shrink_to_fit();
   }
+  this->Memory.resize(this->heldBytes());
   this->readAhead();
 }
 
+bool TcpConnection::keep(std::size_t Bytes) {
+  std::size_t Before = std::exchange(this->Kept, Bytes);
+  if (!this->Memory.resize(this->heldBytes())) {
+    this->Kept = Before;
+    return false;
+  }
+  if (Bytes < Before)
+    this->readAhead();
+  return true;
+}
+
+std::size_t TcpConnection::roomToRead() {
+  std::size_t Held = this->heldBytes();
+  std::size_t Free = this->Memory.freeBytes();
+  if (Held + MinReadBytes <= Free)
+    return std::min(ReadBufferBytes, Free - Held);
+  return this->Memory.resize(Held + ReadBufferBytes) ? ReadBufferBytes : 0;
+}
+
 void TcpConnection::readAhead() {
-  if (this->IsReading || this->HasEnded || this->IsClosed ||
-      this->unread().size() >= this->Limits.MaxUnread)
+  if (this->IsReading || this->HasEnded || this->IsClosed || this->isFull())
     return;
   this->IsReading = true;
+  this->LacksMemory = false;
   this->Socket.async_wait(tcp::socket::wait_read,
                           [Self = this->shared_from_this()](
                               const boost::system::error_code &Failure) {
@@ -135,9 +168,15 @@
   // Shared by all connections of the thread, so that idle connections hold no
   // buffer.
   static thread_local std::array<char, ReadBufferBytes> ReadBuffer;
+  std::size_t Room = this->IsClosing ? ReadBufferBytes : this->roomToRead();
+  if (Room == 0) {
+    // Reading goes on when the user of the connection consumes bytes.
+    this->LacksMemory = true;
+    return this->notify();
+  }
   boost::system::error_code Failure;
-  std::size_t Bytes =
-      this->Socket.read_some(boost::asio::buffer(ReadBuffer), Failure);
+  std::size_t Bytes = this->Socket.read_some(
+      boost::asio::buffer(ReadBuffer.data(), Room), Failure);
   if (Failure == boost::asio::error::would_block) {
     this->readAhead();
     return;
@@ -154,6 +193,7 @@
     } catch (const std::bad_alloc &) {
       return this->end(true);
     }
+    this->Memory.resize(this->heldBytes());
   }
   this->readAhead();
   this->notify();
@@ -183,6 +223,8 @@
   }
   if (Bytes.empty())
     return success();
+  if (!this->Memory.resize(this->heldBytes() + Bytes.size()))
+    return this->writeInParts(Bytes, Deadline);
   try {
     this->Unsent.append(Bytes);
   } catch (const std::bad_alloc &) {
@@ -202,6 +244,28 @@
   return success();
 }
 
+Result<void> TcpConnection::writeMessage(std::string Head,
+                                         std::string_view Body,
+                                         TimePoint Deadline) {
+  if (Body.size() <= MaxCopiedBytes)
+    return this->write(Head.append(Body), Deadline);
+  BOOST_OUTCOME_TRYV(this->write(Head, Deadline));
+  return this->write(Body, Deadline);
+}
+
+Result<void> TcpConnection::writeInParts(std::string_view Bytes,
+                                         TimePoint Deadline) {
+  // Without memory for a queue, the caller waits until its bytes are sent.
+  while (!Bytes.empty()) {
+    std::size_t Part = std::min(Bytes.size(), this->Memory.freeBytes());
+    this->Unsent.append(Bytes.substr(0, Part));
+    this->sendQueued();
+    BOOST_OUTCOME_TRYV(this->flush(Deadline));
+    Bytes.remove_prefix(Part);
+  }
+  return success();
+}
+
 Result<void> TcpConnection::flush(TimePoint Deadline) {
   bool IsEmpty = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
     return this->WasLost || this->IsClosed || this->unsent() == 0;
@@ -242,6 +306,7 @@
     this->Unsent.clear();
     this->Unsent.shrink_to_fit();
     this->Sent = 0;
+    this->Memory.resize(this->heldBytes());
     if (this->IsClosing)
       this->finishClose();
   } else {
@@ -270,6 +335,8 @@
   this->IsClosing = true;
   this->Received.clear();
   this->Consumed = 0;
+  this->Kept = 0;
+  this->Memory.resize(this->heldBytes());
   if (this->unsent() == 0 || this->HasEnded)
     this->finishClose();
 }
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_LIBNET_TCPCONNECTION_H
 
 #include "LibBase/Result.h"
+#include "LibNet/MemoryBudget.h"
 #include "LibNet/NetError.h"
 #include "LibNet/NetRuntime.h"
 
@@ -24,6 +25,13 @@
   /// How long sent data may stay unacknowledged before the connection counts as
   /// lost. Leaves time for two retransmissions on a lossy link.
   Duration UnacknowledgedLimit = std::chrono::seconds(4);
+  /// What the kernel receives ahead of the process counts as memory of the
+  /// process too.
+  int ReceiveBufferBytes = 32 * 1024;
+  /// Counts the bytes that the connection holds for \c Owners; null if they are
+  /// not bounded in sum.
+  MemoryBudgetHandle Memory;
+  std::vector<MemoryOwner> Owners;
 };
 
 /// A connection that continuously reads ahead, so that it notices when the peer
@@ -56,6 +64,23 @@
 
   void consume(std::size_t Bytes);
 
+  /// Counts \p Bytes of messages that the user of the connection keeps.
+  /// \returns false if there is no memory for them.
+  bool keep(std::size_t Bytes);
+
+  /// Sets on whose behalf bytes are held from now on.
+  void setOwners(std::vector<MemoryOwner> Owners) {
+    this->Memory.setOwners(std::move(Owners));
+  }
+
+  /// \returns whether reading has stopped since there is no memory for more.
+  bool lacksMemory() const { return this->LacksMemory; }
+
+  /// \returns whether reading has stopped since too much is unread.
+  bool isFull() const {
+    return this->unread().size() >= this->Limits.MaxUnread;
+  }
+
   /// \returns whether the peer closed the connection or it was lost.
   bool hasEnded() const { return this->HasEnded; }
 
@@ -69,6 +94,10 @@
   /// full send queue blocks the calling task, at most until \p Deadline.
   Result<void> write(std::string_view Bytes, TimePoint Deadline);
 
+  /// Sends the head and the body of a message. See write().
+  Result<void> writeMessage(std::string Head, std::string_view Body,
+                            TimePoint Deadline);
+
   /// Waits until the kernel has accepted all queued bytes.
   Result<void> flush(TimePoint Deadline);
 
@@ -95,6 +124,12 @@
                 TcpLimits Limits);
 
   void setOptions();
+  std::size_t heldBytes() const {
+    return this->unread().size() + this->unsent() + this->Kept;
+  }
+  /// \returns how many bytes may be read now.
+  std::size_t roomToRead();
+  Result<void> writeInParts(std::string_view Bytes, TimePoint Deadline);
   void readAhead();
   void onReadable(const boost::system::error_code &WaitFailure);
   void sendQueued();
@@ -114,6 +149,9 @@
   std::string Unsent;
   std::size_t Sent = 0;
   std::uint64_t TotalSent = 0;
+  MemoryHold Memory;
+  std::size_t Kept = 0;
+  bool LacksMemory = false;
   bool IsReading = false;
   bool IsSending = false;
   bool HasEnded = false;
--- a/Libraries/LibNet/TcpListener.cpp
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -37,6 +37,9 @@
   try {
     this->Acceptor.open(Endpoint.protocol());
     this->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Connections inherit it.
+    this->Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(
+        this->Settings.Limits.ReceiveBufferBytes));
     this->Acceptor.bind(Endpoint);
     this->Acceptor.listen(this->Settings.Backlog);
     this->Acceptor.non_blocking(true);
--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -6,6 +6,7 @@
 
 #include "LibBase/Hash.h"
 #include "LibNet/HttpMessage.h"
+#include "LibNet/MemoryBudget.h"
 #include "LibRelay/RelayConfig.h"
 #include "LibRelay/RequestTraits.h"
 
@@ -92,6 +93,11 @@
     return Traits;
   }
 
+  /// On whose behalf the call holds memory.
+  MemoryOwner memoryOwner() const {
+    return hash64(this->Team ? this->Team->Name : "", hash64("team"));
+  }
+
   /// The most tokens that the call can cost its team.
   Tokens maxTokenCost() const {
     return this->PromptTokens + this->MaxOutputTokens;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -54,7 +54,8 @@
                                    const CallerHooks &Caller)
     : Dispatcher(Dispatcher), Hooks(Dispatcher.hooks()), Call(Call),
       Caller(Caller), Traits(Call.traits()), Deadline(Call.deadline()),
-      Versions(Dispatcher, Call) {}
+      Versions(Dispatcher, Call),
+      Memory(Dispatcher.hooks().Memory, {Call.memoryOwner()}) {}
 
 RelayOutcome RelayCallHandler::run() {
   try {
@@ -233,6 +234,7 @@
   HttpRequestHead Head =
       this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
   this->logResumption(Target);
+  this->Memory.setOwners({this->Call.memoryOwner(), Target.memoryOwner()});
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
   this->IsPrefillPending = true;
   AttemptEnd End = AttemptEnd::OutOfMemory;
@@ -374,6 +376,10 @@
       Exchange.Abort();
       return Piece ? AttemptEnd::Malformed : this->attemptEndOf(Piece.error());
     }
+    if (!this->hold(Body.size() + Piece.value().Bytes.size())) {
+      Exchange.Abort();
+      return AttemptEnd::OutOfMemory;
+    }
     Body += Piece.value().Bytes;
     IsLast = Piece.value().IsLast;
   }
@@ -390,6 +396,12 @@
                                         : AttemptEnd::CallerLeft;
 }
 
+bool RelayCallHandler::hold(std::size_t Bytes) {
+  std::size_t OfFailure =
+      this->TargetFailure ? this->TargetFailure->second.size() : 0;
+  return this->Memory.resize(OfFailure + Bytes);
+}
+
 bool RelayCallHandler::sendResponse(const HttpResponseHead &Head,
                                     std::string_view Body) {
   // Without memory for the answer, SendResponse throws before it writes.
@@ -414,6 +426,13 @@
       Exchange.Abort();
       return AttemptEnd::Malformed;
     }
+    // A caller that does not read makes the events wait, in the piece, in the
+    // batch and in the chunk that is sent.
+    if (!this->hold(this->Events.partialEvent().size() +
+                    3 * Batch.Bytes.size())) {
+      Exchange.Abort();
+      return AttemptEnd::OutOfMemory;
+    }
     bool IsBrokenOff =
         Piece.value().EndsWithConnection && this->Events.isInsideEvent();
     if (Piece.value().IsLast && !IsBrokenOff) {
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -77,6 +77,9 @@
   AttemptEnd relayBuffered(TargetExchange &Exchange, HttpResponseHead Head);
   AttemptEnd relayStream(TargetExchange &Exchange, HttpResponseHead Head,
                          const ListedTarget &Target);
+  /// Counts \p Bytes of answers that are held for the caller. \returns false if
+  /// there is no memory for them.
+  bool hold(std::size_t Bytes);
   bool sendResponse(const HttpResponseHead &Head, std::string_view Body);
   AttemptEnd attemptEndOf(std::error_code Failure) const;
   bool forwardEvents(const EventBatch &Batch);
@@ -123,6 +126,7 @@
   /// The target that sent the first event.
   ListedTarget FirstTarget;
   StreamVersionRule Versions;
+  MemoryHold Memory;
   /// The tokens reserved for the call.
   std::optional<TokenReservation> Hold;
   /// The failure that a target reported; passed on to the caller if no other
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_LIBRELAY_RELAYHOOKS_H
 
 #include "LibBase/Result.h"
+#include "LibNet/MemoryBudget.h"
 #include "LibRelay/RelayCall.h"
 #include "LibRelay/TargetDirectory.h"
 #include "LibTask/Runtime.h"
@@ -76,6 +77,9 @@
 struct RelayHooks {
   Runtime Tasks;
 
+  /// Bounds what calls hold; null if it is not bounded.
+  MemoryBudgetHandle Memory;
+
   /// Like Tasks.Now, but counts the time during which the machine was
   /// suspended.
   std::function<TimePoint()> LeaseClock;
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -5,8 +5,10 @@
 #ifndef BERGAMOTHOOK_LIBRELAY_TARGETDIRECTORY_H
 #define BERGAMOTHOOK_LIBRELAY_TARGETDIRECTORY_H
 
+#include "LibBase/Hash.h"
 #include "LibBase/RecentMap.h"
 #include "LibBase/Time.h"
+#include "LibNet/MemoryBudget.h"
 
 #include <map>
 #include <optional>
@@ -37,6 +39,11 @@
     return this->Id + "#" + std::to_string(this->StartedAt);
   }
 
+  /// On whose behalf memory is held for its answers.
+  MemoryOwner memoryOwner() const {
+    return hash64(this->Address, hash64("target"));
+  }
+
   bool operator==(const ListedTarget &) const = default;
 };
 
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -26,6 +26,8 @@
 
 /// How long a write may block on a caller that does not read.
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
+/// Requests that have not been read whole are of no team yet.
+const MemoryOwner UnreadRequests = hash64("unread requests");
 /// Short, since another host accepts the call immediately.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
@@ -82,6 +84,7 @@
 }
 
 void RelayServer::handleConnection(const TcpConnection::Handle &Connection) {
+  Connection->setOwners({UnreadRequests});
   Session Client(Connection, this->Tasks);
   ScopedEventAttachment Attached(Connection, Client.Changed);
   try {
@@ -114,8 +117,11 @@
       break;
     }
     detail::ScopedCount Counted(this->InProgress);
-    if (!this->serveRequest(Client, std::move(Message.value())))
+    bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
+    Client.Connection->keep(0);
+    if (!KeepsOpen)
       break;
+    Client.Connection->setOwners({UnreadRequests});
   }
 }
 
@@ -166,11 +172,11 @@
     Head.KeepAlive = !Client.MustClose;
     return Head;
   };
-  Caller.SendResponse = [=](const HttpResponseHead &Head,
-                            std::string_view Body) {
-    return Write(
-        formatResponseHead(PrepareHead(Head), BodyFraming::Length, Body.size())
-            .append(Body));
+  Caller.SendResponse = [=, &Client, this](const HttpResponseHead &Head,
+                                           std::string_view Body) {
+    return Client.Connection->writeMessage(
+        formatResponseHead(PrepareHead(Head), BodyFraming::Length, Body.size()),
+        Body, this->Tasks.Now() + WriteTimeout);
   };
   Caller.BeginStream = [=](const HttpResponseHead &Head) {
     return Write(
@@ -199,6 +205,7 @@
     Decoded.Reason = RelayReason::Stopping;
     Decoded.RetryAfter = StoppingRetryAfter;
   }
+  Client.Connection->setOwners({Decoded.Call.memoryOwner()});
   CallerHooks Caller = this->makeCallerHooks(Client);
   RelayOutcome Outcome =
       Decoded.RefusalStatus != 0
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -100,8 +100,10 @@
     Reused->close();
   }
   ++this->ConnectionsMade;
+  TcpLimits Limits = this->Limits.Connection;
+  Limits.Owners = {Target.memoryOwner()};
   return TcpConnection::connect(
-      this->Loop, Target.Address, this->Limits.Connection,
+      this->Loop, Target.Address, std::move(Limits),
       std::min(Deadline, this->Tasks.Now() + this->Limits.ConnectTimeout));
 }
 
@@ -123,9 +125,9 @@
   if (Caller.HasLeft())
     return NetError::ConnectFailed;
   std::uint64_t SentBefore = Connection->bytesSent();
-  std::string Message = formatRequestHead(Head, Call.Body.size());
-  Message += Call.Body;
-  if (auto Written = Connection->write(Message, Deadline); !Written) {
+  auto Written = Connection->writeMessage(
+      formatRequestHead(Head, Call.Body.size()), Call.Body, Deadline);
+  if (!Written) {
     if (Connection->bytesSent() == SentBefore)
       return NetError::ConnectFailed;
     return Written.error();
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -48,6 +48,22 @@
   return Host + "#" + std::to_string(Seed);
 }
 
+/// An eighth of the memory is for messages: strings that grow take up to twice
+/// their content, and it is copied once on its way. Half is needed for the
+/// stacks and what is free of each of thousands of connections.
+MemoryPolicy makeMemoryPolicy(std::size_t MemoryBytes) {
+  constexpr std::size_t MessageShare = 8;
+  MemoryPolicy Policy;
+  Policy.MaxBytes = MemoryBytes / MessageShare;
+  return Policy;
+}
+
+DialerLimits makeDialerLimits(const MemoryBudgetHandle &Memory) {
+  DialerLimits Limits;
+  Limits.Connection.Memory = Memory;
+  return Limits;
+}
+
 /// Generates a random key of 32 bytes as hexadecimal digits.
 std::string makeFleetKey() {
   constexpr int Words = 8;
@@ -69,6 +85,8 @@
     : Loop(Loop), Tasks(Loop.hooks()), SettingsPath(std::move(SettingsPath)),
       Settings(std::move(Settings)),
       ProcessName(makeProcessName(this->Settings.Host, Seed)),
+      Memory(std::make_shared<MemoryBudget>(
+          makeMemoryPolicy(this->Settings.MemoryBytes))),
       Store(Loop, this->Settings.StoreAddress, {}, this->Measured),
       TokenSource(this->ownRosterEntry(Seed), this->ProcessName, {},
                   this->tokenHooks(), this->Measured, Seed),
@@ -76,7 +94,7 @@
                  [this](std::string Bytes) {
                    this->TokenSource.received(std::move(Bytes));
                  }),
-      Dialer(Loop, {}),
+      Dialer(Loop, makeDialerLimits(this->Memory)),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
       Server(Loop, this->serverSettings(), this->Dispatcher,
@@ -145,18 +163,20 @@
   this->TokenSource.begin(*Founding);
 }
 
-RelayServerSettings RelayService::serverSettings() const {
+RelayServerSettings RelayService::serverSettings() {
   RelayServerSettings Chosen;
   Chosen.Listen = {this->Settings.FrontAddress,
                    CallerAcceptBacklog,
                    MaxCallerConnections,
                    {}};
+  Chosen.Listen.Limits.Memory = this->Memory;
   return Chosen;
 }
 
 RelayHooks RelayService::relayHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Tasks;
+  Hooks.Memory = this->Memory;
   Hooks.LeaseClock = readLeaseClock;
   Hooks.Open = [this](const ListedTarget &Target, const RelayCall &Call,
                       const HttpRequestHead &Head, const CallerHooks &Caller,
@@ -361,6 +381,10 @@
                      static_cast<double>(this->Server.connections()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
+  this->Measured.set("relay_message_bytes",
+                     static_cast<double>(this->Memory->usedBytes()));
+  this->Measured.set("relay_memory_refusals",
+                     static_cast<double>(this->Memory->refusals()));
   this->Measured.set("relay_traits_suspected",
                      static_cast<double>(this->Dispatcher.quarantine().size()));
   this->Measured.set(
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -35,7 +35,7 @@
   TokenHooks tokenHooks();
   void joinFleet();
   RelaySettings relaySettings(std::uint64_t Seed) const;
-  RelayServerSettings serverSettings() const;
+  RelayServerSettings serverSettings();
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
   void applyConfigRecord(const platform::KeyedRecord &Record);
@@ -58,6 +58,7 @@
   platform::PlatformSettings Settings;
   std::string ProcessName;
   Metrics Measured;
+  MemoryBudgetHandle Memory;
   platform::StoreClient Store;
   TokenBroker TokenSource;
   DatagramSocket PeerSocket;
--- a/Tests/LibNet/ConnectionPair.h
+++ b/Tests/LibNet/ConnectionPair.h
@@ -35,7 +35,7 @@
     REQUIRE(Port.start());
     this->Loop.hooks().Spawn([&] {
       auto Connection = TcpConnection::connect(
-          this->Loop, "127.0.0.1:" + std::to_string(Port.port()), {},
+          this->Loop, "127.0.0.1:" + std::to_string(Port.port()), this->Limits,
           this->deadline());
       REQUIRE(Connection);
       {
@@ -130,6 +130,8 @@
   TimePoint deadline() { return this->Loop.hooks().Now() + TestTimeout; }
 
   NetRuntime Loop;
+  /// Of the client.
+  TcpLimits Limits;
 };
 
 } // namespace bergamothook
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -505,3 +505,26 @@
   CHECK(Outcome.End == RelayEnd::Done);
   CHECK(Fixture.SentCalls.size() == 2);
 }
+
+// Guards against answers that are bounded one by one, but not in sum
+// (review/5).
+TEST_CASE("an answer that does not fit beside what others hold is refused at "
+          "once, and its memory is free again") {
+  Relay Fixture;
+  Fixture.setKind(CallKind::NonIdempotent);
+  ScriptedResponse Long;
+  Long.IsEventStream = false;
+  for (int I = 0; I < 100; ++I)
+    Long.Pieces.emplace_back(1ms, std::string(64 * 1024, 'x'));
+  std::size_t Free = Fixture.Memory->policy().MaxBytes;
+  auto Others = Fixture.Memory->open({1});
+  REQUIRE(Fixture.Memory->resize(Others, Free / 2));
+  RelayOutcome Outcome = Fixture.runScript({Long});
+  CHECK(Outcome.End == RelayEnd::Unknown);
+  CHECK(Outcome.Reason == RelayReason::OutOfMemory);
+  CHECK(Fixture.SentCalls.at(0).WasAborted);
+  Fixture.Memory->close(Others);
+  CHECK(Fixture.Memory->usedBytes() == 0);
+  CHECK(Fixture.runScript({Long}).End == RelayEnd::Done);
+  CHECK(Fixture.Memory->usedBytes() == 0);
+}
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -93,6 +93,7 @@
 RelayHooks RelayFixture::makeHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Simulated.hooks();
+  Hooks.Memory = this->Memory;
   Hooks.LeaseClock = Hooks.Tasks.Now;
   Hooks.MakeHead = [this](const RelayCall &Call, const ListedTarget &Target,
                           Duration TimeLeft,
@@ -152,7 +153,8 @@
       return Remaining->ConnectionError;
     HttpResponseHead Head;
     Head.Status = Remaining->Status;
-    Head.Headers.add("Content-Type", "text/event-stream");
+    if (Remaining->IsEventStream)
+      Head.Headers.add("Content-Type", "text/event-stream");
     Head.Headers.add("Verdict",
                      std::to_string(static_cast<int>(Remaining->Verdict)));
     if (Remaining->RateLimit)
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -23,6 +23,7 @@
   std::vector<std::pair<Duration, std::string>> Pieces;
   /// The body of the next response on the same connection.
   std::vector<std::pair<Duration, std::string>> NextPieces;
+  bool IsEventStream = true;
   /// Memory runs out as the head is read.
   bool ThrowsBadAlloc = false;
   /// How the connection ends after the pieces; unset for a complete response.
@@ -87,6 +88,8 @@
   std::map<std::string, VersionSet> InUse;
 
   VirtualRuntime Simulated;
+  MemoryBudgetHandle Memory = std::make_shared<MemoryBudget>(
+      MemoryPolicy{16 * 1024 * 1024, 8 * 1024});
   Metrics Stats;
   TokenBroker Wallets;
   RelayDispatcher Dispatcher;
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -16,6 +16,7 @@
                          "internalPorts=7340,7355\n"
                          "platform.addr=10.200.1.7:8223\n"
                          "platform.parts=8\n"
+                         "limits.memoryMb=260\n"
                          "bounds.graceS=8\n"
                          "bounds.retryBudgetRatio=0.2\n"
                          "bounds.retryBudgetSlack=52\n"
@@ -40,6 +41,7 @@
   CHECK(Read.value().PeerAddress == "10.1.0.40:7341");
   CHECK(Read.value().StoreAddress == "10.200.1.7:8223");
   CHECK(Read.value().StorePartitions == 8);
+  CHECK(Read.value().MemoryBytes == 260U * 1024 * 1024);
   CHECK(Read.value().StopTime == 8s);
   CHECK(Read.value().ResendRatio == doctest::Approx(0.2));
   CHECK(Read.value().ConfigTime == 2s);
@@ -48,7 +50,7 @@
 TEST_CASE("the error names a field that is missing or not a number") {
   for (const char *Field :
        {"node", "zone", "ip", "listen.front", "listen.ready", "internalPorts",
-        "platform.addr", "platform.parts", "bounds.graceS",
+        "platform.addr", "platform.parts", "limits.memoryMb", "bounds.graceS",
         "bounds.retryBudgetRatio", "bounds.configMs"}) {
     auto Read = parseSettings(without(Field));
     REQUIRE_FALSE(Read);
