Answer every call before the end of a planned stop

Callers lost calls at the end of a host's grace: taken, passed on, and closed without an answer or a line in the log, among them calls that may not be repeated.

Cause: the plan of a stop knew an end for connections only. A connection that was opened later than 0.4 s after the signal was closed at once, unread.

Change: 0.5 s before the kill, calls in progress are answered, 502 if they may have run and 503 if not; streams end so that callers resume them. A call that may not be repeated is accepted and passed on only if its deadline is before that time, also if it waited for tokens, a permit or a version when the signal came. New connections have a second for their first request. The grace is read from the settings file when the signal comes.

--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -46,6 +46,13 @@
     return this->ResumedAttempt || this->ResumedAfter;
   }
 
+  /// \returns whether the call, or a caller that resumes its stream, may reach
+  /// several targets.
+  bool mayRepeat() const {
+    return this->Route->Kind == CallKind::Idempotent ||
+           this->Route->hasResumableStreams();
+  }
+
   /// The id of the attempt of which the stream of this call is, or will be.
   const std::string &streamAttempt() const {
     return this->ResumedAttempt ? *this->ResumedAttempt : this->Id;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -105,7 +105,8 @@
   if (!this->Call.Team || !this->Call.Team->Budget || Amount == 0)
     return true;
   auto Reservation = this->Dispatcher.tokens().reserve(
-      this->Call.Team->Name, Amount, this->Deadline, this->Caller.HasLeft);
+      this->Call.Team->Name, Amount, this->Deadline,
+      [this] { return this->isGivenUp(); });
   this->Outcome.TokensWait = this->now() - this->Call.ArrivedAt;
   if (Reservation) {
     this->Hold = std::move(Reservation).value();
@@ -113,6 +114,8 @@
   }
   if (this->Caller.HasLeft())
     this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
+  else if (!this->maySend())
+    this->finishFailed(AttemptEnd::HostStops);
   else if (Reservation.error() == WalletError::Exhausted)
     this->refuse(402, RelayEnd::NotRun, RelayReason::BudgetExhausted);
   else
@@ -123,8 +126,9 @@
 
 bool RelayCallHandler::mayResume() {
   if (!this->Versions.resolve(this->Service, this->Deadline,
-                              this->Caller.HasLeft)) {
-    this->finishFailed(AttemptEnd::VersionUnknown);
+                              [this] { return this->isGivenUp(); })) {
+    this->finishFailed(!this->maySend() ? AttemptEnd::HostStops
+                                        : AttemptEnd::VersionUnknown);
     return false;
   }
   if (this->Versions.hasBegun() && !this->Versions.hasMatch()) {
@@ -141,9 +145,13 @@
       return this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
     if (this->now() + MinTimeForSend >= this->Deadline)
       return this->finishFailed(AttemptEnd::OutOfTime);
+    if (!this->maySend())
+      return this->finishFailed(AttemptEnd::HostStops);
     if (this->isQuarantined())
       return this->finishFailed(AttemptEnd::Quarantined);
     TargetState *Target = this->awaitTarget();
+    if (!this->maySend())
+      return this->finishFailed(AttemptEnd::HostStops);
     if (!Target)
       return this->finishFailed(this->rateLimitedTargets().empty()
                                     ? AttemptEnd::NotSent
@@ -154,7 +162,9 @@
       this->Excluded.insert(Chosen.Id);
       continue;
     }
-    // The decision may have changed while the permit was awaited.
+    // Both decisions may have changed while the permit was awaited.
+    if (!this->maySend())
+      return this->finishFailed(AttemptEnd::HostStops);
     this->Admission =
         this->Dispatcher.quarantine().admit(this->Traits, this->now());
     if (this->Admission >= SendAdmission::Busy)
@@ -172,6 +182,15 @@
   }
 }
 
+bool RelayCallHandler::isGivenUp() const {
+  return this->Caller.HasLeft() || !this->maySend();
+}
+
+bool RelayCallHandler::maySend() const {
+  return !this->Caller.MustAnswer() &&
+         this->Caller.MaySend(this->Deadline, this->Call.mayRepeat());
+}
+
 bool RelayCallHandler::isQuarantined() {
   this->Admission =
       this->Dispatcher.quarantine().admission(this->Traits, this->now());
@@ -199,7 +218,7 @@
     if (TargetState *Target = this->chooseTarget())
       return Target;
     auto Usable = this->Dispatcher.targets().usable(this->Service);
-    if (this->now() >= End || this->Caller.HasLeft() ||
+    if (this->now() >= End || this->isGivenUp() ||
         std::none_of(Usable.begin(), Usable.end(), IsAwaited))
       return nullptr;
     this->Hooks.Tasks.sleepUntil(this->now() + VersionCheckInterval);
@@ -207,8 +226,8 @@
 }
 
 bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
-  PermitDecision Permit =
-      this->Dispatcher.limiter().acquire(Target.runKey(), this->Caller.HasLeft);
+  PermitDecision Permit = this->Dispatcher.limiter().acquire(
+      Target.runKey(), [this] { return this->isGivenUp(); });
   if (Permit.IsGranted)
     return true;
   this->Dispatcher.targets().onRateLimited(
@@ -265,6 +284,8 @@
 AttemptEnd RelayCallHandler::attemptEndOf(std::error_code Failure) const {
   if (this->Caller.HasLeft())
     return AttemptEnd::CallerLeft;
+  if (Failure == NetError::Cancelled)
+    return AttemptEnd::HostStops;
   if (Failure == NetError::TimedOut)
     return AttemptEnd::OutOfTime;
   if (Failure == NetError::Malformed || Failure == NetError::HeadTooLarge ||
@@ -529,6 +550,7 @@
   case AttemptEnd::RateLimited:
   case AttemptEnd::VersionUnknown:
   case AttemptEnd::VersionNotServed:
+  case AttemptEnd::HostStops:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::NotRun)
@@ -574,6 +596,7 @@
   case AttemptEnd::RateLimited:
   case AttemptEnd::VersionUnknown:
   case AttemptEnd::VersionNotServed:
+  case AttemptEnd::HostStops:
     return false;
   case AttemptEnd::NotSent:
     // No byte was sent, so this does not count as a resend.
@@ -597,8 +620,10 @@
     return this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
   if (this->HasStreamStarted) {
     this->Caller.AbortStream();
-    return this->finish(RelayEnd::Broken, End == AttemptEnd::OutOfTime
-                                              ? RelayReason::DeadlinePassed
+    if (End == AttemptEnd::OutOfTime)
+      return this->finish(RelayEnd::Broken, RelayReason::DeadlinePassed);
+    return this->finish(RelayEnd::Broken, End == AttemptEnd::HostStops
+                                              ? RelayReason::Stopping
                                               : RelayReason::TargetLost);
   }
   if (this->TargetFailure) {
@@ -617,6 +642,8 @@
       return this->refuse(502, RelayEnd::Unknown, RelayReason::Quarantined);
     if (End == AttemptEnd::OutOfMemory)
       return this->refuse(502, RelayEnd::Unknown, RelayReason::OutOfMemory);
+    if (End == AttemptEnd::HostStops)
+      return this->refuse(502, RelayEnd::Unknown, RelayReason::Stopping);
     return this->refuse(502, RelayEnd::Unknown,
                         End == AttemptEnd::Malformed
                             ? RelayReason::MalformedResponse
@@ -632,6 +659,9 @@
   if (End == AttemptEnd::OutOfMemory)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::OutOfMemory,
                         MemoryRetryAfter);
+  if (End == AttemptEnd::HostStops)
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::Stopping,
+                        StoppingRetryAfter);
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -37,6 +37,8 @@
   /// No target serves that version.
   VersionNotServed,
   CallerLeft,
+  /// The host stops before the end of the call.
+  HostStops,
 };
 
 class RelayCallHandler {
@@ -90,6 +92,10 @@
   void recordLoss(const ListedTarget &Target);
   void recordAnswer();
   bool isQuarantined();
+  /// \returns whether the call may be passed on: the host may stop too soon.
+  bool maySend() const;
+  /// \returns whether there is no use in waiting to pass the call on.
+  bool isGivenUp() const;
   void finish(RelayEnd End, RelayReason Reason);
   void refuse(unsigned Status, RelayEnd End, RelayReason Reason,
               std::optional<Duration> RetryAfter = std::nullopt);
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -41,7 +41,8 @@
 };
 
 /// A call in progress at one target. Each hook blocks the calling task; if the
-/// caller disconnects, the wait ends with NetError::Cancelled.
+/// caller disconnects or the call must be answered, the wait ends with
+/// NetError::Cancelled.
 struct TargetExchange {
   std::function<Result<HttpResponseHead>(TimePoint Deadline)> ReadHead;
   std::function<Result<BodyPiece>(TimePoint Deadline)> ReadBody;
@@ -63,6 +64,14 @@
   /// of the exchange.
   Event *Changed = nullptr;
   std::function<bool()> HasLeft;
+  /// Tells whether the host stops so soon that the call is to be answered now.
+  std::function<bool()> MustAnswer = [] { return false; };
+  /// Tells whether a call may be passed on that ends at \p Deadline at the
+  /// latest: the host may stop before.
+  std::function<bool(TimePoint Deadline, bool MayRepeat)> MaySend =
+      [](TimePoint, bool) { return true; };
+  /// Tells whether there is no use in waiting for anything.
+  bool isGivenUp() const { return this->HasLeft() || this->MustAnswer(); }
   /// Sends a complete response.
   std::function<Result<void>(const HttpResponseHead &, std::string_view Body)>
       SendResponse;
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -26,6 +26,10 @@
 
 const char *nameOf(RelayEnd End);
 
+/// When to retry after a refusal by a host that stops: another host accepts the
+/// call immediately.
+constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
 /// Why a call ended as it did. The message is part of its log line and of the
 /// response body of a refusal.
 enum class RelayReason {
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -28,8 +28,6 @@
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
 /// Requests that have not been read whole are of no team yet.
 const MemoryOwner UnreadRequests = hash64("unread requests");
-/// Short, since another host accepts the call immediately.
-constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
 unsigned statusOf(std::error_code Failure) {
   if (Failure == NetError::HeadTooLarge)
@@ -50,11 +48,14 @@
   TcpConnection::Handle Connection;
   Event Changed;
   HttpRequestReader Reader;
+  /// Unset once a request was read.
+  std::optional<TimePoint> OpenedAt;
   bool MustClose = false;
   bool MustAbort = false;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks)
-      : Connection(Connection), Reader(Connection, Tasks, this->Changed) {}
+      : Connection(Connection), Reader(Connection, Tasks, this->Changed),
+        OpenedAt(Tasks.Now()) {}
 };
 
 RelayServer::RelayServer(NetRuntime &Loop, RelayServerSettings Settings,
@@ -74,6 +75,10 @@
 
 void RelayServer::beginStop(Duration Grace) {
   this->Stop.begin(Grace, this->Tasks.Now());
+  this->wakeCalls();
+}
+
+void RelayServer::wakeCalls() {
   for (Event *Changed : this->Sessions)
     Changed->notify();
 }
@@ -116,6 +121,7 @@
       this->refuseMessage(Client, Message.error());
       break;
     }
+    Client.OpenedAt.reset();
     detail::ScopedCount Counted(this->InProgress);
     bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
     Client.Connection->keep(0);
@@ -131,7 +137,7 @@
     TimePoint End = IdleEnd;
     bool WasStopping = this->Stop.hasStarted();
     if (WasStopping)
-      End = std::min(End, this->Stop.idleDeadline());
+      End = std::min(End, this->Stop.idleDeadline(Client.OpenedAt));
     if (Client.Reader.waitForFirstByte(
             End, [&] { return this->Stop.hasStarted() != WasStopping; }))
       return true;
@@ -164,6 +170,12 @@
   CallerHooks Caller;
   Caller.Changed = &Client.Changed;
   Caller.HasLeft = [&Client] { return Client.Connection->hasEnded(); };
+  Caller.MustAnswer = [this] {
+    return this->Stop.mustAnswer(this->Tasks.Now());
+  };
+  Caller.MaySend = [this](TimePoint Deadline, bool MayRepeat) {
+    return this->Stop.maySend(Deadline, MayRepeat);
+  };
   auto Write = [&Client, this](std::string_view Bytes) {
     return Client.Connection->write(Bytes, this->Tasks.Now() + WriteTimeout);
   };
@@ -200,7 +212,8 @@
     return false;
   }
   if (Decoded.RefusalStatus == 0 &&
-      !this->Stop.accepts(Decoded.Call.deadline(), this->Tasks.Now())) {
+      !this->Stop.accepts(Decoded.Call.deadline(), Decoded.Call.mayRepeat(),
+                          this->Tasks.Now())) {
     Decoded.RefusalStatus = 503;
     Decoded.Reason = RelayReason::Stopping;
     Decoded.RetryAfter = StoppingRetryAfter;
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -47,6 +47,14 @@
   /// Tells whether a stopping host has nothing left to wait for.
   bool mayExit() const;
 
+  /// When the calls in progress must be answered; the process exits shortly
+  /// after.
+  TimePoint answerDeadline() const { return this->Stop.answerDeadline(); }
+
+  /// Wakes the calls in progress, which are answered if the deadline has
+  /// passed.
+  void wakeCalls();
+
   /// Accepts no more connections.
   void stopListening() { this->Listener.stop(); }
 
--- a/Libraries/LibRelayFront/StopPlan.cpp
+++ b/Libraries/LibRelayFront/StopPlan.cpp
@@ -1,5 +1,7 @@
 #include "LibRelayFront/StopPlan.h"
 
+#include <algorithm>
+
 namespace bergamothook {
 
 void StopPlan::begin(Duration Grace, TimePoint Now) {
@@ -7,13 +9,28 @@
     return;
   this->StartedAt = Now;
   this->ExitDeadline = Now + Grace - this->Policy.Reserve;
+  this->AnswerDeadline = this->ExitDeadline - this->Policy.AnswerTime;
 }
 
-bool StopPlan::accepts(TimePoint Deadline, TimePoint Now) const {
-  return !this->StartedAt || Deadline <= this->ExitDeadline ||
+bool StopPlan::accepts(TimePoint Deadline, bool MayRepeat,
+                       TimePoint Now) const {
+  if (!this->StartedAt || Deadline <= this->AnswerDeadline)
+    return true;
+  return MayRepeat && !this->mustAnswer(Now) &&
          Now < *this->StartedAt + this->Policy.BalancerDelay;
 }
 
+bool StopPlan::maySend(TimePoint Deadline, bool MayRepeat) const {
+  return MayRepeat || Deadline <= this->AnswerDeadline;
+}
+
+TimePoint StopPlan::idleDeadline(std::optional<TimePoint> OpenedAt) const {
+  TimePoint End = *this->StartedAt + this->Policy.IdleGrace;
+  if (OpenedAt)
+    End = std::max(End, *OpenedAt + this->Policy.FirstRequestGrace);
+  return std::min(End, this->AnswerDeadline);
+}
+
 bool StopPlan::mayExit(std::size_t InProgress, std::size_t Connections,
                        TimePoint Now) const {
   if (!this->StartedAt)
--- a/Libraries/LibRelayFront/StopPlan.h
+++ b/Libraries/LibRelayFront/StopPlan.h
@@ -17,13 +17,19 @@
   /// How long an idle connection is kept for a request that is already in
   /// transit.
   Duration IdleGrace = std::chrono::milliseconds(400);
+  /// How long a new connection is kept for its first request.
+  Duration FirstRequestGrace = std::chrono::seconds(1);
+  /// The time before the exit for answering what can't be completed.
+  Duration AnswerTime = std::chrono::milliseconds(200);
   /// The time reserved before the process is killed for returning budgets.
   Duration Reserve = std::chrono::milliseconds(300);
 };
 
-/// The shutdown of one host. An accepted call is completed: a call that could
-/// outlast the host is refused as not executed as soon as callers can reach
-/// other hosts.
+/// The shutdown of one host. A call that may not be repeated is accepted, and
+/// passed on, only if it ends before the host does. One that may be repeated is
+/// also accepted while the load balancer still sends connections here: if it
+/// takes too long, it is answered before the exit, and its caller repeats it.
+/// Everything else is refused as not executed.
 class StopPlan {
 public:
   explicit StopPlan(StopPolicy Policy) : Policy(Policy) {}
@@ -34,17 +40,26 @@
   bool hasStarted() const { return this->StartedAt.has_value(); }
 
   /// Tells whether a call that ends at \p Deadline at the latest is accepted.
-  bool accepts(TimePoint Deadline, TimePoint Now) const;
+  bool accepts(TimePoint Deadline, bool MayRepeat, TimePoint Now) const;
+
+  /// Tells whether a call that was accepted may be passed on at \p Now.
+  bool maySend(TimePoint Deadline, bool MayRepeat) const;
+
+  /// Tells whether calls in progress are to be answered now, whatever is known
+  /// of them.
+  bool mustAnswer(TimePoint Now) const { return Now >= this->AnswerDeadline; }
+
+  /// When mustAnswer() begins to hold.
+  TimePoint answerDeadline() const { return this->AnswerDeadline; }
 
   /// Tells whether the host may exit, with \p InProgress calls and \p
   /// Connections still open.
   bool mayExit(std::size_t InProgress, std::size_t Connections,
                TimePoint Now) const;
 
-  /// When idle connections are closed.
-  TimePoint idleDeadline() const {
-    return *this->StartedAt + this->Policy.IdleGrace;
-  }
+  /// When a connection is closed on which no request arrives. \p OpenedAt is
+  /// unset if it has carried one before.
+  TimePoint idleDeadline(std::optional<TimePoint> OpenedAt) const;
 
   /// When the remaining calls and connections are aborted.
   TimePoint exitDeadline() const { return this->ExitDeadline; }
@@ -53,6 +68,7 @@
   StopPolicy Policy;
   std::optional<TimePoint> StartedAt;
   TimePoint ExitDeadline = TimePoint::max();
+  TimePoint AnswerDeadline = TimePoint::max();
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -34,7 +34,8 @@
   ExchangeState(TcpConnection::Handle Connection, const Runtime &Tasks,
                 const CallerHooks &Caller, bool HasNoBody)
       : Connection(Connection), Tasks(Tasks), Changed(*Caller.Changed),
-        HasLeft(Caller.HasLeft), HasNoBody(HasNoBody) {
+        IsGivenUp([Caller] { return Caller.isGivenUp(); }),
+        HasNoBody(HasNoBody) {
     this->Connection->attach(&this->Changed);
     this->nextResponse();
   }
@@ -70,7 +71,7 @@
   TcpConnection::Handle Connection;
   Runtime Tasks;
   Event &Changed;
-  std::function<bool()> HasLeft;
+  std::function<bool()> IsGivenUp;
   bool HasNoBody;
   std::optional<HttpResponseReader> Reader;
   std::optional<Duration> ServerIdleTime;
@@ -134,12 +135,12 @@
   }
   TargetExchange Exchange;
   Exchange.ReadHead = [State](TimePoint Until) -> Result<HttpResponseHead> {
-    BOOST_OUTCOME_TRY(Answer, State->Reader->readHead(Until, State->HasLeft));
+    BOOST_OUTCOME_TRY(Answer, State->Reader->readHead(Until, State->IsGivenUp));
     State->ServerIdleTime = parseKeepAliveTimeout(Answer.Headers);
     return Answer;
   };
   Exchange.ReadBody = [State](TimePoint Until) {
-    return State->Reader->readBody(Until, State->HasLeft);
+    return State->Reader->readBody(Until, State->IsGivenUp);
   };
   Exchange.NextResponse = [State] { State->nextResponse(); };
   bool HasId = !Call.Id.empty();
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -422,10 +422,15 @@
     return;
   }
   bool HasChanged = !(Read.value() == this->Settings);
+  // The others are in use since the start of the process.
+  if (!this->IsStopping)
+    this->Settings.StopTime = Read.value().StopTime;
   logEvent(LogLevel::Info, "reloaded", {{"changed", HasChanged}});
 }
 
 void RelayService::stop() {
+  // The file may have changed without a signal.
+  this->reload();
   TimePoint KillDeadline = this->Tasks.Now() + this->Settings.StopTime;
   this->IsStopping = true;
   logEvent(LogLevel::Info, "stopping",
@@ -435,8 +440,16 @@
   this->Dispatcher.limiter().beginStop();
   this->Tasks.Spawn([this] { this->Registry.leave(); });
   this->Server.beginStop(this->Settings.StopTime);
-  while (!this->Server.mayExit())
-    this->Tasks.sleepUntil(this->Tasks.Now() + StopCheckInterval);
+  for (bool HasWoken = false; !this->Server.mayExit();) {
+    TimePoint Now = this->Tasks.Now();
+    TimePoint AnswersAt = this->Server.answerDeadline();
+    if (!HasWoken && Now >= AnswersAt) {
+      HasWoken = true;
+      this->Server.wakeCalls();
+    }
+    TimePoint Next = Now + StopCheckInterval;
+    this->Tasks.sleepUntil(HasWoken ? Next : std::min(Next, AnswersAt));
+  }
   std::size_t CutOffCalls = this->Server.inProgress();
   this->Server.stopListening();
   this->TokenSource.stop(KillDeadline - LoanStopTime,
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -528,3 +528,59 @@
   CHECK(Fixture.runScript({Long}).End == RelayEnd::Done);
   CHECK(Fixture.Memory->usedBytes() == 0);
 }
+
+// Guards against calls that were cut off without an answer and without a line
+// in the log at the end of a planned stop.
+TEST_CASE("a call that is in progress as its host stops is answered by what is "
+          "true") {
+  Relay Fixture;
+  Fixture.AnswersAt = Fixture.Simulated.now() + 1s;
+  ScriptedResponse Silent;
+  Silent.Stalls = true;
+  SUBCASE("it may have run") {
+    Fixture.setKind(CallKind::NonIdempotent);
+    RelayOutcome Outcome = Fixture.runScript({Silent});
+    CHECK(Outcome.End == RelayEnd::Unknown);
+    CHECK(Outcome.Reason == RelayReason::Stopping);
+    CHECK(Fixture.Status == 502);
+    CHECK(Outcome.Total == 1s);
+  }
+  SUBCASE("it is not sent to another target") {
+    Fixture.setKind(CallKind::Idempotent);
+    CHECK(Fixture.runScript({Silent}).Reason == RelayReason::Stopping);
+    CHECK(Fixture.SentCalls.size() == 1);
+  }
+  SUBCASE("its stream ends so that the caller resumes it") {
+    ScriptedResponse Begun = completeStream(1, 2);
+    Begun.Stalls = true;
+    RelayOutcome Outcome = Fixture.runScript({Begun});
+    CHECK(Outcome.End == RelayEnd::Broken);
+    CHECK(Outcome.Reason == RelayReason::Stopping);
+    CHECK(Fixture.IsBroken);
+    CHECK_FALSE(Fixture.IsEnded);
+  }
+  SUBCASE("it has not run") {
+    Fixture.AnswersAt = Fixture.Simulated.now();
+    RelayOutcome Outcome = Fixture.runScript({});
+    CHECK(Outcome.End == RelayEnd::NotRun);
+    CHECK(Fixture.Status == 503);
+    CHECK(Fixture.RetryAfter == StoppingRetryAfter);
+  }
+}
+
+TEST_CASE("a call that waited while its host began to stop is passed on only "
+          "if it may be repeated") {
+  Relay Fixture;
+  Fixture.LastEnd = Fixture.Simulated.now() + 2s;
+  SUBCASE("it may not") {
+    Fixture.setKind(CallKind::NonIdempotent);
+    RelayOutcome Outcome = Fixture.runScript({});
+    CHECK(Outcome.End == RelayEnd::NotRun);
+    CHECK(Outcome.Reason == RelayReason::Stopping);
+    CHECK(Fixture.SentCalls.empty());
+  }
+  SUBCASE("it may") {
+    Fixture.setKind(CallKind::Idempotent);
+    CHECK(Fixture.runScript({completeStream(1, 1)}).End == RelayEnd::Done);
+  }
+}
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -137,8 +137,8 @@
   auto Wait = [this](Duration Span, TimePoint Deadline) -> Result<void> {
     TimePoint Until = this->Simulated.now() + Span;
     this->Simulated.hooks().sleepUntil(
-        std::min({Until, Deadline, this->LeavesAt}));
-    if (this->Simulated.now() >= this->LeavesAt)
+        std::min({Until, Deadline, this->LeavesAt, this->AnswersAt}));
+    if (this->Simulated.now() >= std::min(this->LeavesAt, this->AnswersAt))
       return NetError::Cancelled;
     if (this->Simulated.now() < Until)
       return NetError::TimedOut;
@@ -191,6 +191,12 @@
   CallerHooks Caller;
   Caller.Changed = &this->Changed;
   Caller.HasLeft = [this] { return this->Simulated.now() >= this->LeavesAt; };
+  Caller.MustAnswer = [this] {
+    return this->Simulated.now() >= this->AnswersAt;
+  };
+  Caller.MaySend = [this](TimePoint Deadline, bool MayRepeat) {
+    return MayRepeat || Deadline <= this->LastEnd;
+  };
   Caller.SendResponse = [this](const HttpResponseHead &Head,
                                std::string_view Bytes) -> Result<void> {
     if (this->FailsWrites)
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -81,6 +81,10 @@
   std::optional<Duration> RetryAfter;
   /// Writes to the caller fail.
   bool FailsWrites = false;
+  /// When the host answers all calls since it stops, and until when calls that
+  /// may not be repeated must end.
+  TimePoint AnswersAt = TimePoint::max();
+  TimePoint LastEnd = TimePoint::max();
   /// When the caller disconnects.
   TimePoint LeavesAt = TimePoint::max();
 
@@ -88,8 +92,8 @@
   std::map<std::string, VersionSet> InUse;
 
   VirtualRuntime Simulated;
-  MemoryBudgetHandle Memory = std::make_shared<MemoryBudget>(
-      MemoryPolicy{16 * 1024 * 1024, 8 * 1024});
+  MemoryBudgetHandle Memory =
+      std::make_shared<MemoryBudget>(MemoryPolicy{16 * 1024 * 1024, 8 * 1024});
   Metrics Stats;
   TokenBroker Wallets;
   RelayDispatcher Dispatcher;
