Refuse one of several messages that ask for memory in the same moment

With the sum of messages bounded, 40 callers that sent 900 KB each at once were all refused, though there was memory for half of them at any time: all connections are woken before the first of their tasks runs, and each was taken for refused by then. A connection whose memory was refused asks again when its task runs, so the first that gives up makes room for the others.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -174,6 +174,8 @@
     });
     if (this->Connection->unread().size() > UnconsumedBytes)
       continue;
+    if (this->Connection->lacksMemory() && this->Connection->resumeReading())
+      continue;
     if (this->Connection->lacksMemory())
       return NetError::OutOfMemory;
     return ConditionMet ? this->Connection->endReason()
@@ -251,6 +253,8 @@
     });
     if (this->Connection->unread().size() > UnconsumedBytes)
       continue;
+    if (this->Connection->lacksMemory() && this->Connection->resumeReading())
+      continue;
     this->ParseState->HasFailed = true;
     if (this->Connection->lacksMemory())
       return NetError::OutOfMemory;
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -139,6 +139,13 @@
   return true;
 }
 
+bool TcpConnection::resumeReading() {
+  if (this->roomToRead() == 0)
+    return false;
+  this->readAhead();
+  return true;
+}
+
 std::size_t TcpConnection::roomToRead() {
   std::size_t Held = this->heldBytes();
   std::size_t Free = this->Memory.freeBytes();
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -76,6 +76,11 @@
   /// \returns whether reading has stopped since there is no memory for more.
   bool lacksMemory() const { return this->LacksMemory; }
 
+  /// Reads on if there is memory again: another connection that asked for
+  /// memory at the same time may have given up. \returns false if there is
+  /// none.
+  bool resumeReading();
+
   /// \returns whether reading has stopped since too much is unread.
   bool isFull() const {
     return this->unread().size() >= this->Limits.MaxUnread;
--- a/Tests/LibNet/MemoryBudgetTest.cpp
+++ b/Tests/LibNet/MemoryBudgetTest.cpp
@@ -92,3 +92,50 @@
   CHECK_FALSE(Answer.Failure);
   CHECK(Answer.Body.size() == 20'000);
 }
+
+// Guards against refusing all of the messages that ask for memory in the same
+// moment, though the first refusal makes room for the next.
+TEST_CASE("of messages that don't all fit at once, some are read") {
+  constexpr int Clients = 12;
+  const std::string Message =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" +
+      std::string(100'000, 'x');
+  NetRuntime Loop;
+  Runtime Tasks = Loop.hooks();
+  TimePoint Deadline = Tasks.Now() + TestTimeout;
+  auto Budget =
+      std::make_shared<MemoryBudget>(MemoryPolicy{1'000'000, 8 * 1024});
+  int Read = 0;
+  int Refused = 0;
+  TcpListenerSettings Settings{"127.0.0.1:0", 16, 16, {}};
+  Settings.Limits.Memory = Budget;
+  TcpListener Port(
+      Loop, Settings, [&](const TcpConnection::Handle &Connection) {
+        Event Changed;
+        ScopedEventAttachment Attached(Connection, Changed);
+        Connection->setOwners({1});
+        HttpRequestReader Reader(Connection, Tasks, Changed);
+        auto Received = Reader.read({}, Deadline, [] {});
+        Read += Received ? 1 : 0;
+        Refused += !Received && Received.error() == NetError::OutOfMemory;
+        // Others are still being read.
+        Tasks.sleepUntil(Tasks.Now() + std::chrono::milliseconds(300));
+        if (Read + Refused == Clients)
+          Loop.stop();
+      });
+  REQUIRE(Port.start());
+  for (int I = 0; I < Clients; ++I)
+    Tasks.Spawn([&] {
+      auto Connection = TcpConnection::connect(
+          Loop, "127.0.0.1:" + std::to_string(Port.port()), {}, Deadline);
+      if (!Connection)
+        return;
+      (void)Connection.value()->write(Message, Deadline);
+      Tasks.sleepUntil(Tasks.Now() + std::chrono::milliseconds(600));
+      Connection.value()->close();
+    });
+  Loop.run();
+  CHECK(Read + Refused == Clients);
+  // Half of the memory is for one owner.
+  CHECK(Read >= 3);
+}
--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -374,3 +374,39 @@
           2 * (3 * Fleet.Results.Resumed + Polls * Hosts));
   });
 }
+
+// Guards against streams resumed at an older version by a host that stood still
+// or was cut off while a version came into service.
+TEST_CASE("a host that was out of step during a release does not resume "
+          "streams by what it knew before") {
+  bool IsSuspended = false;
+  SUBCASE("its process stood still") {}
+  SUBCASE("its machine was suspended, so that its clock stood still too") {
+    IsSuspended = true;
+  }
+  auto Play = [IsSuspended](VersionFleet &Fleet, int Hosts) {
+    Fleet.runFor(10s);
+    std::set<int> Stopped;
+    for (int Host = 0; Host < Hosts / 3; ++Host)
+      Stopped.insert(Host);
+    for (int Release = 2; Release < 5; ++Release) {
+      Fleet.freeze(Stopped, IsSuspended);
+      Fleet.runFor(200ms);
+      Fleet.setTargets("v" + std::to_string(Release), 30);
+      Fleet.runFor(2s);
+      Fleet.breakStreams(0.9);
+      Fleet.freeze({}, false);
+      Fleet.runFor(400ms);
+      Fleet.cutPeers(Stopped, true);
+      Fleet.breakStreams(0.9);
+      Fleet.runFor(2s);
+      Fleet.cutPeers({}, false);
+    }
+    CHECK(Fleet.Results.Joined == 0);
+    CHECK(Fleet.Results.Resumed >= 12);
+  };
+  onFleets({9, 90}, 3, Play, [](VersionFleetSettings &Settings) {
+    Settings.StreamsPerSecond = 200;
+    Settings.MaxResumeDelay = 100ms;
+  });
+}
