Show that a host out of step does not join versions during a release

One of the reports: a machine that stood still or was cut off while a new version came into service resumed its streams at another version. The model of the fleet now has steady clocks that stand still while a machine is suspended, by which its pauses are measured; lists and records count that time.

--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -227,7 +227,10 @@
   TimePoint Now = this->now();
   if (!this->reachesStore(Index))
     return;
-  if (Stepped.ListReadAt <= Now)
+  // Pauses are measured by the clock that stands still while a machine is
+  // suspended.
+  TimePoint Steady = Now - Stepped.Suspended;
+  if (Stepped.ListReadAt <= Steady)
     this->readList(Stepped);
   if (Stepped.Era != this->Era) {
     Stepped.Era = this->Era;
@@ -237,8 +240,8 @@
     Stepped.VersionsEnd = this->Store.VersionsEnd;
     Stepped.Versions.onRead(this->Store.Versions, Now);
   }
-  if (Stepped.VersionsCheckAt <= Now) {
-    Stepped.VersionsCheckAt = Now + VersionsCheckInterval;
+  if (Stepped.VersionsCheckAt <= Steady) {
+    Stepped.VersionsCheckAt = Steady + VersionsCheckInterval;
     if (Stepped.Versions.isReadDue(Now)) {
       ++this->Results.VersionReads;
       Stepped.VersionsEnd = this->Store.VersionsEnd;
@@ -260,7 +263,7 @@
 }
 
 void VersionFleet::readList(Host &Reader) {
-  Reader.ListReadAt = this->now() + ListReadInterval;
+  Reader.ListReadAt = this->now() - Reader.Suspended + ListReadInterval;
   Reader.List = this->Targets;
   for (const auto &[Version, Count] : this->Targets)
     Reader.Versions.onListed(Service, Version, this->now());
