Don't conclude from all hosts before all hosts are known

A host that has just started knows itself alone until it has read the list of hosts, and would have taken its own record for that of all as it could not read the log. It asks the others only once the number of hosts is known.

--- a/Libraries/LibRelay/OriginExchange.cpp
+++ b/Libraries/LibRelay/OriginExchange.cpp
@@ -232,7 +232,8 @@
 void OriginExchange::pollFleet(const std::string &Service,
                                TimePoint ResumedAt) {
   auto Only = this->unmixedVersion(Service);
-  if (!Only)
+  // A host that has just started does not know all others.
+  if (!Only || !this->Roster.settledAt())
     return;
   TimePoint Now = this->leaseNow();
   auto [Position, IsFirst] = this->Polls.try_emplace(Service);
@@ -343,7 +344,7 @@
   if (!Asked.IsLogRead)
     return false;
   if (!Asked.HasLogFailed || this->knownVersion(Asked) ||
-      !this->unmixedVersion(Asked.Service))
+      !this->unmixedVersion(Asked.Service) || !this->Roster.settledAt())
     return true;
   const Poll *Asking = this->pollFor(Asked.Service, Asked.ResumedAt);
   return Asking && Asking->isSettled();
--- a/Tests/LibRelay/StreamVersionTest.cpp
+++ b/Tests/LibRelay/StreamVersionTest.cpp
@@ -186,3 +186,35 @@
     CHECK(IsFirstServed == IsSecondServed);
   }
 }
+
+// Guards against a host that has just started and takes itself for the fleet.
+TEST_CASE(
+    "a host that does not know the other hosts yet does not conclude from "
+    "their silence") {
+  VirtualRuntime Simulated;
+  Runtime Tasks = Simulated.hooks();
+  HostRoster Roster({"host1", "domain", "", 1}, {});
+  VersionRegister Versions({}, [](const std::string &) { return 0U; });
+  Versions.setServices({"engines"});
+  Versions.onRead({{"engines", {{"v1", VersionPhase::InUse}}}}, Tasks.Now());
+  OriginExchange Origins(
+      {}, Versions, Roster,
+      {Tasks, Tasks.Now, [](HostId, std::uint16_t, std::string_view) {},
+       [](std::uint16_t, PeerNode::Handler) {},
+       []() -> Result<void> { return NetError::Closed; },
+       [](unsigned) -> Result<void> { return NetError::Closed; }});
+  Simulated.runFor(1s);
+  auto Resolve = [&] {
+    std::optional<OriginDecision> Decision;
+    Tasks.Spawn([&] {
+      TimePoint Now = Tasks.Now();
+      Decision = Origins.resolve("engines", streamIdOf("t", "engines", "s"),
+                                 Now, Now + 1s, [] { return false; });
+    });
+    Simulated.runUntil([&] { return Decision.has_value(); }, 2s);
+    return Decision.value_or(OriginDecision{});
+  };
+  CHECK(Resolve().Basis == OriginBasis::Unknown);
+  Roster.setSettled(Tasks.Now());
+  CHECK(Resolve().Basis == OriginBasis::Fleet);
+}
--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -58,6 +58,7 @@
       ListReadAt(Fleet.now() + Fleet.randomUpTo(ListReadInterval)),
       VersionsCheckAt(Fleet.now()), Era(Fleet.Era) {
   this->Versions.setServices({Service});
+  this->Roster.setSettled(Fleet.now());
   for (int Other = 0; Other < Fleet.Settings.Hosts; ++Other)
     if (Other != Index)
       this->Roster.put(entryOf(Other, 1));
