Don't wait inside of an exception handler

Tasks share the thread's state of exceptions. A task that waits while it handles one, as it sent the answer of a call without memory or paused before it went on, would mix it up with the exception of another task. The handlers only set what is done after them. Found by reading.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -58,13 +58,17 @@
       Memory(Dispatcher.hooks().Memory, {Call.memoryOwner()}) {}
 
 RelayOutcome RelayCallHandler::run() {
+  bool HasFailed = false;
   try {
     this->runCall();
   } catch (const std::bad_alloc &) {
-    // A caller gets one answer.
-    if (!this->IsAnswered)
-      this->finishFailed(AttemptEnd::OutOfMemory);
+    HasFailed = true;
   }
+  // Not inside of the handler above: tasks that wait while they handle an
+  // exception would mix it up with those of other tasks. A caller gets one
+  // answer.
+  if (HasFailed && !this->IsAnswered)
+    this->finishFailed(AttemptEnd::OutOfMemory);
   this->settle();
   this->Outcome.Total = this->now() - this->Call.ArrivedAt;
   return this->Outcome;
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -204,13 +204,17 @@
 
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
-  DecodedCall Decoded;
+  std::optional<DecodedCall> Read;
   try {
-    Decoded = this->Decoder(std::move(Message), this->Tasks.Now());
+    Read = this->Decoder(std::move(Message), this->Tasks.Now());
   } catch (const std::bad_alloc &) {
+    Read.reset();
+  }
+  if (!Read) {
     this->refuseMessage(Client, NetError::OutOfMemory);
     return false;
   }
+  DecodedCall &Decoded = *Read;
   if (Decoded.RefusalStatus == 0 &&
       !this->Stop.accepts(Decoded.Call.deadline(), Decoded.Call.mayRepeat(),
                           this->Tasks.Now())) {
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -335,10 +335,10 @@
       try {
         return Run();
       } catch (const std::bad_alloc &) {
-        // Calls in progress free memory as they end.
         logEvent(LogLevel::Error, "task_out_of_memory", {});
-        this->Tasks.sleepUntil(this->Tasks.Now() + TaskRestartPause);
       }
+      // Calls in progress free memory as they end.
+      this->Tasks.sleepUntil(this->Tasks.Now() + TaskRestartPause);
     }
   });
 }
