Keep the clock of a host of the model within the linter's reach

The linter took a function object that is larger than the local storage of std::function for a leak. It refers to the fleet instead.

--- a/Tests/LibRelay/VersionFleet.cpp
+++ b/Tests/LibRelay/VersionFleet.cpp
@@ -80,11 +80,11 @@
 Runtime VersionFleet::runtimeOf(const Host &Process) {
   Runtime Hooks = this->Simulated.hooks();
   Hooks.Now = [this, &Process] { return this->now() - Process.Suspended; };
-  Hooks.WaitOn = [Shared = Hooks.WaitOn, &Process](
-                     Event &Signal, std::uint64_t Seen, TimePoint Deadline) {
-    Shared(Signal, Seen,
-           Deadline == TimePoint::max() ? Deadline
-                                        : Deadline + Process.Suspended);
+  Hooks.WaitOn = [this, &Process](Event &Signal, std::uint64_t Seen,
+                                  TimePoint Deadline) {
+    this->Simulated.hooks().WaitOn(
+        Signal, Seen,
+        Deadline == TimePoint::max() ? Deadline : Deadline + Process.Suspended);
   };
   return Hooks;
 }
