--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -319,23 +319,26 @@
 Result<std::string>
 HttpResponseReader::readAll(std::size_t MaxBytes, TimePoint Deadline,
                             const std::function<bool()> &IsCancelled) {
-  Result<std::string> Out = std::string();
-  for (bool IsLast = false; Out && !IsLast;) {
-    auto Piece = this->readBody(Deadline, IsCancelled);
-    std::size_t Size =
-        Piece ? Out.value().size() + Piece.value().Bytes.size() : 0;
-    if (!Piece)
-      Out = Piece.error();
-    else if (Size > MaxBytes)
-      Out = NetError::BodyTooLarge;
-    else if (!this->Connection->keep(Size))
-      Out = NetError::OutOfMemory;
-    else
-      Out.value() += Piece.value().Bytes;
-    IsLast = Piece && Piece.value().IsLast;
-  }
+  auto Body = this->readRest(MaxBytes, Deadline, IsCancelled);
   this->Connection->keep(0);
-  return Out;
+  return Body;
+}
+
+Result<std::string>
+HttpResponseReader::readRest(std::size_t MaxBytes, TimePoint Deadline,
+                             const std::function<bool()> &IsCancelled) {
+  std::string Out;
+  for (;;) {
+    BOOST_OUTCOME_TRY(Piece, this->readBody(Deadline, IsCancelled));
+    std::size_t Size = Out.size() + Piece.Bytes.size();
+    if (Size > MaxBytes)
+      return NetError::BodyTooLarge;
+    if (!this->Connection->keep(Size))
+      return NetError::OutOfMemory;
+    Out += Piece.Bytes;
+    if (Piece.IsLast)
+      return Out;
+  }
 }
 
 bool HttpResponseReader::canReuse() const {
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -82,6 +82,8 @@
 private:
   struct State;
 
+  Result<std::string> readRest(std::size_t MaxBytes, TimePoint Deadline,
+                               const std::function<bool()> &IsCancelled);
   Result<void> advance(TimePoint Deadline,
                        const std::function<bool()> &IsCancelled);
 
