End a test of messages only after the tasks that it spawned

The test stopped its loop as the last message was counted. Tasks of other connections were still asleep and ran on after the test had returned, with references to its variables. The test now counts its tasks and stops the loop with the last one. Its checks are the same; a client that can't connect fails it now instead of being passed over.

--- a/Tests/LibNet/MemoryBudgetTest.cpp
+++ b/Tests/LibNet/MemoryBudgetTest.cpp
@@ -107,6 +107,12 @@
       std::make_shared<MemoryBudget>(MemoryPolicy{1'000'000, 8 * 1024});
   int Read = 0;
   int Refused = 0;
+  // Tasks that are left would run after this test.
+  int RunningTasks = 2 * Clients;
+  auto EndTask = [&] {
+    if (--RunningTasks == 0)
+      Loop.stop();
+  };
   TcpListenerSettings Settings{"127.0.0.1:0", 16, 16, {}};
   Settings.Limits.Memory = Budget;
   TcpListener Port(
@@ -120,21 +126,21 @@
         Refused += !Received && Received.error() == NetError::OutOfMemory;
         // Others are still being read.
         Tasks.sleepUntil(Tasks.Now() + std::chrono::milliseconds(300));
-        if (Read + Refused == Clients)
-          Loop.stop();
+        EndTask();
       });
   REQUIRE(Port.start());
   for (int I = 0; I < Clients; ++I)
     Tasks.Spawn([&] {
       auto Connection = TcpConnection::connect(
           Loop, "127.0.0.1:" + std::to_string(Port.port()), {}, Deadline);
-      if (!Connection)
-        return;
+      REQUIRE(Connection);
       (void)Connection.value()->write(Message, Deadline);
       Tasks.sleepUntil(Tasks.Now() + std::chrono::milliseconds(600));
       Connection.value()->close();
+      EndTask();
     });
   Loop.run();
+  Port.stop();
   CHECK(Read + Refused == Clients);
   // Half of the memory is for one owner.
   CHECK(Read >= 3);
