Don't send a call whose host begins to stop while it waits

Callers could still lose orders to a planned stop: an order that waited for a connection to its target (up to 600 ms) when the signal came was passed on, though it could outlast the host. Found by reading the path from the last look at the stop to the first byte sent.

Cause: the stop was looked at before the connection was opened, and the wait for the connection, or for a target that does not read a long body, was ended by its own time limit only. With the end of the grace in that wait, the call was cut off without an answer.

Change: both waits end when the call is given up, by its caller or by the stop, and the stop is looked at again before the first byte. Such an attempt is Withdrawn: not sent, and no fault of the target. A stream whose caller does not read is given up when calls must be answered, so that it is logged and settled.

Next to it: of a grace under 8 s, what is kept for answers and for returning budgets is a sixteenth each, so that targets can use seven eighths of it; it was 0.5 s of 1 s. Two signals in the same moment began two stops.

Failing before (by putting the old lines back): "an order is not sent if its host begins to stop while it waits ..." (3 of its checks). "targets can use all but an eighth of a grace" fails for every grace under 4 s without the change.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -59,6 +59,15 @@
                                                      const std::string &Address,
                                                      TcpLimits Limits,
                                                      TimePoint Deadline) {
+  Event Changed;
+  return connect(Loop, Address, std::move(Limits), Deadline, Changed,
+                 neverCancelled);
+}
+
+Result<TcpConnection::Handle>
+TcpConnection::connect(NetRuntime &Loop, const std::string &Address,
+                       TcpLimits Limits, TimePoint Deadline, Event &Changed,
+                       const std::function<bool()> &IsCancelled) {
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     return NetError::ConnectFailed;
@@ -76,6 +85,7 @@
     bool HasFailed = false;
   };
   auto Attempt = std::make_shared<Progress>();
+  ScopedEventAttachment Attached(Connection, Changed);
   Connection->Socket.async_connect(
       Endpoint.value(),
       [Connection, Attempt](const boost::system::error_code &Failure) {
@@ -83,8 +93,8 @@
         Attempt->HasFailed = static_cast<bool>(Failure);
         Connection->notify();
       });
-  Connection->Tasks.waitUntil(Connection->DefaultEvent, Deadline,
-                              [&] { return Attempt->IsDone; });
+  Connection->Tasks.waitUntil(Changed, Deadline,
+                              [&] { return Attempt->IsDone || IsCancelled(); });
   if (!Attempt->IsDone || Attempt->HasFailed) {
     Connection->abort();
     return NetError::ConnectFailed;
@@ -214,7 +224,8 @@
   this->notify();
 }
 
-Result<void> TcpConnection::write(std::string_view Bytes, TimePoint Deadline) {
+Result<void> TcpConnection::write(std::string_view Bytes, TimePoint Deadline,
+                                  const std::function<bool()> &IsCancelled) {
   if (this->IsClosed || this->WasLost)
     return NetError::Reset;
   if (!this->IsSending && this->unsent() == 0) {
@@ -231,7 +242,7 @@
   if (Bytes.empty())
     return success();
   if (!this->Memory.resize(this->heldBytes() + Bytes.size()))
-    return this->writeInParts(Bytes, Deadline);
+    return this->writeInParts(Bytes, Deadline, IsCancelled);
   try {
     this->Unsent.append(Bytes);
   } catch (const std::bad_alloc &) {
@@ -240,48 +251,53 @@
     return NetError::OutOfMemory;
   }
   this->sendQueued();
-  bool HasRoom = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
-    return this->WasLost || this->IsClosed ||
-           this->unsent() < this->Limits.MaxUnsent;
+  return this->awaitSending(Deadline, IsCancelled, [this] {
+    return this->unsent() < this->Limits.MaxUnsent;
   });
-  if (this->WasLost || this->IsClosed)
-    return NetError::Reset;
-  if (!HasRoom)
-    return NetError::TimedOut;
-  return success();
 }
 
-Result<void> TcpConnection::writeMessage(std::string Head,
-                                         std::string_view Body,
-                                         TimePoint Deadline) {
+Result<void>
+TcpConnection::writeMessage(std::string Head, std::string_view Body,
+                            TimePoint Deadline,
+                            const std::function<bool()> &IsCancelled) {
   if (Body.size() <= MaxCopiedBytes)
-    return this->write(Head.append(Body), Deadline);
-  BOOST_OUTCOME_TRYV(this->write(Head, Deadline));
-  return this->write(Body, Deadline);
+    return this->write(Head.append(Body), Deadline, IsCancelled);
+  BOOST_OUTCOME_TRYV(this->write(Head, Deadline, IsCancelled));
+  return this->write(Body, Deadline, IsCancelled);
 }
 
-Result<void> TcpConnection::writeInParts(std::string_view Bytes,
-                                         TimePoint Deadline) {
+Result<void>
+TcpConnection::writeInParts(std::string_view Bytes, TimePoint Deadline,
+                            const std::function<bool()> &IsCancelled) {
   // Without memory for a queue, the caller waits until its bytes are sent.
   while (!Bytes.empty()) {
     std::size_t Part = std::min(Bytes.size(), this->Memory.freeBytes());
     this->Unsent.append(Bytes.substr(0, Part));
     this->sendQueued();
-    BOOST_OUTCOME_TRYV(this->flush(Deadline));
+    BOOST_OUTCOME_TRYV(this->flush(Deadline, IsCancelled));
     Bytes.remove_prefix(Part);
   }
   return success();
 }
 
-Result<void> TcpConnection::flush(TimePoint Deadline) {
-  bool IsEmpty = this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
-    return this->WasLost || this->IsClosed || this->unsent() == 0;
+Result<void> TcpConnection::flush(TimePoint Deadline,
+                                  const std::function<bool()> &IsCancelled) {
+  return this->awaitSending(Deadline, IsCancelled,
+                            [this] { return this->unsent() == 0; });
+}
+
+Result<void>
+TcpConnection::awaitSending(TimePoint Deadline,
+                            const std::function<bool()> &IsCancelled,
+                            const std::function<bool()> &IsSent) {
+  bool ConditionMet = this->Tasks.waitUntil(*this->Changed, Deadline, [&] {
+    return this->WasLost || this->IsClosed || IsSent() || IsCancelled();
   });
   if (this->WasLost || this->IsClosed)
     return NetError::Reset;
-  if (!IsEmpty)
-    return NetError::TimedOut;
-  return success();
+  if (IsSent())
+    return success();
+  return ConditionMet ? NetError::Cancelled : NetError::TimedOut;
 }
 
 void TcpConnection::sendQueued() {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -34,6 +34,9 @@
   std::vector<MemoryOwner> Owners;
 };
 
+/// For waits that only their deadline ends.
+inline bool neverCancelled() { return false; }
+
 /// A connection that continuously reads ahead, so that it notices when the peer
 /// closes even while its owner waits for something else. Reference-counted,
 /// since completion handlers keep it alive.
@@ -50,6 +53,13 @@
   static Result<Handle> connect(NetRuntime &Loop, const std::string &Address,
                                 TcpLimits Limits, TimePoint Deadline);
 
+  /// As above. The wait also ends once \p IsCancelled returns true; notify \p
+  /// Changed when that may have changed.
+  static Result<Handle> connect(NetRuntime &Loop, const std::string &Address,
+                                TcpLimits Limits, TimePoint Deadline,
+                                Event &Changed,
+                                const std::function<bool()> &IsCancelled);
+
   ~TcpConnection();
 
   /// Notifies \p Changed instead of the previous event whenever data arrives,
@@ -96,15 +106,19 @@
   std::error_code endReason() const;
 
   /// Sends \p Bytes, immediately as far as possible, and queues the rest. A
-  /// full send queue blocks the calling task, at most until \p Deadline.
-  Result<void> write(std::string_view Bytes, TimePoint Deadline);
+  /// full send queue blocks the calling task, at most until \p Deadline or
+  /// until \p IsCancelled returns true.
+  Result<void> write(std::string_view Bytes, TimePoint Deadline,
+                     const std::function<bool()> &IsCancelled = neverCancelled);
 
   /// Sends the head and the body of a message. See write().
-  Result<void> writeMessage(std::string Head, std::string_view Body,
-                            TimePoint Deadline);
+  Result<void>
+  writeMessage(std::string Head, std::string_view Body, TimePoint Deadline,
+               const std::function<bool()> &IsCancelled = neverCancelled);
 
   /// Waits until the kernel has accepted all queued bytes.
-  Result<void> flush(TimePoint Deadline);
+  Result<void> flush(TimePoint Deadline,
+                     const std::function<bool()> &IsCancelled = neverCancelled);
 
   std::size_t unsent() const { return this->Unsent.size() - this->Sent; }
 
@@ -134,7 +148,11 @@
   }
   /// \returns how many bytes may be read now.
   std::size_t roomToRead();
-  Result<void> writeInParts(std::string_view Bytes, TimePoint Deadline);
+  Result<void> writeInParts(std::string_view Bytes, TimePoint Deadline,
+                            const std::function<bool()> &IsCancelled);
+  Result<void> awaitSending(TimePoint Deadline,
+                            const std::function<bool()> &IsCancelled,
+                            const std::function<bool()> &IsSent);
   void readAhead();
   void onReadable(const boost::system::error_code &WaitFailure);
   void sendQueued();
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -187,7 +187,7 @@
 }
 
 bool RelayCallHandler::isGivenUp() const {
-  return this->Caller.HasLeft() || !this->maySend();
+  return this->Caller.isSendGivenUp(this->Deadline, this->Call.mayRepeat());
 }
 
 bool RelayCallHandler::maySend() const {
@@ -278,7 +278,7 @@
   auto Opened =
       this->Hooks.Open(Target, this->Call, Head, this->Caller, this->Deadline);
   if (!Opened && Opened.error() == NetError::ConnectFailed)
-    return AttemptEnd::NotSent;
+    return this->isGivenUp() ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
   ++this->Outcome.Sends;
   return Opened ? this->readResponse(Opened.value(), Target)
@@ -547,6 +547,7 @@
   case AttemptEnd::OutOfMemory:
     Targets.onFailure(Id, this->now());
     break;
+  case AttemptEnd::Withdrawn:
   case AttemptEnd::Failed:
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
@@ -557,7 +558,8 @@
   case AttemptEnd::HostStops:
     break;
   }
-  if (End != AttemptEnd::NotSent && End != AttemptEnd::NotRun)
+  if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
+      End != AttemptEnd::NotRun)
     ++this->TargetsThatMayHaveRun;
 }
 
@@ -602,6 +604,9 @@
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
     return false;
+  case AttemptEnd::Withdrawn:
+    // What ended the attempt also ends the next one, before it begins.
+    return true;
   case AttemptEnd::NotSent:
     // No byte was sent, so this does not count as a resend.
     return this->Attempts < MaxSends;
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -16,6 +16,8 @@
   Done,
   /// No byte was sent.
   NotSent,
+  /// No byte was sent, since the call was given up while it was connected.
+  Withdrawn,
   /// The target did not execute the call.
   NotRun,
   /// The target executed the call and reported a failure of its own.
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -72,6 +72,10 @@
       [](TimePoint, bool) { return true; };
   /// Tells whether there is no use in waiting for anything.
   bool isGivenUp() const { return this->HasLeft() || this->MustAnswer(); }
+  /// Tells whether there is no use in waiting to pass a call on.
+  bool isSendGivenUp(TimePoint Deadline, bool MayRepeat) const {
+    return this->isGivenUp() || !this->MaySend(Deadline, MayRepeat);
+  }
   /// Sends a complete response.
   std::function<Result<void>(const HttpResponseHead &, std::string_view Body)>
       SendResponse;
@@ -94,7 +98,8 @@
   std::function<TimePoint()> LeaseClock;
 
   /// Connects to a target and sends it the call. NetError::ConnectFailed
-  /// guarantees that no byte was sent.
+  /// guarantees that no byte was sent. A call that may no longer be passed on
+  /// once it is connected is not sent.
   std::function<Result<TargetExchange>(
       const ListedTarget &Target, const RelayCall &Call,
       const HttpRequestHead &Head, const CallerHooks &Caller,
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -26,6 +26,7 @@
 
 /// How long a write may block on a caller that does not read.
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 /// Requests that have not been read whole are of no team yet.
 const MemoryOwner UnreadRequests = hash64("unread requests");
 
@@ -66,16 +67,27 @@
                [this](const TcpConnection::Handle &Connection) {
                  this->handleConnection(Connection);
                }),
-      Stop(this->Settings.Stop) {}
+      Plan(this->Settings.Stop) {}
 
 bool RelayServer::mayExit() const {
-  return this->Stop.mayExit(this->InProgress, this->connections(),
+  return this->Plan.mayExit(this->InProgress, this->connections(),
                             this->Tasks.Now());
 }
 
-void RelayServer::beginStop(Duration Grace) {
-  this->Stop.begin(Grace, this->Tasks.Now());
+void RelayServer::stop(Duration Grace) {
+  this->Plan.begin(Grace, this->Tasks.Now());
   this->wakeCalls();
+  for (bool HasWokenToAnswer = false; !this->mayExit();) {
+    TimePoint Now = this->Tasks.Now();
+    if (!HasWokenToAnswer && this->Plan.mustAnswer(Now)) {
+      HasWokenToAnswer = true;
+      this->wakeCalls();
+    }
+    TimePoint Next = Now + StopCheckInterval;
+    this->Tasks.sleepUntil(
+        HasWokenToAnswer ? Next : std::min(Next, this->Plan.answerDeadline()));
+  }
+  this->Listener.stop();
 }
 
 void RelayServer::wakeCalls() {
@@ -135,11 +147,11 @@
   TimePoint IdleEnd = this->Tasks.Now() + this->limits().IdleTimeout;
   for (;;) {
     TimePoint End = IdleEnd;
-    bool WasStopping = this->Stop.hasStarted();
+    bool WasStopping = this->Plan.hasStarted();
     if (WasStopping)
-      End = std::min(End, this->Stop.idleDeadline(Client.OpenedAt));
+      End = std::min(End, this->Plan.idleDeadline(Client.OpenedAt));
     if (Client.Reader.waitForFirstByte(
-            End, [&] { return this->Stop.hasStarted() != WasStopping; }))
+            End, [&] { return this->Plan.hasStarted() != WasStopping; }))
       return true;
     if (Client.Connection->hasEnded() || this->Tasks.Now() >= End)
       return false;
@@ -171,16 +183,18 @@
   Caller.Changed = &Client.Changed;
   Caller.HasLeft = [&Client] { return Client.Connection->hasEnded(); };
   Caller.MustAnswer = [this] {
-    return this->Stop.mustAnswer(this->Tasks.Now());
+    return this->Plan.mustAnswer(this->Tasks.Now());
   };
   Caller.MaySend = [this](TimePoint Deadline, bool MayRepeat) {
-    return this->Stop.maySend(Deadline, MayRepeat);
+    return this->Plan.maySend(Deadline, MayRepeat);
   };
   auto Write = [&Client, this](std::string_view Bytes) {
-    return Client.Connection->write(Bytes, this->Tasks.Now() + WriteTimeout);
+    return Client.Connection->write(
+        Bytes, this->Tasks.Now() + WriteTimeout,
+        [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
   auto PrepareHead = [&Client, this](HttpResponseHead Head) {
-    Client.MustClose = Client.MustClose || this->Stop.hasStarted();
+    Client.MustClose = Client.MustClose || this->Plan.hasStarted();
     Head.KeepAlive = !Client.MustClose;
     return Head;
   };
@@ -216,7 +230,7 @@
   }
   DecodedCall &Decoded = *Read;
   if (Decoded.RefusalStatus == 0 &&
-      !this->Stop.accepts(Decoded.Call.deadline(), Decoded.Call.mayRepeat(),
+      !this->Plan.accepts(Decoded.Call.deadline(), Decoded.Call.mayRepeat(),
                           this->Tasks.Now())) {
     Decoded.RefusalStatus = 503;
     Decoded.Reason = RelayReason::Stopping;
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -40,27 +40,16 @@
   Result<void> start() { return this->Listener.start(); }
 
   /// Sends "Connection: close" with every response from now on. New connections
-  /// are still served, since the load balancer takes a while to notice. The
-  /// process is killed after \p Grace.
-  void beginStop(Duration Grace);
-
-  /// Tells whether a stopping host has nothing left to wait for.
-  bool mayExit() const;
-
-  /// When the calls in progress must be answered; the process exits shortly
-  /// after.
-  TimePoint answerDeadline() const { return this->Stop.answerDeadline(); }
-
-  /// Wakes the calls in progress, which are answered if the deadline has
-  /// passed.
-  void wakeCalls();
-
-  /// Accepts no more connections.
-  void stopListening() { this->Listener.stop(); }
+  /// are still served, since the load balancer takes a while to notice. Blocks
+  /// the calling task until nothing is left to wait for, or until shortly
+  /// before the process is killed after \p Grace. Then accepts no more
+  /// connections.
+  void stop(Duration Grace);
 
   /// Requests read but not yet answered.
   std::size_t inProgress() const { return this->InProgress; }
   std::size_t connections() const { return this->Listener.connections(); }
+  std::uint16_t port() const { return this->Listener.port(); }
 
 private:
   struct Session;
@@ -72,6 +61,8 @@
   void refuseMessage(Session &Client, std::error_code Failure);
   CallerHooks makeCallerHooks(Session &Client) const;
   CallerLimits limits() const;
+  bool mayExit() const;
+  void wakeCalls();
 
   NetRuntime &Loop;
   Runtime Tasks;
@@ -81,7 +72,7 @@
   TcpListener Listener;
   std::set<Event *> Sessions;
   std::size_t InProgress = 0;
-  StopPlan Stop;
+  StopPlan Plan;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelayFront/StopPlan.cpp
+++ b/Libraries/LibRelayFront/StopPlan.cpp
@@ -8,8 +8,11 @@
   if (this->StartedAt)
     return;
   this->StartedAt = Now;
-  this->ExitDeadline = Now + Grace - this->Policy.Reserve;
-  this->AnswerDeadline = this->ExitDeadline - this->Policy.AnswerTime;
+  Duration MaxPart = Grace / this->Policy.GraceDivisor;
+  this->ExitDeadline = Now + Grace - std::min(this->Policy.Reserve, MaxPart);
+  this->AnswerDeadline =
+      this->ExitDeadline -
+      std::clamp(MaxPart, this->Policy.MinAnswerTime, this->Policy.AnswerTime);
 }
 
 bool StopPlan::accepts(TimePoint Deadline, bool MayRepeat,
--- a/Libraries/LibRelayFront/StopPlan.h
+++ b/Libraries/LibRelayFront/StopPlan.h
@@ -23,6 +23,11 @@
   Duration AnswerTime = std::chrono::milliseconds(200);
   /// The time reserved before the process is killed for returning budgets.
   Duration Reserve = std::chrono::milliseconds(300);
+  /// Of a short grace, neither of the two takes more than this part of it, so
+  /// that targets can use the rest.
+  int GraceDivisor = 16;
+  /// What writing the answers takes at least.
+  Duration MinAnswerTime = std::chrono::milliseconds(10);
 };
 
 /// The shutdown of one host. A call that may not be repeated is accepted, and
@@ -42,7 +47,8 @@
   /// Tells whether a call that ends at \p Deadline at the latest is accepted.
   bool accepts(TimePoint Deadline, bool MayRepeat, TimePoint Now) const;
 
-  /// Tells whether a call that was accepted may be passed on at \p Now.
+  /// Tells whether a call that was accepted, and ends at \p Deadline at the
+  /// latest, may be passed on.
   bool maySend(TimePoint Deadline, bool MayRepeat) const;
 
   /// Tells whether calls in progress are to be answered now, whatever is known
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -83,9 +83,10 @@
 TargetDialer::TargetDialer(NetRuntime &Loop, DialerLimits Limits)
     : Loop(Loop), Tasks(Loop.hooks()), Limits(Limits), Idle(Limits.Pool) {}
 
-Result<TcpConnection::Handle> TargetDialer::connect(const ListedTarget &Target,
-                                                    const RelayCall &Call,
-                                                    TimePoint Deadline) {
+Result<TcpConnection::Handle>
+TargetDialer::connect(const ListedTarget &Target, const RelayCall &Call,
+                      const CallerHooks &Caller, TimePoint Deadline,
+                      const std::function<bool()> &IsGivenUp) {
   bool MayRepeat = Call.Route->Kind == CallKind::Idempotent;
   Duration MaxIdle = MayRepeat ? this->Limits.Pool.IdleTime
                                : this->Limits.MaxIdleForNonIdempotent;
@@ -105,7 +106,8 @@
   Limits.Owners = {Target.memoryOwner()};
   return TcpConnection::connect(
       this->Loop, Target.Address, std::move(Limits),
-      std::min(Deadline, this->Tasks.Now() + this->Limits.ConnectTimeout));
+      std::min(Deadline, this->Tasks.Now() + this->Limits.ConnectTimeout),
+      *Caller.Changed, IsGivenUp);
 }
 
 std::uint64_t TargetDialer::refusalKey(const TcpConnection::Handle &Connection,
@@ -120,14 +122,20 @@
                                           const HttpRequestHead &Head,
                                           const CallerHooks &Caller,
                                           TimePoint Deadline) {
-  BOOST_OUTCOME_TRY(Connection, this->connect(Target, Call, Deadline));
+  // The host may begin to stop while the call waits here.
+  auto IsGivenUp = [&Caller, Deadline, MayRepeat = Call.mayRepeat()] {
+    return Caller.isSendGivenUp(Deadline, MayRepeat);
+  };
+  BOOST_OUTCOME_TRY(Connection,
+                    this->connect(Target, Call, Caller, Deadline, IsGivenUp));
   auto State = std::make_shared<ExchangeState>(Connection, this->Tasks, Caller,
                                                Head.Method == "HEAD");
-  if (Caller.HasLeft())
+  if (IsGivenUp())
     return NetError::ConnectFailed;
   std::uint64_t SentBefore = Connection->bytesSent();
   auto Written = Connection->writeMessage(
-      formatRequestHead(Head, Call.Body.size()), Call.Body, Deadline);
+      formatRequestHead(Head, Call.Body.size()), Call.Body, Deadline,
+      [&Caller] { return Caller.isGivenUp(); });
   if (!Written) {
     if (Connection->bytesSent() == SentBefore)
       return NetError::ConnectFailed;
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -41,7 +41,9 @@
 private:
   Result<TcpConnection::Handle> connect(const ListedTarget &Target,
                                         const RelayCall &Call,
-                                        TimePoint Deadline);
+                                        const CallerHooks &Caller,
+                                        TimePoint Deadline,
+                                        const std::function<bool()> &IsGivenUp);
 
   /// More than are refused while a connection is idle.
   static constexpr std::size_t MaxRefusals = 4096;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -11,6 +11,7 @@
 #include <new>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <utility>
 
 namespace bergamothook {
 
@@ -28,7 +29,6 @@
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(200);
 /// How long a task that ran out of memory pauses.
 constexpr Duration TaskRestartPause = std::chrono::milliseconds(200);
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 /// What is kept of the time before the kill for handing budgets back, which is
 /// one round on the store.
 constexpr Duration WalletStopTime = std::chrono::milliseconds(250);
@@ -408,7 +408,7 @@
           return;
         if (Signal == SIGHUP)
           this->Tasks.Spawn([this] { this->reload(); });
-        else if (!this->IsStopping)
+        else if (!std::exchange(this->IsStopping, true))
           this->Tasks.Spawn([this] { this->stop(); });
         this->waitForSignal();
       });
@@ -423,8 +423,7 @@
   }
   bool HasChanged = !(Read.value() == this->Settings);
   // The others are in use since the start of the process.
-  if (!this->IsStopping)
-    this->Settings.StopTime = Read.value().StopTime;
+  this->Settings.StopTime = Read.value().StopTime;
   logEvent(LogLevel::Info, "reloaded", {{"changed", HasChanged}});
 }
 
@@ -432,26 +431,14 @@
   // The file may have changed without a signal.
   this->reload();
   TimePoint KillDeadline = this->Tasks.Now() + this->Settings.StopTime;
-  this->IsStopping = true;
   logEvent(LogLevel::Info, "stopping",
            {{"in_progress", this->Server.inProgress()},
             {"loans_open", this->TokenSource.loans().open()}});
   this->TokenSource.beginStop();
   this->Dispatcher.limiter().beginStop();
   this->Tasks.Spawn([this] { this->Registry.leave(); });
-  this->Server.beginStop(this->Settings.StopTime);
-  for (bool HasWoken = false; !this->Server.mayExit();) {
-    TimePoint Now = this->Tasks.Now();
-    TimePoint AnswersAt = this->Server.answerDeadline();
-    if (!HasWoken && Now >= AnswersAt) {
-      HasWoken = true;
-      this->Server.wakeCalls();
-    }
-    TimePoint Next = Now + StopCheckInterval;
-    this->Tasks.sleepUntil(HasWoken ? Next : std::min(Next, AnswersAt));
-  }
+  this->Server.stop(this->Settings.StopTime);
   std::size_t CutOffCalls = this->Server.inProgress();
-  this->Server.stopListening();
   this->TokenSource.stop(KillDeadline - LoanStopTime,
                          KillDeadline - WalletStopTime);
   logEvent(LogLevel::Info, "stopped",
--- a/Tests/LibRelayFront/StopPlanTest.cpp
+++ b/Tests/LibRelayFront/StopPlanTest.cpp
@@ -55,6 +55,18 @@
   CHECK(Plan.exitDeadline() == Begin + 7700ms);
 }
 
+// Guards against calls that are ended though a sound target still has time for
+// them, since what is reserved is most of a short grace.
+TEST_CASE("targets can use all but an eighth of a grace, however short") {
+  for (Duration Grace = 1s; Grace <= 30s; Grace += 500ms) {
+    StopPlan Plan{StopPolicy{}};
+    Plan.begin(Grace, Begin);
+    CHECK(Plan.answerDeadline() >= Begin + Grace * 7 / 8);
+    CHECK(Plan.answerDeadline() < Plan.exitDeadline());
+    CHECK(Plan.exitDeadline() < Begin + Grace);
+  }
+}
+
 // Guards against connections that the load balancer opened on a stopping host
 // and that were closed at once, unread.
 TEST_CASE("a new connection gets time for its first request while the host "
--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -108,3 +108,98 @@
   });
   Loop.run();
 }
+
+namespace {
+
+/// Opens one order to \p Address. The host begins to stop after \p StopsAfter.
+/// \returns why it was not sent whole.
+std::error_code openOrder(TargetDialer &Dialer, const Runtime &Tasks,
+                          const std::string &Address, Duration StopsAfter,
+                          std::string Body) {
+  ListedTarget Listed;
+  Listed.Address = Address;
+  RelayRoute Route;
+  RelayCall Call;
+  Call.Id = "order-1";
+  Call.Route = &Route;
+  Call.Body = std::move(Body);
+  HttpRequestHead Head;
+  Head.Method = "POST";
+  Head.Target = "/";
+  Event Changed;
+  bool IsStopping = StopsAfter == Duration::zero();
+  CallerHooks Caller;
+  Caller.Changed = &Changed;
+  Caller.HasLeft = [] { return false; };
+  Caller.MustAnswer = [&] { return IsStopping; };
+  Caller.MaySend = [&](TimePoint, bool) { return !IsStopping; };
+  bool HasStopTaskEnded = false;
+  Tasks.Spawn([&] {
+    Tasks.sleepUntil(Tasks.Now() + StopsAfter);
+    IsStopping = true;
+    Changed.notify();
+    HasStopTaskEnded = true;
+  });
+  auto Opened = Dialer.open(Listed, Call, Head, Caller, Tasks.Now() + 10s);
+  while (!HasStopTaskEnded)
+    Tasks.sleepUntil(Tasks.Now() + 1ms);
+  if (!Opened)
+    return Opened.error();
+  Opened.value().Abort();
+  return {};
+}
+
+} // namespace
+
+// Guards against orders that were passed on though their host had begun to stop
+// while they waited for a connection, or for a target that reads.
+TEST_CASE("an order is not sent if its host begins to stop while it waits, and "
+          "the wait ends at once") {
+  NetRuntime Loop;
+  Runtime Tasks = Loop.hooks();
+  bool MayEnd = false;
+  TcpListener Target(Loop, {"127.0.0.1:0", 16, 100, {}},
+                     [&](const TcpConnection::Handle &) {
+                       while (!MayEnd)
+                         Tasks.sleepUntil(Tasks.Now() + 10ms);
+                     });
+  REQUIRE(Target.start());
+  std::string Reachable = "127.0.0.1:" + std::to_string(Target.port());
+  // Accepts no connection; the queue is full after one or two.
+  boost::asio::ip::tcp::acceptor Full(
+      Loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0}, false);
+  Full.listen(0);
+  std::string Unreachable =
+      "127.0.0.1:" + std::to_string(Full.local_endpoint().port());
+  Tasks.Spawn([&] {
+    std::vector<TcpConnection::Handle> Queued;
+    while (auto Connection = TcpConnection::connect(Loop, Unreachable, {},
+                                                    Tasks.Now() + 100ms))
+      Queued.push_back(Connection.value());
+    {
+      TargetDialer Dialer(Loop, {});
+      CHECK(openOrder(Dialer, Tasks, Reachable, 0s, "") ==
+            NetError::ConnectFailed);
+
+      TimePoint Begin = Tasks.Now();
+      CHECK(openOrder(Dialer, Tasks, Unreachable, 50ms, "") ==
+            NetError::ConnectFailed);
+      CHECK(Tasks.Now() - Begin < 500ms);
+
+      // More than the kernel and the connection queue.
+      constexpr std::size_t LongBody = 32 * 1024 * 1024;
+      Begin = Tasks.Now();
+      CHECK(openOrder(Dialer, Tasks, Reachable, 100ms,
+                      std::string(LongBody, 'x')) == NetError::Cancelled);
+      CHECK(Tasks.Now() - Begin < 5s);
+    }
+    for (const TcpConnection::Handle &Each : Queued)
+      Each->abort();
+    MayEnd = true;
+    Target.stop();
+    while (Target.connections() > 0)
+      Tasks.sleepUntil(Tasks.Now() + 5ms);
+    Loop.stop();
+  });
+  Loop.run();
+}
