Send a resumable stream only to the run of its target that is in the list

Cause: the list was taken for the target itself, however old it was. That a lost target may be another run counted only while versions were known to be mixed, which nothing but the list says. A stream that begins at such a target was recorded as one of the version in the list, and would be joined when it breaks.

Change: a connection that was open five seconds before the list was last read can't lead to a later run. On a newer one, the target is asked when it started, and the call follows on the same connection, if the list is older than a second, if the target was lost since it was listed, or if a stream goes on while several versions serve. Another start: nothing is sent there. No answer: new streams are sent, none goes on. Neither is a failure of the target. While one version serves and the list is read, nobody is asked.

--- a/Libraries/LibNet/NetError.cpp
+++ b/Libraries/LibNet/NetError.cpp
@@ -26,6 +26,8 @@
     return "the wait was given up";
   case NetError::OutOfMemory:
     return "there is no memory for the message";
+  case NetError::UnexpectedPeer:
+    return "the peer is not known to be the expected one";
   }
   return "unknown network error";
 }
--- a/Libraries/LibNet/NetError.h
+++ b/Libraries/LibNet/NetError.h
@@ -27,6 +27,8 @@
   Cancelled,
   /// There is no memory for the bytes of the message.
   OutOfMemory,
+  /// The peer is not known to be the expected one; no message was sent to it.
+  UnexpectedPeer,
 };
 
 std::error_code make_error_code(NetError Value);
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -39,7 +39,8 @@
                              TcpLimits Limits)
     : Loop(Loop), Tasks(Loop.hooks()), Socket(std::move(Socket)),
       Limits(std::move(Limits)),
-      Memory(this->Limits.Memory, this->Limits.Owners) {}
+      Memory(this->Limits.Memory, this->Limits.Owners),
+      CreatedAt(this->Tasks.Now()) {}
 
 TcpConnection::~TcpConnection() {
   boost::system::error_code Ignored; // A destructor can't report errors.
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -136,6 +136,13 @@
 
   bool isClosed() const { return this->IsClosed; }
 
+  TimePoint createdAt() const { return this->CreatedAt; }
+
+  /// The process at the other end, as far as the user of the connection has
+  /// made sure of it. It stays the same for as long as the connection is open.
+  const std::string &peer() const { return this->Peer; }
+  void setPeer(std::string Name) { this->Peer = std::move(Name); }
+
   std::uint64_t bytesSent() const { return this->TotalSent; }
 
 private:
@@ -174,6 +181,8 @@
   std::uint64_t TotalSent = 0;
   MemoryHold Memory;
   std::size_t Kept = 0;
+  TimePoint CreatedAt;
+  std::string Peer;
   bool LacksMemory = false;
   bool IsReading = false;
   bool IsSending = false;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -157,9 +157,7 @@
     if (!this->maySend())
       return this->finishFailed(AttemptEnd::HostStops);
     if (!Target)
-      return this->finishFailed(this->rateLimitedTargets().empty()
-                                    ? AttemptEnd::NotSent
-                                    : AttemptEnd::RateLimited);
+      return this->finishFailed(this->endWithoutTarget());
     ListedTarget Chosen = Target->Listed;
     this->Outcome.Target = Chosen.Id;
     if (!this->acquirePermit(Chosen)) {
@@ -186,6 +184,12 @@
   }
 }
 
+AttemptEnd RelayCallHandler::endWithoutTarget() {
+  if (!this->rateLimitedTargets().empty())
+    return AttemptEnd::RateLimited;
+  return this->IsRunUnknown ? AttemptEnd::RunUnknown : AttemptEnd::NotSent;
+}
+
 bool RelayCallHandler::isGivenUp() const {
   return this->Caller.isSendGivenUp(this->Deadline, this->Call.mayRepeat());
 }
@@ -275,8 +279,19 @@
 
 AttemptEnd RelayCallHandler::exchange(const ListedTarget &Target,
                                       const HttpRequestHead &Head) {
-  auto Opened =
-      this->Hooks.Open(Target, this->Call, Head, this->Caller, this->Deadline);
+  SendTerms Terms{this->Deadline, [this, &Target](Duration ConnectedFor) {
+                    return this->Versions.checkRun(Target, ConnectedFor,
+                                                   this->Hooks.LeaseClock());
+                  }};
+  auto Opened = this->Hooks.Open(Target, this->Call, Head, this->Caller, Terms);
+  if (!Opened && Opened.error() == NetError::UnexpectedPeer) {
+    logEvent(LogLevel::Warning, "target_run_unknown",
+             {{"request", this->Call.Id},
+              {"target", Target.Id},
+              {"listed_start", Target.StartedAt}});
+    this->IsRunUnknown = true;
+    return AttemptEnd::RunUnknown;
+  }
   if (!Opened && Opened.error() == NetError::ConnectFailed)
     return this->isGivenUp() ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
@@ -548,6 +563,7 @@
     Targets.onFailure(Id, this->now());
     break;
   case AttemptEnd::Withdrawn:
+  case AttemptEnd::RunUnknown:
   case AttemptEnd::Failed:
   case AttemptEnd::OutOfTime:
   case AttemptEnd::CallerLeft:
@@ -559,7 +575,7 @@
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
-      End != AttemptEnd::NotRun)
+      End != AttemptEnd::RunUnknown && End != AttemptEnd::NotRun)
     ++this->TargetsThatMayHaveRun;
 }
 
@@ -608,6 +624,7 @@
     // What ended the attempt also ends the next one, before it begins.
     return true;
   case AttemptEnd::NotSent:
+  case AttemptEnd::RunUnknown:
     // No byte was sent, so this does not count as a resend.
     return this->Attempts < MaxSends;
   case AttemptEnd::NotRun:
@@ -675,7 +692,8 @@
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
   // Without a time to return: the caller had better start anew.
-  if (End == AttemptEnd::VersionUnknown)
+  if (End == AttemptEnd::VersionUnknown ||
+      (End == AttemptEnd::RunUnknown && this->Versions.hasBegun()))
     return this->refuse(503, RelayEnd::NotRun,
                         RelayReason::StreamVersionUnknown);
   if (End == AttemptEnd::VersionNotServed)
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -18,6 +18,8 @@
   NotSent,
   /// No byte was sent, since the call was given up while it was connected.
   Withdrawn,
+  /// No byte was sent, since the target is not known to be the listed run.
+  RunUnknown,
   /// The target did not execute the call.
   NotRun,
   /// The target executed the call and reported a failure of its own.
@@ -66,6 +68,8 @@
   /// \returns the keys of the targets that are at their rate limits, or were
   /// when this call was to be sent to them.
   std::vector<std::string> rateLimitedTargets();
+  /// \returns why there is no target left to send the call to.
+  AttemptEnd endWithoutTarget();
   AttemptEnd attempt(const ListedTarget &Target);
   /// Sends the call and reads the answer.
   AttemptEnd exchange(const ListedTarget &Target, const HttpRequestHead &Head);
@@ -131,6 +135,8 @@
   /// A response other than a stream was written.
   bool IsAnswered = false;
   bool HasStreamStarted = false;
+  /// A target was left out since it may be another run than the listed one.
+  bool IsRunUnknown = false;
   /// The target that sent the first event.
   ListedTarget FirstTarget;
   StreamVersionRule Versions;
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -87,6 +87,28 @@
   std::function<void()> AbortStream;
 };
 
+/// Whether a target is asked, before it gets a call, which run of it answers.
+enum class RunCheck {
+  None,
+  /// The call is sent unless the target says that it is another run than the
+  /// listed one.
+  UnlessOther,
+  /// The call is sent only if the target says that it is the listed run.
+  OnlyListed,
+};
+
+/// What a target says of its run.
+enum class RunAnswer { Listed, Other, Unknown };
+
+/// The conditions under which a call is sent.
+struct SendTerms {
+  TimePoint Deadline;
+  /// Chooses the check for a connection that is \p ConnectedFor old, or older.
+  std::function<RunCheck(Duration ConnectedFor)> CheckRun = [](Duration) {
+    return RunCheck::None;
+  };
+};
+
 struct RelayHooks {
   Runtime Tasks;
 
@@ -99,11 +121,12 @@
 
   /// Connects to a target and sends it the call. NetError::ConnectFailed
   /// guarantees that no byte was sent. A call that may no longer be passed on
-  /// once it is connected is not sent.
+  /// once it is connected is not sent, nor is one whose target fails the check
+  /// of its run (NetError::UnexpectedPeer).
   std::function<Result<TargetExchange>(
       const ListedTarget &Target, const RelayCall &Call,
       const HttpRequestHead &Head, const CallerHooks &Caller,
-      TimePoint Deadline)>
+      const SendTerms &Terms)>
       Open;
 
   /// Builds the request head for a target; the caller's own fields are passed
--- a/Libraries/LibRelay/StreamVersionRule.cpp
+++ b/Libraries/LibRelay/StreamVersionRule.cpp
@@ -45,6 +45,23 @@
   bool MayBeOther = !Target.isRunConfirmed() && Versions.isMixed(this->Service);
   return MayBeOther ? VersionMatch::NotYet : VersionMatch::Yes;
 }
+RunCheck StreamVersionRule::checkRun(const ListedTarget &Target,
+                                     Duration ConnectedFor,
+                                     TimePoint Now) const {
+  const VersionRegister &Versions = this->Dispatcher.versions();
+  if (!this->IsResumable || Versions.coversConnection(Now - ConnectedFor))
+    return RunCheck::None;
+  const TargetState *State = this->Dispatcher.targets().find(Target.Id);
+  bool IsListRelied =
+      State && State->isRunConfirmed() && Versions.isListRecent(Now);
+  if (this->Version)
+    return IsListRelied && !Versions.isMixed(this->Service)
+               ? RunCheck::None
+               : RunCheck::OnlyListed;
+  // A stream that begins at another version than the listed one can be joined
+  // only if it breaks as well.
+  return IsListRelied ? RunCheck::None : RunCheck::UnlessOther;
+}
 
 void StreamVersionRule::onFirstEvent(const ListedTarget &Target) {
   if (this->IsResumable && !this->Version)
--- a/Libraries/LibRelay/StreamVersionRule.h
+++ b/Libraries/LibRelay/StreamVersionRule.h
@@ -36,6 +36,12 @@
 
   VersionMatch match(const TargetState &Target) const;
 
+  /// \returns how to make sure that \p Target is the listed run, and not
+  /// another one of another version, on a connection that is \p ConnectedFor
+  /// old, or older.
+  RunCheck checkRun(const ListedTarget &Target, Duration ConnectedFor,
+                    TimePoint Now) const;
+
   /// \returns whether the stream has begun, in this call or an earlier one.
   bool hasBegun() const { return this->Version.has_value(); }
 
--- a/Libraries/LibRelay/VersionRegister.h
+++ b/Libraries/LibRelay/VersionRegister.h
@@ -42,6 +42,9 @@
   /// time when it is listed again. Longer than the list keeps the entry of a
   /// target that is gone.
   Duration SightingGap = std::chrono::seconds(5);
+  /// A list that is older than this does not tell which run of a target answers
+  /// on a new connection. Longer than one wait for changes of the list.
+  Duration RunListTolerance = std::chrono::seconds(1);
   /// The host that ranks first for a service writes its record; each next one
   /// waits this much longer.
   Duration TurnTime = std::chrono::milliseconds(400);
@@ -111,6 +114,20 @@
   /// resume at \p ResumedAt.
   bool isCurrent(const std::string &Service, TimePoint ResumedAt) const;
 
+  /// \returns whether the list tells which run of a target answers on a
+  /// connection that was made at \p ConnectedAt and is still open: it was read
+  /// long enough after that, and shows no run that ended before.
+  bool coversConnection(TimePoint ConnectedAt) const {
+    return this->ListAsOf &&
+           ConnectedAt + this->Policy.SightingGap <= *this->ListAsOf;
+  }
+
+  /// \returns whether the list was read a moment before \p Now.
+  bool isListRecent(TimePoint Now) const {
+    return this->ListAsOf &&
+           Now - *this->ListAsOf < this->Policy.RunListTolerance;
+  }
+
   /// \returns the only version at which streams can have begun; nothing if
   /// there are several, or none.
   std::optional<std::string> onlyVersion(const std::string &Service) const;
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -28,6 +28,10 @@
   return std::chrono::seconds(Seconds);
 }
 
+} // namespace
+
+namespace detail {
+
 /// The connection of one exchange and its response reader. Closes the
 /// connection unless the exchange finished.
 struct ExchangeState {
@@ -78,10 +82,14 @@
   bool IsFinished = false;
 };
 
-} // namespace
+} // namespace detail
 
-TargetDialer::TargetDialer(NetRuntime &Loop, DialerLimits Limits)
-    : Loop(Loop), Tasks(Loop.hooks()), Limits(Limits), Idle(Limits.Pool) {}
+using detail::ExchangeState;
+
+TargetDialer::TargetDialer(NetRuntime &Loop, DialerLimits Limits,
+                           RunQuery Query)
+    : Loop(Loop), Tasks(Loop.hooks()), Limits(Limits), Query(std::move(Query)),
+      Idle(Limits.Pool) {}
 
 Result<TcpConnection::Handle>
 TargetDialer::connect(const ListedTarget &Target, const RelayCall &Call,
@@ -121,20 +129,19 @@
                                           const RelayCall &Call,
                                           const HttpRequestHead &Head,
                                           const CallerHooks &Caller,
-                                          TimePoint Deadline) {
+                                          const SendTerms &Terms) {
   // The host may begin to stop while the call waits here.
-  auto IsGivenUp = [&Caller, Deadline, MayRepeat = Call.mayRepeat()] {
-    return Caller.isSendGivenUp(Deadline, MayRepeat);
+  auto IsGivenUp = [&Caller, &Terms, MayRepeat = Call.mayRepeat()] {
+    return Caller.isSendGivenUp(Terms.Deadline, MayRepeat);
   };
-  BOOST_OUTCOME_TRY(Connection,
-                    this->connect(Target, Call, Caller, Deadline, IsGivenUp));
-  auto State = std::make_shared<ExchangeState>(Connection, this->Tasks, Caller,
-                                               Head.Method == "HEAD");
+  BOOST_OUTCOME_TRY(
+      State, this->connectToRun(Target, Call, Head, Caller, Terms, IsGivenUp));
   if (IsGivenUp())
     return NetError::ConnectFailed;
+  TcpConnection::Handle Connection = State->Connection;
   std::uint64_t SentBefore = Connection->bytesSent();
   auto Written = Connection->writeMessage(
-      formatRequestHead(Head, Call.Body.size()), Call.Body, Deadline,
+      formatRequestHead(Head, Call.Body.size()), Call.Body, Terms.Deadline,
       [&Caller] { return Caller.isGivenUp(); });
   if (!Written) {
     if (Connection->bytesSent() == SentBefore)
@@ -167,6 +174,62 @@
   return Exchange;
 }
 
+Result<std::shared_ptr<ExchangeState>>
+TargetDialer::connectToRun(const ListedTarget &Target, const RelayCall &Call,
+                           const HttpRequestHead &Head,
+                           const CallerHooks &Caller, const SendTerms &Terms,
+                           const std::function<bool()> &IsGivenUp) {
+  auto Connect = [&]() -> Result<std::shared_ptr<ExchangeState>> {
+    BOOST_OUTCOME_TRY(Connection, this->connect(Target, Call, Caller,
+                                                Terms.Deadline, IsGivenUp));
+    return std::make_shared<ExchangeState>(Connection, this->Tasks, Caller,
+                                           Head.Method == "HEAD");
+  };
+  BOOST_OUTCOME_TRY(State, Connect());
+  TcpConnection &Connection = *State->Connection;
+  if (Connection.peer() == Target.runKey())
+    return State;
+  RunCheck Check = Terms.CheckRun(this->Tasks.Now() - Connection.createdAt());
+  if (Check == RunCheck::None || IsGivenUp())
+    return State;
+  switch (this->askRun(*State, Target, Terms.Deadline, IsGivenUp)) {
+  case RunAnswer::Listed:
+    Connection.setPeer(Target.runKey());
+    return State;
+  case RunAnswer::Other:
+    return NetError::UnexpectedPeer;
+  case RunAnswer::Unknown:
+    break;
+  }
+  if (IsGivenUp())
+    return NetError::ConnectFailed;
+  if (Check == RunCheck::OnlyListed)
+    return NetError::UnexpectedPeer;
+  // The rest of the answer may still arrive on the first connection.
+  State->abort();
+  return Connect();
+}
+
+RunAnswer TargetDialer::askRun(ExchangeState &State, const ListedTarget &Target,
+                               TimePoint Deadline,
+                               const std::function<bool()> &IsGivenUp) {
+  ++this->RunQueries;
+  TimePoint End =
+      std::min(Deadline, this->Tasks.Now() + this->Limits.RunQueryTimeout);
+  HttpResponseReader Reader(State.Connection, this->Tasks, State.Changed,
+                            false);
+  auto Ask = [&]() -> Result<RunAnswer> {
+    BOOST_OUTCOME_TRYV(State.Connection->write(
+        formatRequestHead(this->Query.MakeHead(Target), 0), End, IsGivenUp));
+    BOOST_OUTCOME_TRY(Head, Reader.readHead(End, IsGivenUp));
+    BOOST_OUTCOME_TRY(
+        Body, Reader.readAll(this->Limits.MaxRunAnswerBytes, End, IsGivenUp));
+    return this->Query.ReadAnswer(Target, Head, Body);
+  };
+  auto Answer = Ask();
+  return Answer && Reader.canReuse() ? Answer.value() : RunAnswer::Unknown;
+}
+
 void TargetDialer::runExpiry(const std::function<bool()> &IsStopped) {
   while (!IsStopped()) {
     this->Idle.closeExpired(this->Tasks.Now());
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -9,6 +9,10 @@
 
 namespace bergamothook {
 
+namespace detail {
+struct ExchangeState;
+}
+
 struct DialerLimits {
   HttpConnectionPoolLimits Pool;
   TcpLimits Connection;
@@ -19,23 +23,38 @@
   /// call that may not be repeated. If the target closes it while the call is
   /// sent, the outcome of the call is unknown.
   Duration MaxIdleForNonIdempotent = std::chrono::milliseconds(1500);
+  /// How long a target may take to say which run it is. It needs no slot for
+  /// that.
+  Duration RunQueryTimeout = std::chrono::milliseconds(300);
+  std::size_t MaxRunAnswerBytes = 64 * 1024;
+};
+
+/// How a target is asked which run of it answers.
+struct RunQuery {
+  std::function<HttpRequestHead(const ListedTarget &Target)> MakeHead;
+  std::function<RunAnswer(const ListedTarget &Target,
+                          const HttpResponseHead &Head,
+                          const std::string &Body)>
+      ReadAnswer;
 };
 
 /// The connections of one host to its targets. All member functions are called
 /// from tasks of one runtime, which must outlive the dialer.
 class TargetDialer {
 public:
-  TargetDialer(NetRuntime &Loop, DialerLimits Limits);
+  TargetDialer(NetRuntime &Loop, DialerLimits Limits, RunQuery Query = {});
 
   /// See RelayHooks::Open.
   Result<TargetExchange> open(const ListedTarget &Target, const RelayCall &Call,
                               const HttpRequestHead &Head,
-                              const CallerHooks &Caller, TimePoint Deadline);
+                              const CallerHooks &Caller,
+                              const SendTerms &Terms);
 
   /// Closes idle connections that have expired. Runs as a task of its own.
   void runExpiry(const std::function<bool()> &IsStopped);
 
   std::uint64_t connectionsMade() const { return this->ConnectionsMade; }
+  std::uint64_t runQueries() const { return this->RunQueries; }
   std::size_t idle() const { return this->Idle.size(); }
 
 private:
@@ -45,6 +64,17 @@
                                         TimePoint Deadline,
                                         const std::function<bool()> &IsGivenUp);
 
+  /// Connects to a target and checks its run, if \p Terms say so, on the
+  /// connection of the call: no other run can take its place in between.
+  Result<std::shared_ptr<detail::ExchangeState>>
+  connectToRun(const ListedTarget &Target, const RelayCall &Call,
+               const HttpRequestHead &Head, const CallerHooks &Caller,
+               const SendTerms &Terms, const std::function<bool()> &IsGivenUp);
+
+  /// Asks a target which run of it answers on the connection of \p State.
+  RunAnswer askRun(detail::ExchangeState &State, const ListedTarget &Target,
+                   TimePoint Deadline, const std::function<bool()> &IsGivenUp);
+
   /// More than are refused while a connection is idle.
   static constexpr std::size_t MaxRefusals = 4096;
 
@@ -54,10 +84,12 @@
   NetRuntime &Loop;
   Runtime Tasks;
   DialerLimits Limits;
+  RunQuery Query;
   HttpConnectionPool Idle;
   /// Calls that were refused, with the connections that carried them.
   RecentMap<std::uint64_t, bool> Refusals{MaxRefusals};
   std::uint64_t ConnectionsMade = 0;
+  std::uint64_t RunQueries = 0;
 };
 
 } // namespace bergamothook
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -94,7 +94,8 @@
                  [this](std::string Bytes) {
                    this->TokenSource.received(std::move(Bytes));
                  }),
-      Dialer(Loop, makeDialerLimits(this->Memory)),
+      Dialer(Loop, makeDialerLimits(this->Memory),
+             {platform::makeRunQuery, platform::readRunAnswer}),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
       Server(Loop, this->serverSettings(), this->Dispatcher,
@@ -180,8 +181,8 @@
   Hooks.LeaseClock = readLeaseClock;
   Hooks.Open = [this](const ListedTarget &Target, const RelayCall &Call,
                       const HttpRequestHead &Head, const CallerHooks &Caller,
-                      TimePoint Deadline) {
-    return this->Dialer.open(Target, Call, Head, Caller, Deadline);
+                      const SendTerms &Terms) {
+    return this->Dialer.open(Target, Call, Head, Caller, Terms);
   };
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
@@ -381,6 +382,8 @@
                      static_cast<double>(this->Server.connections()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
+  this->Measured.set("relay_target_run_queries",
+                     static_cast<double>(this->Dialer.runQueries()));
   this->Measured.set("relay_message_bytes",
                      static_cast<double>(this->Memory->usedBytes()));
   this->Measured.set("relay_memory_refusals",
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -206,7 +206,9 @@
                       std::optional<std::uint64_t>) { return Call.Head; };
   Hooks.Open = [this, Index](const ListedTarget &Target, const RelayCall &,
                              const HttpRequestHead &, const CallerHooks &,
-                             TimePoint) { return this->open(Index, Target); };
+                             const SendTerms &) {
+    return this->open(Index, Target);
+  };
   Hooks.Classify = [](const HttpResponseHead &Head, const RelayCall &) {
     return Head.Status == 421 ? ResponseVerdict::WrongTarget
                               : ResponseVerdict::Ran;
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -99,16 +99,21 @@
                           Duration TimeLeft,
                           std::optional<std::uint64_t> ResumeAfter) {
     this->BeforeSend(this->SentCalls.size());
-    this->SentCalls.push_back({Target.Id, ResumeAfter, TimeLeft, false});
+    this->SentCalls.push_back({Target.Id, ResumeAfter, TimeLeft});
     return Call.Head;
   };
   Hooks.Open = [this](const ListedTarget &, const RelayCall &,
                       const HttpRequestHead &, const CallerHooks &,
-                      TimePoint) -> Result<TargetExchange> {
+                      const SendTerms &Terms) -> Result<TargetExchange> {
     ScriptedResponse Response = this->Responses.front();
     this->Responses.pop_front();
     if (Response.IsUnreachable)
       return NetError::ConnectFailed;
+    RunCheck Check = Terms.CheckRun(Response.ConnectedFor);
+    this->SentCalls.back().Check = Check;
+    if ((Check != RunCheck::None && Response.Run == RunAnswer::Other) ||
+        (Check == RunCheck::OnlyListed && Response.Run == RunAnswer::Unknown))
+      return NetError::UnexpectedPeer;
     return this->makeExchange(Response, this->SentCalls.size() - 1);
   };
   Hooks.Classify = [](const HttpResponseHead &Head, const RelayCall &) {
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -17,6 +17,10 @@
 struct ScriptedResponse {
   /// The connection fails.
   bool IsUnreachable = false;
+  /// What the target says of its run if it is asked.
+  RunAnswer Run = RunAnswer::Listed;
+  /// The age of the connection.
+  Duration ConnectedFor{};
   ResponseVerdict Verdict = ResponseVerdict::Ran;
   unsigned Status = 200;
   /// Pieces of the body, each with the delay before it.
@@ -42,6 +46,7 @@
   std::string Target;
   std::optional<std::uint64_t> ResumeAfter;
   Duration TimeLeft{};
+  RunCheck Check = RunCheck::None;
   /// The relay closed the connection.
   bool WasAborted = false;
 };
--- a/Tests/LibRelay/StreamVersionTest.cpp
+++ b/Tests/LibRelay/StreamVersionTest.cpp
@@ -218,3 +218,90 @@
   Roster.setSettled(Tasks.Now());
   CHECK(Resolve().Basis == OriginBasis::Fleet);
 }
+
+// Guards against streams that went on at a target which had started again with
+// another version, while the list could not be read (review/2).
+TEST_CASE("a stream goes on at a target only if that is the run in the list") {
+  VersionRelay Relay;
+  Relay.addTarget("second", "v1");
+  ScriptedResponse Begun = streamOf(1, 2, true);
+  ScriptedResponse Rest = streamOf(3, 4, false);
+  RunCheck ForBegun = RunCheck::UnlessOther;
+  RunCheck ForRest = RunCheck::OnlyListed;
+  bool GoesOn = false;
+  SUBCASE("the target says that it is another run") {
+    Rest.Run = RunAnswer::Other;
+  }
+  SUBCASE("the targets can't say which run they are") {
+    Begun.Run = RunAnswer::Unknown;
+    Rest.Run = RunAnswer::Unknown;
+  }
+  SUBCASE("the target says that it is the run in the list") { GoesOn = true; }
+  SUBCASE("the connections were open when the list was read") {
+    Begun.ConnectedFor = 20s;
+    Rest.ConnectedFor = 20s;
+    Rest.Run = RunAnswer::Other;
+    ForBegun = ForRest = RunCheck::None;
+    GoesOn = true;
+    Relay.Simulated.runFor(10s);
+    Relay.addTarget("old", "v1");
+    Relay.addTarget("second", "v1");
+  }
+  // The list can't be read.
+  Relay.Simulated.runFor(2s);
+  Relay.Responses = {Begun, Rest};
+  RelayOutcome Outcome = Relay.serve(Relay.makeCall());
+  REQUIRE(Relay.SentCalls.size() == 2);
+  CHECK(Relay.SentCalls[0].Check == ForBegun);
+  CHECK(Relay.SentCalls[1].Check == ForRest);
+  CHECK(Relay.IsEnded == GoesOn);
+  // Others may call the target.
+  CHECK(Relay.Dispatcher.targets().find(Outcome.Target)->ConsecutiveFailures ==
+        0);
+}
+
+TEST_CASE("a new stream begins at another target if the first one is not the "
+          "run in the list") {
+  VersionRelay Relay;
+  Relay.addTarget("second", "v1");
+  Relay.Simulated.runFor(2s);
+  ScriptedResponse Other;
+  Other.Run = RunAnswer::Other;
+  Relay.Responses = {Other, streamOf(1, 2, false)};
+  RelayOutcome Outcome = Relay.serve(Relay.makeCall());
+  CHECK(Outcome.End == RelayEnd::Done);
+  CHECK(Outcome.Sends == 1);
+  CHECK(Relay.SentCalls.size() == 2);
+}
+
+TEST_CASE("targets are not asked for their run while the list shows it") {
+  VersionRelay Relay;
+  Relay.addTarget("second", "v1");
+  Relay.Responses = {streamOf(1, 2, true), streamOf(3, 4, false)};
+  SUBCASE("one version serves") {
+    Relay.serve(Relay.makeCall());
+    CHECK(Relay.SentCalls[1].Check == RunCheck::None);
+  }
+  SUBCASE("a stream is resumed while several versions serve") {
+    Relay.addTarget("new", "v2");
+    Relay.removeTarget("new");
+    Relay.serve(Relay.makeCall());
+    CHECK(Relay.SentCalls[1].Check == RunCheck::OnlyListed);
+  }
+  CHECK(Relay.SentCalls[0].Check == RunCheck::None);
+  CHECK(Relay.IsEnded);
+}
+
+TEST_CASE("a caller is told at once if no target is the run in the list") {
+  VersionRelay Relay;
+  Relay.Responses = {streamOf(1, 2, true)};
+  Relay.serve(Relay.makeCall());
+  Relay.Simulated.runFor(2s);
+  ScriptedResponse Other;
+  Other.Run = RunAnswer::Other;
+  Relay.Responses = {Other, Other};
+  RelayOutcome Outcome = Relay.serve(Relay.makeResumption());
+  CHECK(Outcome.End == RelayEnd::NotRun);
+  CHECK(Relay.Status == 503);
+  CHECK_FALSE(Relay.RetryAfter);
+}
--- a/Tests/LibRelayFront/RelayServerTest.cpp
+++ b/Tests/LibRelayFront/RelayServerTest.cpp
@@ -113,8 +113,8 @@
     Hooks.LeaseClock = Hooks.Tasks.Now;
     Hooks.Open = [this](const ListedTarget &Chosen, const RelayCall &Call,
                         const HttpRequestHead &Head, const CallerHooks &Caller,
-                        TimePoint Deadline) {
-      return this->Dialer.open(Chosen, Call, Head, Caller, Deadline);
+                        const SendTerms &Terms) {
+      return this->Dialer.open(Chosen, Call, Head, Caller, Terms);
     };
     Hooks.MakeHead = [](const RelayCall &Call, const ListedTarget &, Duration,
                         std::optional<std::uint64_t>) { return Call.Head; };
--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -76,7 +76,7 @@
         Head.Headers.add("Id", Id);
         TimePoint Deadline = Tasks.Now() + 2s;
         auto Exchange =
-            Dialer.open(Listed, Call, Head, Caller, Deadline).value();
+            Dialer.open(Listed, Call, Head, Caller, {Deadline}).value();
         auto Answer = Exchange.ReadHead(Deadline).value();
         (void)Exchange.ReadBody(Deadline);
         if (Answer.Status == 503)
@@ -109,6 +109,94 @@
   Loop.run();
 }
 
+// Guards against a call that reaches another run of a target than the listed
+// one, which has started in between (review/2).
+TEST_CASE("a target is asked for its run on the connection of the call, once") {
+  NetRuntime Loop;
+  Runtime Tasks = Loop.hooks();
+  std::vector<std::string> Received;
+  TcpListener Target(
+      Loop, {"127.0.0.1:0", 16, 100, {}},
+      [&](const TcpConnection::Handle &Connection) {
+        Event Changed;
+        ScopedEventAttachment Attached(Connection, Changed);
+        HttpRequestReader Reader(Connection, Tasks, Changed);
+        for (;;) {
+          auto Message = Reader.read({}, Tasks.Now() + 5s, [] {});
+          if (!Message)
+            return;
+          Received.push_back(Message.value().Head.Target);
+          HttpResponseHead Head;
+          Head.Status = 200;
+          (void)Connection->write(
+              formatResponseHead(Head, BodyFraming::Length, 2) + "77",
+              Tasks.Now() + 1s);
+        }
+      });
+  REQUIRE(Target.start());
+  RunQuery Query;
+  Query.MakeHead = [](const ListedTarget &) {
+    HttpRequestHead Head;
+    Head.Method = "GET";
+    Head.Target = "/start";
+    return Head;
+  };
+  Query.ReadAnswer = [](const ListedTarget &Listed, const HttpResponseHead &,
+                        const std::string &Body) {
+    if (Listed.StartedAt == 0)
+      return RunAnswer::Unknown;
+    return std::to_string(Listed.StartedAt) == Body ? RunAnswer::Listed
+                                                    : RunAnswer::Other;
+  };
+  Tasks.Spawn([&] {
+    {
+      TargetDialer Dialer(Loop, {}, Query);
+      auto Send = [&](std::int64_t ListedStart,
+                      RunCheck Check) -> std::error_code {
+        ListedTarget Listed;
+        Listed.Address = "127.0.0.1:" + std::to_string(Target.port());
+        Listed.StartedAt = ListedStart;
+        RelayRoute Route;
+        RelayCall Call;
+        Call.Id = "call";
+        Call.Route = &Route;
+        HttpRequestHead Head;
+        Head.Method = "POST";
+        Head.Target = "/call";
+        Event Changed;
+        CallerHooks Caller;
+        Caller.Changed = &Changed;
+        Caller.HasLeft = [] { return false; };
+        SendTerms Terms{Tasks.Now() + 2s, [=](Duration) { return Check; }};
+        auto Exchange = Dialer.open(Listed, Call, Head, Caller, Terms);
+        if (!Exchange)
+          return Exchange.error();
+        auto Answer = Exchange.value().ReadHead(Terms.Deadline);
+        auto Body = Exchange.value().ReadBody(Terms.Deadline);
+        CHECK((Answer && Body));
+        Exchange.value().Finish();
+        return {};
+      };
+      auto Take = [&] { return std::exchange(Received, {}); };
+      using Paths = std::vector<std::string>;
+      CHECK_FALSE(Send(77, RunCheck::OnlyListed));
+      CHECK_FALSE(Send(77, RunCheck::OnlyListed));
+      CHECK(Dialer.connectionsMade() == 1);
+      CHECK(Take() == Paths{"/start", "/call", "/call"});
+      CHECK(Send(78, RunCheck::UnlessOther) == NetError::UnexpectedPeer);
+      CHECK(Send(0, RunCheck::OnlyListed) == NetError::UnexpectedPeer);
+      CHECK(Take() == Paths{"/start", "/start"});
+      CHECK_FALSE(Send(0, RunCheck::UnlessOther));
+      CHECK(Take() == Paths{"/start", "/call"});
+    }
+    Target.stop();
+    while (Target.connections() > 0)
+      Tasks.sleepUntil(Tasks.Now() + 5ms);
+    Loop.stop();
+  });
+  Loop.run();
+}
+
 namespace {
 
 /// Opens one order to \p Address. The host begins to stop after \p StopsAfter.
@@ -140,7 +228,7 @@
     Changed.notify();
     HasStopTaskEnded = true;
   });
-  auto Opened = Dialer.open(Listed, Call, Head, Caller, Tasks.Now() + 10s);
+  auto Opened = Dialer.open(Listed, Call, Head, Caller, {Tasks.Now() + 10s});
   while (!HasStopTaskEnded)
     Tasks.sleepUntil(Tasks.Now() + 1ms);
   if (!Opened)
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -246,3 +246,25 @@
         readRateLimit(answerOf(200, {{"Server-Limit", Text}})).UnreadableText ==
         Text);
 }
+
+TEST_CASE(
+    "what a target says of its start tells whether it is the listed run") {
+  ListedTarget Target;
+  Target.Address = "10.1.0.9:8080";
+  Target.StartedAt = 1791239634959;
+  HttpRequestHead Question = makeRunQuery(Target);
+  CHECK(Question.Method == "GET");
+  CHECK(Question.Target == "/-/report");
+  CHECK(Question.Headers.find("Host") == Target.Address);
+  auto Read = [&](unsigned Status, const std::string &Body) {
+    return readRunAnswer(Target, answerOf(Status, {}), Body);
+  };
+  CHECK(Read(200, R"({"busy":false,"born":1791239634959})") ==
+        RunAnswer::Listed);
+  CHECK(Read(200, R"({"busy":false,"born":1791239634960})") ==
+        RunAnswer::Other);
+  for (const char *Body : {"", "{}", R"({"born":"1791239634959"})",
+                           R"({"born":-1})", "id: 1\ndata: x\n\n"})
+    CHECK(Read(200, Body) == RunAnswer::Unknown);
+  CHECK(Read(404, R"({"born":1791239634959})") == RunAnswer::Unknown);
+}
