--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -261,8 +261,8 @@
   return Chosen;
 }
 
-/// One state of the fleet, in which anything may be disturbed.
-void disturb(VersionFleet &Fleet, Random &Rng, int Hosts) {
+/// One state of the fleet, with any of the faults.
+void injectFaults(VersionFleet &Fleet, Random &Rng, int Hosts) {
   std::set<int> Chosen = chooseHosts(Rng, Hosts);
   std::set<int> Homes = Fleet.homesOf(static_cast<unsigned>(Rng.below(2)));
   Homes.insert(Chosen.begin(), Chosen.end());
@@ -277,7 +277,7 @@
   Fleet.setLostPerCent(Happens(3) ? 10 : 0);
 }
 
-void endDisturbance(VersionFleet &Fleet) {
+void endFaults(VersionFleet &Fleet) {
   Fleet.turnAway({});
   Fleet.cutPeers({}, false);
   Fleet.freeze({}, false);
@@ -310,14 +310,14 @@
 
 // Guards against the same whichever hosts are turned away, cut off from others
 // or stand still while a version comes into service.
-TEST_CASE("no schedule of disturbances during a release joins two versions") {
+TEST_CASE("no schedule of faults during a release joins two versions") {
   auto Play = [](std::uint64_t Seed) {
     return [Seed](VersionFleet &Fleet, int Hosts) {
       Random Rng(Seed);
       Fleet.runFor(6s);
       int Next = 2;
       for (int State = 0; State < 12; ++State) {
-        disturb(Fleet, Rng, Hosts);
+        injectFaults(Fleet, Rng, Hosts);
         if (State % 4 == 0)
           Fleet.setTargets("v" + std::to_string(Next++), 10);
         for (int I = 0; I < 8; ++I) {
@@ -335,9 +335,9 @@
           Fleet.start(Lost, Lost + 1);
         }
         if (Rng.below(3) == 0)
-          endDisturbance(Fleet);
+          endFaults(Fleet);
       }
-      endDisturbance(Fleet);
+      endFaults(Fleet);
       Fleet.runFor(3s);
       CHECK(Fleet.Results.Joined == 0);
     };
