--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -11,7 +11,7 @@
 
 namespace detail {
 struct ExchangeState;
-}
+} // namespace detail
 
 struct DialerLimits {
   HttpConnectionPoolLimits Pool;
