--- a/Libraries/LibRelayFront/StopPlan.h
+++ b/Libraries/LibRelayFront/StopPlan.h
@@ -23,8 +23,8 @@
   Duration AnswerTime = std::chrono::milliseconds(200);
   /// The time reserved before the process is killed for returning budgets.
   Duration Reserve = std::chrono::milliseconds(300);
-  /// Of a short grace, neither of the two takes more than this part of it, so
-  /// that targets can use the rest.
+  /// Neither of the two takes more than the grace divided by this, so that
+  /// targets can use most of a short one.
   int GraceDivisor = 16;
   /// What writing the answers takes at least.
   Duration MinAnswerTime = std::chrono::milliseconds(10);
--- a/Tests/LibRelayFront/RelayServerTest.cpp
+++ b/Tests/LibRelayFront/RelayServerTest.cpp
@@ -82,11 +82,11 @@
       this->Tasks.sleepUntil(this->StopsAt);
       this->Server.stop(Grace);
       CutOff = this->Server.inProgress();
-      // Connections are closed by callers, and tasks refer to this object.
       this->HasStopped = true;
       this->endTask();
     });
     this->Loop.run();
+    // The tasks of connections refer to this object.
     while (this->Server.connections() + this->Target.connections() > 0)
       this->Tasks.sleepUntil(this->Tasks.Now() + 10ms);
     return CutOff;
