--- a/Tests/LibRelayFront/RelayServerTest.cpp
+++ b/Tests/LibRelayFront/RelayServerTest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Duration Grace = 3s;
+constexpr Duration Grace = 4s;
 /// Far longer than any call of this test.
 constexpr Duration TestTimeout = 20s;
 
@@ -279,14 +279,14 @@
   PlayedCall &SlowBody = Host.add({.ConnectAt = -200ms,
                                    .SendAt = -100ms,
                                    .CompleteAt = 700ms,
-                                   .TimeLeft = 500ms});
+                                   .TimeLeft = 1s});
   std::vector<PlayedCall *> LongOrders;
   std::vector<PlayedCall *> ShortOrders;
   std::vector<PlayedCall *> Reads;
   for (Duration At = 50ms; At < 1600ms; At += 150ms) {
     PlayedCall Call{.ConnectAt = At - 20ms, .SendAt = At, .CompleteAt = At};
     LongOrders.push_back(&Host.add(Call));
-    Call.TimeLeft = 400ms;
+    Call.TimeLeft = 1s;
     ShortOrders.push_back(&Host.add(Call));
     Call.Kind = CallKind::Idempotent;
     Call.TimeLeft.reset();
