Send nothing to targets of evacuated failure domains

Change: TargetDirectory answers whether a target may receive a call, and every send asks it, the last time directly before the first byte. Domains that are returned get a growing part of the calls.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -29,6 +29,8 @@
 /// listed about once a second.
 constexpr Duration FullRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
+/// Evacuations last for seconds at least.
+constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
 /// Tokens held by other hosts are returned within one or two of their rounds.
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
 /// Memory is freed as soon as other calls end.
@@ -164,9 +166,11 @@
       this->Excluded.insert(Chosen.Id);
       continue;
     }
-    // Both decisions may have changed while the permit was awaited.
+    // These decisions may have changed while the permit was awaited.
     if (!this->maySend())
       return this->finishFailed(AttemptEnd::HostStops);
+    if (!this->Dispatcher.targets().mayReceive(Chosen))
+      continue;
     this->Admission =
         this->Dispatcher.quarantine().admit(this->Traits, this->now());
     if (this->Admission >= SendAdmission::Busy)
@@ -187,6 +191,8 @@
 AttemptEnd RelayCallHandler::endWithoutTarget() {
   if (!this->rateLimitedTargets().empty())
     return AttemptEnd::RateLimited;
+  if (this->Dispatcher.targets().isEvacuated(this->Service))
+    return AttemptEnd::Evacuated;
   return this->IsRunUnknown ? AttemptEnd::RunUnknown : AttemptEnd::NotSent;
 }
 
@@ -234,10 +240,15 @@
 }
 
 bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
-  PermitDecision Permit = this->Dispatcher.limiter().acquire(
-      Target.runKey(), [this] { return this->isGivenUp(); });
+  PermitDecision Permit =
+      this->Dispatcher.limiter().acquire(Target.runKey(), [this, &Target] {
+        return this->isGivenUp() ||
+               !this->Dispatcher.targets().mayReceive(Target);
+      });
   if (Permit.IsGranted)
     return true;
+  if (!this->Dispatcher.targets().mayReceive(Target))
+    return false;
   this->Dispatcher.targets().onRateLimited(
       Target.Id, this->now() + Permit.NextRequestAfter);
   this->RefusedPermits.insert(Target.runKey());
@@ -279,9 +290,13 @@
 
 AttemptEnd RelayCallHandler::exchange(const ListedTarget &Target,
                                       const HttpRequestHead &Head) {
-  SendTerms Terms{this->Deadline, [this, &Target](Duration ConnectedFor) {
+  SendTerms Terms{this->Deadline,
+                  [this, &Target](Duration ConnectedFor) {
                     return this->Versions.checkRun(Target, ConnectedFor,
                                                    this->Hooks.LeaseClock());
+                  },
+                  [this, &Target] {
+                    return this->Dispatcher.targets().mayReceive(Target);
                   }};
   auto Opened = this->Hooks.Open(Target, this->Call, Head, this->Caller, Terms);
   if (!Opened && Opened.error() == NetError::UnexpectedPeer) {
@@ -293,7 +308,8 @@
     return AttemptEnd::RunUnknown;
   }
   if (!Opened && Opened.error() == NetError::ConnectFailed)
-    return this->isGivenUp() ? AttemptEnd::Withdrawn : AttemptEnd::NotSent;
+    return this->isGivenUp() || !Terms.MayReceive() ? AttemptEnd::Withdrawn
+                                                    : AttemptEnd::NotSent;
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
   ++this->Outcome.Sends;
   return Opened ? this->readResponse(Opened.value(), Target)
@@ -572,6 +588,7 @@
   case AttemptEnd::VersionUnknown:
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
+  case AttemptEnd::Evacuated:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
@@ -619,9 +636,11 @@
   case AttemptEnd::VersionUnknown:
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
+  case AttemptEnd::Evacuated:
     return false;
   case AttemptEnd::Withdrawn:
-    // What ended the attempt also ends the next one, before it begins.
+    // What ended the attempt also ends the next one before it begins, or
+    // excludes the target.
     return true;
   case AttemptEnd::NotSent:
   case AttemptEnd::RunUnknown:
@@ -691,6 +710,11 @@
   if (End == AttemptEnd::NotRun)
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsFull,
                         FullRetryAfter);
+  if (End == AttemptEnd::Evacuated) {
+    this->Dispatcher.stats().count("relay_refusals_evacuated_total");
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::Evacuated,
+                        EvacuatedRetryAfter);
+  }
   // Without a time to return: the caller had better start anew.
   if (End == AttemptEnd::VersionUnknown ||
       (End == AttemptEnd::RunUnknown && this->Versions.hasBegun()))
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -43,6 +43,8 @@
   CallerLeft,
   /// The host stops before the end of the call.
   HostStops,
+  /// All targets that are left are in evacuated failure domains.
+  Evacuated,
 };
 
 class RelayCallHandler {
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -107,6 +107,9 @@
   std::function<RunCheck(Duration ConnectedFor)> CheckRun = [](Duration) {
     return RunCheck::None;
   };
+  /// Tells whether the target may still receive the call, which may change
+  /// while it is being connected to.
+  std::function<bool()> MayReceive = [] { return true; };
 };
 
 struct RelayHooks {
@@ -121,8 +124,8 @@
 
   /// Connects to a target and sends it the call. NetError::ConnectFailed
   /// guarantees that no byte was sent. A call that may no longer be passed on
-  /// once it is connected is not sent, nor is one whose target fails the check
-  /// of its run (NetError::UnexpectedPeer).
+  /// once it is connected is not sent, nor is one whose target may no longer
+  /// receive it or fails the check of its run (NetError::UnexpectedPeer).
   std::function<Result<TargetExchange>(
       const ListedTarget &Target, const RelayCall &Call,
       const HttpRequestHead &Head, const CallerHooks &Caller,
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -5,6 +5,16 @@
 
 namespace bergamothook {
 
+namespace {
+
+/// Tells whether a target could receive calls if its failure domain is not
+/// evacuated.
+bool isServing(const TargetState &Target) {
+  return !Target.Listed.IsLeaving && !Target.IsRetired;
+}
+
+} // namespace
+
 bool TargetDirectory::onListed(const ListedTarget &Entry, TimePoint Now) {
   auto [Place, IsNew] = this->Targets.try_emplace(Entry.Id);
   TargetState &State = Place->second;
@@ -86,12 +96,72 @@
 std::vector<TargetState *> TargetDirectory::usable(const std::string &Service) {
   std::vector<TargetState *> Found;
   for (auto &[Id, State] : this->Targets)
-    if (State.Listed.Service == Service && !State.Listed.IsLeaving &&
-        !State.IsRetired)
+    if (State.Listed.Service == Service && isServing(State) &&
+        !this->Evacuated.contains(State.Listed.FailureDomain))
       Found.push_back(&State);
   return Found;
 }
 
+bool TargetDirectory::mayReceive(const ListedTarget &Target) const {
+  auto Found = this->Targets.find(Target.Id);
+  return Found != this->Targets.end() && isServing(Found->second) &&
+         Found->second.Listed.runKey() == Target.runKey() &&
+         !this->Evacuated.contains(Found->second.Listed.FailureDomain);
+}
+
+bool TargetDirectory::isEvacuated(const std::string &Service) const {
+  bool HasServing = false;
+  for (const auto &[Id, State] : this->Targets) {
+    if (State.Listed.Service != Service || !isServing(State))
+      continue;
+    HasServing = true;
+    if (!this->Evacuated.contains(State.Listed.FailureDomain))
+      return false;
+  }
+  return HasServing;
+}
+
+std::size_t TargetDirectory::evacuatedTargets() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Targets.begin(), this->Targets.end(), [this](const auto &Each) {
+        return isServing(Each.second) &&
+               this->Evacuated.contains(Each.second.Listed.FailureDomain);
+      }));
+}
+
+std::size_t TargetDirectory::runningIn(const std::string &FailureDomain) const {
+  std::size_t Running = 0;
+  for (const auto &[Id, State] : this->Targets)
+    if (State.Listed.FailureDomain == FailureDomain)
+      Running += State.Running;
+  return Running;
+}
+
+bool TargetDirectory::onEvacuationRecord(const EvacuationRecord &Record,
+                                         TimePoint Now) {
+  if (!this->Evacuated.onRecord(Record))
+    return false;
+  if (!Record.IsEvacuated)
+    this->beginReturn(Record.Domain, Now);
+  return true;
+}
+
+std::vector<EvacuationRecord> TargetDirectory::onEvacuationSnapshot(
+    const std::vector<EvacuationRecord> &Listed, TimePoint Now) {
+  std::vector<EvacuationRecord> Changes = this->Evacuated.onSnapshot(Listed);
+  for (const EvacuationRecord &Change : Changes)
+    if (!Change.IsEvacuated)
+      this->beginReturn(Change.Domain, Now);
+  return Changes;
+}
+
+void TargetDirectory::beginReturn(const std::string &FailureDomain,
+                                  TimePoint Now) {
+  for (auto &[Id, State] : this->Targets)
+    if (State.Listed.FailureDomain == FailureDomain)
+      State.ReturnedAt = Now;
+}
+
 TargetState *TargetDirectory::find(const std::string &Id) {
   auto Found = this->Targets.find(Id);
   return Found == this->Targets.end() ? nullptr : &Found->second;
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -9,6 +9,7 @@
 #include "LibBase/RecentMap.h"
 #include "LibBase/Time.h"
 #include "LibNet/MemoryBudget.h"
+#include "LibRelay/EvacuatedDomains.h"
 
 #include <map>
 #include <optional>
@@ -75,6 +76,8 @@
   std::optional<TimePoint> MissingSince;
   /// Receives no new calls.
   bool IsRetired = false;
+  /// When its failure domain was returned after an evacuation.
+  std::optional<TimePoint> ReturnedAt;
 };
 
 struct DirectoryPolicy {
@@ -118,9 +121,36 @@
   /// Retires targets that are still missing after their grace period.
   void expire(TimePoint Now);
 
-  /// Returns the targets of a service that may receive new calls.
+  /// Applies a record of the operator on the evacuation of a failure domain.
+  /// \returns whether it changed anything.
+  bool onEvacuationRecord(const EvacuationRecord &Record, TimePoint Now);
+
+  /// Replaces all evacuations by those of a snapshot. \returns the changes.
+  std::vector<EvacuationRecord>
+  onEvacuationSnapshot(const std::vector<EvacuationRecord> &Evacuated,
+                       TimePoint Now);
+
+  /// \returns the targets of a service that may receive new calls.
   std::vector<TargetState *> usable(const std::string &Service);
 
+  /// \returns whether a target that was chosen for a call may still receive
+  /// it: it has neither ended nor begun to leave, is the same run, and its
+  /// failure domain is not evacuated. To be asked after every wait, the last
+  /// time directly before the call is sent.
+  bool mayReceive(const ListedTarget &Target) const;
+
+  /// \returns whether a service has targets, but all of those that could
+  /// receive calls are in evacuated failure domains.
+  bool isEvacuated(const std::string &Service) const;
+
+  std::size_t evacuatedDomains() const { return this->Evacuated.size(); }
+  /// \returns the number of targets that receive no calls only because their
+  /// failure domain is evacuated.
+  std::size_t evacuatedTargets() const;
+  /// \returns the calls of this host in progress at the targets of a failure
+  /// domain.
+  std::size_t runningIn(const std::string &FailureDomain) const;
+
   TargetState *find(const std::string &Id);
 
   /// \returns whether \p RunKey addresses a target that may receive new calls.
@@ -146,8 +176,10 @@
 
   void eraseIfIdle(const std::string &Id);
   bool isRemovedRun(const ListedTarget &Target) const;
+  void beginReturn(const std::string &FailureDomain, TimePoint Now);
 
   DirectoryPolicy Policy;
+  EvacuatedDomains Evacuated;
   std::map<std::string, TargetState> Targets;
   std::optional<TimePoint> UnreachableAt;
   bool IsNextListOld = false;
--- a/Libraries/LibRelay/TargetPicker.cpp
+++ b/Libraries/LibRelay/TargetPicker.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bergamothook {
 
@@ -53,6 +54,7 @@
                                 const Condition &IsEligible, TimePoint Now) {
   std::vector<TargetState *> Candidates =
       this->candidates(Targets, Service, IsEligible, Now);
+  this->skipReturning(Candidates, Call, Now);
   if (Candidates.empty())
     return nullptr;
   if (!Call.Parts.empty())
@@ -60,6 +62,30 @@
   return this->pickByLoad(Candidates);
 }
 
+void TargetPicker::skipReturning(std::vector<TargetState *> &Candidates,
+                                 const RelayCall &Call, TimePoint Now) {
+  auto IsReturning = [&](const TargetState *Candidate) {
+    return Candidate->ReturnedAt &&
+           Now - *Candidate->ReturnedAt < this->Policy.ReturnTime;
+  };
+  if (std::none_of(Candidates.begin(), Candidates.end(), IsReturning))
+    return;
+  // Differs from the key of the hash order, so that a target does not get the
+  // topics first for which it ranks first.
+  std::uint64_t Key = Call.Parts.empty()
+                          ? this->Rng.next()
+                          : hash64(sharedPart(Call.Parts), hash64("return"));
+  keepIfAny(Candidates, [&](const TargetState *Candidate) {
+    if (!IsReturning(Candidate))
+      return true;
+    std::chrono::duration<double> Since = Now - *Candidate->ReturnedAt;
+    double Position =
+        static_cast<double>(hash64(Candidate->Listed.Id, Key)) /
+        static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return Position < Since / this->Policy.ReturnTime;
+  });
+}
+
 TargetState *
 TargetPicker::pickByPrompt(const std::vector<TargetState *> &Candidates,
                            const RelayCall &Call) const {
--- a/Libraries/LibRelay/TargetPicker.h
+++ b/Libraries/LibRelay/TargetPicker.h
@@ -6,6 +6,11 @@
 /// share of the load is skipped for the next one in hash order (rendezvous
 /// hashing with bounded loads). This suits many callers that ask about the same
 /// topics, some of them far more often than others.
+///
+/// A target whose failure domain returns from an evacuation gets a growing
+/// fraction of the topics. It keeps no parts of prompts any more, and reading
+/// those of all topics at once would delay every call there. This suits a
+/// steady load that was served by the other failure domains meanwhile.
 
 #ifndef BERGAMOTHOOK_LIBRELAY_TARGETPICKER_H
 #define BERGAMOTHOOK_LIBRELAY_TARGETPICKER_H
@@ -26,6 +31,9 @@
   /// Prompt tokens that count as much as one running call. An engine reads
   /// about as many in the time in which it produces an event.
   double TokensPerCall = 4000;
+  /// How long it takes until a returned target gets all of its calls. A target
+  /// reads the shared parts of a topic in about a tenth of a second.
+  Duration ReturnTime = std::chrono::seconds(4);
 };
 
 /// The picker of one host. Not thread-safe.
@@ -53,6 +61,10 @@
                             const RelayCall &Call) const;
   TargetState *pickByLoad(const std::vector<TargetState *> &Candidates);
   double load(const TargetState &Target) const;
+  /// Leaves out the targets that do not get calls with \p Key yet, if there are
+  /// others. All hosts leave out the same ones for the same key.
+  void skipReturning(std::vector<TargetState *> &Candidates,
+                     const RelayCall &Call, TimePoint Now);
 
   PickerPolicy Policy;
   std::string OwnDomain;
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -130,9 +130,11 @@
                                           const HttpRequestHead &Head,
                                           const CallerHooks &Caller,
                                           const SendTerms &Terms) {
-  // The host may begin to stop while the call waits here.
+  // The host may begin to stop, or the target may be taken out of use, while
+  // the call waits here.
   auto IsGivenUp = [&Caller, &Terms, MayRepeat = Call.mayRepeat()] {
-    return Caller.isSendGivenUp(Terms.Deadline, MayRepeat);
+    return Caller.isSendGivenUp(Terms.Deadline, MayRepeat) ||
+           !Terms.MayReceive();
   };
   BOOST_OUTCOME_TRY(
       State, this->connectToRun(Target, Call, Head, Caller, Terms, IsGivenUp));
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -98,6 +98,7 @@
              {platform::makeRunQuery, platform::readRunAnswer}),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
+      Evacuations(this->Dispatcher.targets()),
       Server(Loop, this->serverSettings(), this->Dispatcher,
              [this](HttpRequestMessage Message, TimePoint Now) {
                return platform::decodeCall(this->Dispatcher.config(),
@@ -194,17 +195,37 @@
 platform::FeedHooks RelayService::configFeedHooks() {
   platform::FeedHooks Hooks;
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
-    for (const KeyedRecord &Record : Records)
-      this->applyConfigRecord(Record);
+    this->applyOperatorSnapshot(Records);
   };
   Hooks.OnRecord = [this](const KeyedRecord &Record) {
-    this->applyConfigRecord(Record);
+    this->applyOperatorRecord(Record);
   };
   Hooks.OnUnavailable = [] {};
   Hooks.OnAvailable = [] {};
   return Hooks;
 }
 
+void RelayService::applyOperatorSnapshot(
+    const std::vector<KeyedRecord> &Records) {
+  std::vector<EvacuationRecord> Evacuated;
+  for (const KeyedRecord &Record : Records)
+    if (auto Listed = platform::readEvacuation(Record)) {
+      // Keys that were deleted are not listed, so the value was unreadable.
+      Listed->IsEvacuated = true;
+      Evacuated.push_back(std::move(*Listed));
+    }
+  this->Evacuations.onSnapshot(Evacuated, this->Tasks.Now());
+  for (const KeyedRecord &Record : Records)
+    this->applyConfigRecord(Record);
+}
+
+void RelayService::applyOperatorRecord(const KeyedRecord &Record) {
+  if (auto Evacuation = platform::readEvacuation(Record))
+    this->Evacuations.onRecord(*Evacuation, this->Tasks.Now());
+  else
+    this->applyConfigRecord(Record);
+}
+
 void RelayService::applyConfigRecord(const KeyedRecord &Record) {
   if (Record.Key != wire::ConfigKey || !Record.Value)
     return;
@@ -347,6 +368,7 @@
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
+    this->Evacuations.checkProgress(this->Tasks.Now());
     this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
     this->Dispatcher.limiter().reportUse(this->Tasks.Now());
@@ -400,6 +422,7 @@
       static_cast<double>(this->Dispatcher.limiter().limitedTargets()));
   this->Measured.set("peer_datagrams_lost_here",
                      static_cast<double>(this->PeerSocket.sendFailures()));
+  this->Evacuations.exportMetrics(this->Measured);
   this->TokenSource.measure();
   return {200, "text/plain", this->Measured.toPrometheusText()};
 }
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #define BERGAMOTHOOK_SERVICES_RELAY_RELAYSERVICE_H
 
 #include "LibNet/DatagramSocket.h"
+#include "LibRelay/EvacuationMonitor.h"
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
@@ -38,6 +39,8 @@
   RelayServerSettings serverSettings();
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
+  void applyOperatorSnapshot(const std::vector<platform::KeyedRecord> &Records);
+  void applyOperatorRecord(const platform::KeyedRecord &Record);
   void applyConfigRecord(const platform::KeyedRecord &Record);
   void noteVersion(const ListedTarget &Target);
   void logUnreadableTarget(const platform::KeyedRecord &Record);
@@ -64,6 +67,7 @@
   DatagramSocket PeerSocket;
   TargetDialer Dialer;
   RelayDispatcher Dispatcher;
+  EvacuationMonitor Evacuations;
   RelayServer Server;
   StatusServer ReadyServer;
   StatusServer MetricsServer;
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -44,6 +44,7 @@
   Target.Service = "engines";
   Target.Address = "10.0.0.1:80";
   Target.Version = Version;
+  Target.FailureDomain = this->TargetDomain;
   TimePoint Now = this->Simulated.now();
   this->Dispatcher.versions().onListed("engines", Version, Now);
   this->Dispatcher.versions().onListRead(Now);
@@ -54,6 +55,13 @@
   this->Dispatcher.targets().onRemoved(Id, this->Simulated.now());
 }
 
+void RelayFixture::evacuate(const std::string &FailureDomain,
+                            bool IsEvacuated) {
+  static std::uint64_t Offset = 0;
+  this->Dispatcher.targets().onEvacuationRecord(
+      {FailureDomain, IsEvacuated, ++Offset}, this->Simulated.now());
+}
+
 void RelayFixture::configure() {
   auto Config = std::make_shared<RelayConfig>();
   Config->Version = this->Version++;
@@ -105,6 +113,11 @@
   Hooks.Open = [this](const ListedTarget &, const RelayCall &,
                       const HttpRequestHead &, const CallerHooks &,
                       const SendTerms &Terms) -> Result<TargetExchange> {
+    this->WhileConnecting();
+    if (!Terms.MayReceive()) {
+      this->SentCalls.pop_back();
+      return NetError::ConnectFailed;
+    }
     ScriptedResponse Response = this->Responses.front();
     this->Responses.pop_front();
     if (Response.IsUnreachable)
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -60,6 +60,8 @@
   /// The target is in the list, but its version is not on record yet.
   void listTarget(const std::string &Id, const std::string &Version);
   void removeTarget(const std::string &Id);
+  /// Applies a record on the evacuation of a failure domain.
+  void evacuate(const std::string &FailureDomain, bool IsEvacuated = true);
 
   /// Activates the configuration that the fields below describe.
   void configure();
@@ -68,6 +70,8 @@
   RelayOutcome serve(RelayCall Call);
   RelayCall makeCall();
 
+  /// Where targets are that are listed from now on.
+  std::string TargetDomain;
   RelayRoute Route;
   RelayTeam Team;
   std::uint64_t Version = 1;
@@ -77,6 +81,8 @@
   std::vector<SentCall> SentCalls;
   /// Called before each send, with the number of sends so far.
   std::function<void(std::size_t)> BeforeSend = [](std::size_t) {};
+  /// Called while the connection for the newest call is being set up.
+  std::function<void()> WhileConnecting = [] {};
 
   // What the caller received.
   unsigned Status = 0;
--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -199,11 +199,13 @@
 
 namespace {
 
-/// Opens one order to \p Address. The host begins to stop after \p StopsAfter.
+/// Opens one order to \p Address. The host begins to stop after \p StopsAfter,
+/// and the target may get the order as long as \p MayReceive says.
 /// \returns why it was not sent whole.
-std::error_code openOrder(TargetDialer &Dialer, const Runtime &Tasks,
-                          const std::string &Address, Duration StopsAfter,
-                          std::string Body) {
+std::error_code openOrder(
+    TargetDialer &Dialer, const Runtime &Tasks, const std::string &Address,
+    Duration StopsAfter, std::string Body,
+    std::function<bool()> MayReceive = [] { return true; }) {
   ListedTarget Listed;
   Listed.Address = Address;
   RelayRoute Route;
@@ -228,7 +230,9 @@
     Changed.notify();
     HasStopTaskEnded = true;
   });
-  auto Opened = Dialer.open(Listed, Call, Head, Caller, {Tasks.Now() + 10s});
+  SendTerms Terms{Tasks.Now() + 10s};
+  Terms.MayReceive = std::move(MayReceive);
+  auto Opened = Dialer.open(Listed, Call, Head, Caller, Terms);
   while (!HasStopTaskEnded)
     Tasks.sleepUntil(Tasks.Now() + 1ms);
   if (!Opened)
@@ -274,6 +278,12 @@
             NetError::ConnectFailed);
       CHECK(Tasks.Now() - Begin < 500ms);
 
+      // The target is taken out of use while the order waits for the
+      // connection.
+      int Asked = 0;
+      CHECK(openOrder(Dialer, Tasks, Reachable, 50ms, "",
+                      [&] { return ++Asked < 2; }) == NetError::ConnectFailed);
+
       // More than the kernel and the connection queue.
       constexpr std::size_t LongBody = 32 * 1024 * 1024;
       Begin = Tasks.Now();
--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -28,6 +28,21 @@
 
 } // namespace
 
+TEST_CASE("the evacuation of a failure domain: its key alone carries the "
+          "meaning, whatever the value") {
+  auto Evacuated = readEvacuation({"evacuate/east", "{}", 7});
+  REQUIRE(Evacuated);
+  CHECK(Evacuated->Domain == "east");
+  CHECK(Evacuated->IsEvacuated);
+  CHECK(Evacuated->Offset == 7);
+  CHECK(readEvacuation({"evacuate/east", "\xff not JSON", 8})->IsEvacuated);
+  CHECK_FALSE(readEvacuation({"evacuate/east", {}, 9})->IsEvacuated);
+  CHECK(readEvacuation({"evacuate/a/b", "{}", 9})->Domain == "a/b");
+  CHECK_FALSE(readEvacuation({"config", "{}", 10}));
+  CHECK_FALSE(readEvacuation({"evacuate/", "{}", 11}));
+  CHECK_FALSE(readEvacuation({"evacuated/east", "{}", 12}));
+}
+
 TEST_CASE("a manifest is parsed into a relay configuration") {
   auto Read = parseManifest(Manifest);
   REQUIRE(Read);
