Move callers away from a host whose link is full

Cause: all callers of a large team enter at one host; its link of 10 Mbit/s fills, and its callers fail for half a minute while other hosts are idle. Change: LibOverload decides from the host's own measures whether it is ready, how many connections end with their next answer, and which calls are refused; HostMonitor measures, RelayServer acts.

--- a/Libraries/LibNet/DatagramSocket.cpp
+++ b/Libraries/LibNet/DatagramSocket.cpp
@@ -29,7 +29,7 @@
 
 DatagramSocket::DatagramSocket(NetRuntime &Loop, std::string Address,
                                ReceiveHandler Handler)
-    : Address(std::move(Address)), Handler(std::move(Handler)),
+    : Loop(Loop), Address(std::move(Address)), Handler(std::move(Handler)),
       Socket(Loop.context()), Buffer(MaxDatagramBytes) {}
 
 Result<void> DatagramSocket::start() {
@@ -71,6 +71,7 @@
     // Also reports errors of earlier sends, such as an unreachable port.
     if (ReceiveFailure)
       break;
+    this->Loop.traffic().BytesReceived += Count;
     try {
       this->Handler(std::string(this->Buffer.data(), Count));
     } catch (const std::bad_alloc &) {
@@ -99,6 +100,8 @@
     this->Socket.send_to(boost::asio::buffer(Bytes), *Endpoint, 0, SendFailure);
   if (!Endpoint || SendFailure)
     ++this->SendFailures;
+  else
+    this->Loop.traffic().BytesSent += Bytes.size();
 }
 
 } // namespace bergamothook
--- a/Libraries/LibNet/NetRuntime.h
+++ b/Libraries/LibNet/NetRuntime.h
@@ -11,6 +11,12 @@
 
 namespace bergamothook {
 
+/// The bytes of all sockets of a runtime, without what the kernel adds.
+struct NetTraffic {
+  std::uint64_t BytesReceived = 0;
+  std::uint64_t BytesSent = 0;
+};
+
 /// The runtime of a service whose sockets are driven by Boost.Asio; at most one
 /// per thread. Completion handlers run between tasks; they notify events and
 /// must not block.
@@ -28,9 +34,13 @@
 
   boost::asio::io_context &context() { return *this->Context; }
 
+  NetTraffic &traffic() { return this->Traffic; }
+  const NetTraffic &traffic() const { return this->Traffic; }
+
 private:
   /// Shared with the thread's fiber scheduler, which outlives this object.
   std::shared_ptr<boost::asio::io_context> Context;
+  NetTraffic Traffic;
   Event Stopped;
   bool IsStopping = false;
 };
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -201,6 +201,7 @@
   }
   if (Failure)
     return this->end(Failure != boost::asio::error::eof);
+  this->Loop.traffic().BytesReceived += Bytes;
   if (!this->IsClosing) {
     if (this->Consumed > 0) {
       this->Received.erase(0, this->Consumed);
@@ -237,7 +238,7 @@
       this->end(true);
       return NetError::Reset;
     }
-    this->TotalSent += Written;
+    this->countSent(Written);
     Bytes.remove_prefix(Written);
   }
   if (Bytes.empty())
@@ -325,7 +326,7 @@
   if (Failure && Failure != boost::asio::error::would_block)
     return this->end(true);
   this->Sent += Written;
-  this->TotalSent += Written;
+  this->countSent(Written);
   if (this->unsent() == 0) {
     this->Unsent.clear();
     this->Unsent.shrink_to_fit();
@@ -339,6 +340,11 @@
   this->notify();
 }
 
+void TcpConnection::countSent(std::size_t Bytes) {
+  this->TotalSent += Bytes;
+  this->Loop.traffic().BytesSent += Bytes;
+}
+
 void TcpConnection::finish(TimePoint Deadline) {
   if (!this->flush(Deadline)) {
     this->abort();
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -163,6 +163,7 @@
   void readAhead();
   void onReadable(const boost::system::error_code &WaitFailure);
   void sendQueued();
+  void countSent(std::size_t Bytes);
   void onWritable(const boost::system::error_code &WaitFailure);
   void end(bool IsLoss);
   void notify();
--- /dev/null
+++ b/Libraries/LibOverload/Depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS LibBase)
--- /dev/null
+++ b/Libraries/LibOverload/HostUsage.h
@@ -0,0 +1,49 @@
+/// \file
+/// What a host has at its disposal, and what it uses of it.
+
+#ifndef BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
+#define BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
+
+#include "LibBase/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace bergamothook {
+
+enum class HostResource {
+  LinkReceive,
+  LinkSend,
+  Processor,
+  Descriptors,
+  Memory,
+};
+
+constexpr std::size_t HostResourceCount = 5;
+
+const char *nameOf(HostResource Resource);
+
+/// The limits of a host; 0 for what is not limited or not known.
+struct HostCapacity {
+  /// Of each direction.
+  double LinkBytesPerSecond = 0;
+  double ProcessorCores = 0;
+  std::size_t Descriptors = 0;
+  /// The bytes of messages that may be held.
+  std::size_t MessageBytes = 0;
+};
+
+struct HostUsage {
+  /// Since the start of the process, on all sockets.
+  std::uint64_t BytesReceived = 0;
+  std::uint64_t BytesSent = 0;
+  Duration ProcessorTime{};
+  /// At the moment.
+  std::size_t Descriptors = 0;
+  std::size_t MessageBytes = 0;
+  std::size_t CallerConnections = 0;
+};
+
+} // namespace bergamothook
+
+#endif
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -54,6 +54,8 @@
     return "no target serves the software version at which the stream began";
   case RelayReason::OutOfMemory:
     return "there is no memory for the message";
+  case RelayReason::HostOverloaded:
+    return "the link of the host is full";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -55,6 +55,7 @@
   StreamVersionUnknown,
   StreamVersionNotServed,
   OutOfMemory,
+  HostOverloaded,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelayFront/Depends.cmake
+++ b/Libraries/LibRelayFront/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibRelay LibNet LibObserve)
+set(DEPENDS LibRelay LibNet LibObserve LibOverload)
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -194,7 +194,8 @@
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
   auto PrepareHead = [&Client, this](HttpResponseHead Head) {
-    Client.MustClose = Client.MustClose || this->Plan.hasStarted();
+    Client.MustClose = Client.MustClose || this->Plan.hasStarted() ||
+                       this->Settings.Load.EndsConnection();
     Head.KeepAlive = !Client.MustClose;
     return Head;
   };
@@ -236,6 +237,15 @@
     Decoded.Reason = RelayReason::Stopping;
     Decoded.RetryAfter = StoppingRetryAfter;
   }
+  if (Decoded.RefusalStatus == 0)
+    if (auto RetryAfter =
+            this->Settings.Load.Refuse(Decoded.Call, this->Tasks.Now())) {
+      Decoded.RefusalStatus = 503;
+      Decoded.Reason = RelayReason::HostOverloaded;
+      Decoded.RetryAfter = RetryAfter;
+      // The load balancer chooses another host for the next connection.
+      Client.MustClose = true;
+    }
   Client.Connection->setOwners({Decoded.Call.memoryOwner()});
   CallerHooks Caller = this->makeCallerHooks(Client);
   RelayOutcome Outcome =
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -20,11 +20,22 @@
   std::optional<Duration> RetryAfter;
 };
 
+/// Decisions of a host about its own load.
+struct ServerLoadHooks {
+  /// Decides whether the connection of the next response ends with it.
+  std::function<bool()> EndsConnection = [] { return false; };
+  /// Decides on a call before it starts. \returns when its caller may return if
+  /// it must not start.
+  std::function<std::optional<Duration>(const RelayCall &Call, TimePoint Now)>
+      Refuse = [](const RelayCall &, TimePoint) { return std::nullopt; };
+};
+
 struct RelayServerSettings {
   TcpListenerSettings Listen;
   StopPolicy Stop;
   /// How long to wait for the caller to close its side of a closed connection.
   Duration CloseTimeout = std::chrono::milliseconds(1500);
+  ServerLoadHooks Load;
 };
 
 /// Reads requests, passes calls to the dispatcher and writes the responses.
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -98,6 +98,16 @@
              {platform::makeRunQuery, platform::readRunAnswer}),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
+      Load(
+          Loop, this->capacity(), {},
+          [this](HostUsage &Usage) {
+            // Each call in progress holds a connection to a target.
+            Usage.Descriptors =
+                this->Server.connections() + this->Server.inProgress();
+            Usage.MessageBytes = this->Memory->usedBytes();
+            Usage.CallerConnections = this->Server.connections();
+          },
+          Seed),
       Server(Loop, this->serverSettings(), this->Dispatcher,
              [this](HttpRequestMessage Message, TimePoint Now) {
                return platform::decodeCall(this->Dispatcher.config(),
@@ -171,9 +181,34 @@
                    MaxCallerConnections,
                    {}};
   Chosen.Listen.Limits.Memory = this->Memory;
+  Chosen.Load = this->loadHooks();
   return Chosen;
 }
 
+ServerLoadHooks RelayService::loadHooks() {
+  ServerLoadHooks Hooks;
+  Hooks.EndsConnection = [this] {
+    return this->Load.control().endsConnection();
+  };
+  Hooks.Refuse = [this](const RelayCall &Call, TimePoint Now) {
+    auto RetryAfter =
+        this->Load.control().refuse({Call.priority(), Call.Body.size()}, Now);
+    if (RetryAfter)
+      this->Measured.count("relay_refusals_host_overloaded_total");
+    return RetryAfter;
+  };
+  return Hooks;
+}
+
+HostCapacity RelayService::capacity() const {
+  HostCapacity Capacity;
+  Capacity.LinkBytesPerSecond = this->Settings.LinkBytesPerSecond;
+  Capacity.ProcessorCores = this->Settings.ProcessorCores;
+  Capacity.Descriptors = this->Settings.Descriptors;
+  Capacity.MessageBytes = this->Memory->policy().MaxBytes;
+  return Capacity;
+}
+
 RelayHooks RelayService::relayHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Tasks;
@@ -321,6 +356,7 @@
   this->spawnLoop([this] { this->joinFleet(); });
   this->spawnLoop([this] { this->TokenSource.run(); });
   this->spawnLoop([=, this] { this->Dialer.runExpiry(IsStopped); });
+  this->spawnLoop([=, this] { this->Load.run(IsStopped); });
   this->spawnLoop([this] { this->runHousekeeping(); });
   this->waitForSignal();
   logEvent(LogLevel::Info, "started",
@@ -364,7 +400,8 @@
 
 bool RelayService::isReady() const {
   return !this->IsStopping && this->Dispatcher.config() && this->HasTargets &&
-         this->Dispatcher.versions().hasRead();
+         this->Dispatcher.versions().hasRead() &&
+         !this->Load.control().isOverloaded();
 }
 
 StatusResponse RelayService::answerReady(const std::string &Path) const {
@@ -400,6 +437,7 @@
       static_cast<double>(this->Dispatcher.limiter().limitedTargets()));
   this->Measured.set("peer_datagrams_lost_here",
                      static_cast<double>(this->PeerSocket.sendFailures()));
+  this->Load.exportMetrics(this->Measured);
   this->TokenSource.measure();
   return {200, "text/plain", this->Measured.toPrometheusText()};
 }
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #define BERGAMOTHOOK_SERVICES_RELAY_RELAYSERVICE_H
 
 #include "LibNet/DatagramSocket.h"
+#include "LibRelayFront/HostMonitor.h"
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
@@ -36,6 +37,8 @@
   void joinFleet();
   RelaySettings relaySettings(std::uint64_t Seed) const;
   RelayServerSettings serverSettings();
+  ServerLoadHooks loadHooks();
+  HostCapacity capacity() const;
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
   void applyConfigRecord(const platform::KeyedRecord &Record);
@@ -64,6 +67,7 @@
   DatagramSocket PeerSocket;
   TargetDialer Dialer;
   RelayDispatcher Dispatcher;
+  HostMonitor Load;
   RelayServer Server;
   StatusServer ReadyServer;
   StatusServer MetricsServer;
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -66,3 +66,20 @@
                               "internalPorts=" + Ports + "\n"));
   CHECK_FALSE(readSettings("/nonexistent/node.conf"));
 }
+
+TEST_CASE("what the host has besides its memory may be missing, but not be "
+          "unreadable") {
+  auto Missing = parseSettings(Good);
+  REQUIRE(Missing);
+  CHECK(Missing.value().LinkBytesPerSecond == 0);
+  auto Stated = parseSettings(Good + "limits.linkMbps=10.0\n"
+                                     "limits.cpuShare=0.12\n"
+                                     "limits.maxFds=4100\n");
+  REQUIRE(Stated);
+  CHECK(Stated.value().LinkBytesPerSecond == doctest::Approx(1.25e6));
+  CHECK(Stated.value().ProcessorCores == doctest::Approx(0.12));
+  CHECK(Stated.value().Descriptors == 4100);
+  auto Unreadable = parseSettings(Good + "limits.linkMbps=fast\n");
+  REQUIRE_FALSE(Unreadable);
+  CHECK(Unreadable.error().Field == "limits.linkMbps");
+}
