--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -56,6 +56,8 @@
     return "there is no memory for the message";
   case RelayReason::Evacuated:
     return "all targets of the service are in evacuated failure domains";
+  case RelayReason::HostOverloaded:
+    return "the link of the host is full";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -56,6 +56,7 @@
   StreamVersionNotServed,
   OutOfMemory,
   Evacuated,
+  HostOverloaded,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -6,6 +6,7 @@
 
 #include "LibNet/DatagramSocket.h"
 #include "LibRelay/EvacuationMonitor.h"
+#include "LibRelayFront/HostMonitor.h"
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
@@ -37,6 +38,8 @@
   void joinFleet();
   RelaySettings relaySettings(std::uint64_t Seed) const;
   RelayServerSettings serverSettings();
+  ServerLoadHooks loadHooks();
+  HostCapacity capacity() const;
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
   void applyOperatorSnapshot(const std::vector<platform::KeyedRecord> &Records);
@@ -68,6 +71,7 @@
   TargetDialer Dialer;
   RelayDispatcher Dispatcher;
   EvacuationMonitor Evacuations;
+  HostMonitor Load;
   RelayServer Server;
   StatusServer ReadyServer;
   StatusServer MetricsServer;
