Refuse calls immediately when recent ones failed for the same reason

Cause: refusals for want of tokens came after 0.6 s, those for unreachable targets after 2.5 to 3 s, too late for the caller to retry elsewhere. Change: a circuit breaker for each team and each service.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -110,14 +110,26 @@
   Tokens Amount = this->Call.maxTokenCost();
   if (!this->Call.Team || !this->Call.Team->Budget || Amount == 0)
     return true;
+  const std::string &Team = this->Call.Team->Name;
+  FailureGate &Gate = this->Dispatcher.tokenGate();
+  if (Gate.enter(Team, Amount, this->now()) == GateVerdict::Closed) {
+    this->refuseAtGate(RelayReason::BudgetNotInHand, TokensRetryAfter);
+    return false;
+  }
   auto Reservation = this->Dispatcher.tokens().reserve(
-      this->Call.Team->Name, Amount, this->Deadline,
-      [this] { return this->isGivenUp(); });
+      Team, Amount, this->Deadline, [this] { return this->isGivenUp(); });
   this->Outcome.TokensWait = this->now() - this->Call.ArrivedAt;
   if (Reservation) {
+    Gate.onSuccess(Team, Amount);
     this->Hold = std::move(Reservation).value();
     return true;
   }
+  bool IsOutOfReach =
+      !this->isGivenUp() && Reservation.error() != WalletError::Exhausted;
+  if (IsOutOfReach)
+    Gate.onFailure(Team, Amount, this->now());
+  else
+    Gate.onAbandoned(Team);
   if (this->Caller.HasLeft())
     this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
   else if (!this->maySend())
@@ -130,6 +142,14 @@
   return false;
 }
 
+void RelayCallHandler::refuseAtGate(RelayReason Reason, Duration RetryAfter) {
+  this->Dispatcher.stats().count("relay_refusals_at_gate_total{reason=\"" +
+                                 make_error_code(Reason).message() + "\"}");
+  // Callers that were refused in the same moment do not return in the same one.
+  this->refuse(503, RelayEnd::NotRun, Reason,
+               this->Dispatcher.rng().jitter(RetryAfter));
+}
+
 bool RelayCallHandler::mayResume() {
   if (!this->Versions.resolve(this->Service, this->Deadline,
                               [this] { return this->isGivenUp(); })) {
@@ -145,6 +165,20 @@
 }
 
 void RelayCallHandler::runAttempts() {
+  FailureGate &Gate = this->Dispatcher.targetGate();
+  if (Gate.enter(this->Service, 0, this->now()) == GateVerdict::Closed)
+    return this->refuseAtGate(RelayReason::TargetUnreachable,
+                              NoTargetRetryAfter);
+  this->tryTargets();
+  if (this->Outcome.Sends > 0)
+    Gate.onSuccess(this->Service, 0);
+  else if (this->Outcome.Reason == RelayReason::TargetUnreachable)
+    Gate.onFailure(this->Service, 0, this->now());
+  else
+    Gate.onAbandoned(this->Service);
+}
+
+void RelayCallHandler::tryTargets() {
   this->Dispatcher.resends().onRequest(this->Service, this->now());
   for (;;) {
     if (this->Caller.HasLeft())
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -58,6 +58,9 @@
   void runCall();
   bool reserveTokens();
   void runAttempts();
+  void tryTargets();
+  /// Refuses a call because recent ones failed for the same reason.
+  void refuseAtGate(RelayReason Reason, Duration RetryAfter);
   void chooseService();
   /// \returns whether the call may resume the stream that it names, if any.
   bool mayResume();
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -8,6 +8,7 @@
 #include "LibLoan/TokenBroker.h"
 #include "LibObserve/Metrics.h"
 #include "LibRateLimit/TargetLimiter.h"
+#include "LibRelay/FailureGate.h"
 #include "LibRelay/OriginExchange.h"
 #include "LibRelay/QuarantineExchange.h"
 #include "LibRelay/RelayHooks.h"
@@ -62,6 +63,10 @@
   TargetLimiter &limiter() { return this->Limiter; }
   ResendBudget &resends() { return this->Resends; }
   TargetPicker &picker() { return this->Picker; }
+  /// Calls that need tokens, by team.
+  FailureGate &tokenGate() { return this->TokenGate; }
+  /// Calls that need a connection to a target, by service.
+  FailureGate &targetGate() { return this->TargetGate; }
   TokenBroker &tokens() { return this->TokenSource; }
   Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
@@ -88,6 +93,8 @@
   QuarantineExchange QuarantineReports;
   VersionRegister Versions;
   OriginExchange Origins;
+  FailureGate TokenGate;
+  FailureGate TargetGate;
   Random Rng;
 };
 
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -69,6 +69,7 @@
   /// Serves one call until it ends. \returns the outcome.
   RelayOutcome serve(RelayCall Call);
   RelayCall makeCall();
+  CallerHooks makeCaller();
 
   /// Where targets are that are listed from now on.
   std::string TargetDomain;
@@ -112,7 +113,6 @@
 private:
   RelayHooks makeHooks();
   TokenHooks tokenHooks();
-  CallerHooks makeCaller();
   TargetExchange makeExchange(const ScriptedResponse &Response,
                               std::size_t Index);
 
