Mend what a review of evacuation, overload and the failure gate found

A probe of the gate could be ended by other calls, and expired before the failure that it detects. A host stayed unready through resources that did not cause its overload, and refused calls closed connections at once. Evacuated calls waited for tokens first.

--- a/Libraries/LibNet/DatagramSocket.cpp
+++ b/Libraries/LibNet/DatagramSocket.cpp
@@ -29,8 +29,9 @@
 
 DatagramSocket::DatagramSocket(NetRuntime &Loop, std::string Address,
                                ReceiveHandler Handler)
-    : Loop(Loop), Address(std::move(Address)), Handler(std::move(Handler)),
-      Socket(Loop.context()), Buffer(MaxDatagramBytes) {}
+    : Traffic(Loop.traffic()), Address(std::move(Address)),
+      Handler(std::move(Handler)), Socket(Loop.context()),
+      Buffer(MaxDatagramBytes) {}
 
 Result<void> DatagramSocket::start() {
   BOOST_OUTCOME_TRY(Endpoint, parseAddress(this->Address));
@@ -71,7 +72,7 @@
     // Also reports errors of earlier sends, such as an unreachable port.
     if (ReceiveFailure)
       break;
-    this->Loop.traffic().BytesReceived += Count;
+    this->Traffic->BytesReceived += Count;
     try {
       this->Handler(std::string(this->Buffer.data(), Count));
     } catch (const std::bad_alloc &) {
@@ -101,7 +102,7 @@
   if (!Endpoint || SendFailure)
     ++this->SendFailures;
   else
-    this->Loop.traffic().BytesSent += Bytes.size();
+    this->Traffic->BytesSent += Bytes.size();
 }
 
 } // namespace bergamothook
--- a/Libraries/LibNet/DatagramSocket.h
+++ b/Libraries/LibNet/DatagramSocket.h
@@ -39,7 +39,7 @@
   void onReadable(const boost::system::error_code &Failure);
   const boost::asio::ip::udp::endpoint *resolve(const std::string &Address);
 
-  NetRuntime &Loop;
+  std::shared_ptr<NetTraffic> Traffic;
   std::string Address;
   ReceiveHandler Handler;
   boost::asio::ip::udp::socket Socket;
--- a/Libraries/LibNet/NetRuntime.h
+++ b/Libraries/LibNet/NetRuntime.h
@@ -34,13 +34,13 @@
 
   boost::asio::io_context &context() { return *this->Context; }
 
-  NetTraffic &traffic() { return this->Traffic; }
-  const NetTraffic &traffic() const { return this->Traffic; }
+  /// Shared with the sockets, which may outlive this object.
+  const std::shared_ptr<NetTraffic> &traffic() const { return this->Traffic; }
 
 private:
   /// Shared with the thread's fiber scheduler, which outlives this object.
   std::shared_ptr<boost::asio::io_context> Context;
-  NetTraffic Traffic;
+  std::shared_ptr<NetTraffic> Traffic = std::make_shared<NetTraffic>();
   Event Stopped;
   bool IsStopping = false;
 };
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -37,8 +37,8 @@
 
 TcpConnection::TcpConnection(NetRuntime &Loop, tcp::socket Socket,
                              TcpLimits Limits)
-    : Loop(Loop), Tasks(Loop.hooks()), Socket(std::move(Socket)),
-      Limits(std::move(Limits)),
+    : Loop(Loop), Traffic(Loop.traffic()), Tasks(Loop.hooks()),
+      Socket(std::move(Socket)), Limits(std::move(Limits)),
       Memory(this->Limits.Memory, this->Limits.Owners),
       CreatedAt(this->Tasks.Now()) {}
 
@@ -201,7 +201,7 @@
   }
   if (Failure)
     return this->end(Failure != boost::asio::error::eof);
-  this->Loop.traffic().BytesReceived += Bytes;
+  this->Traffic->BytesReceived += Bytes;
   if (!this->IsClosing) {
     if (this->Consumed > 0) {
       this->Received.erase(0, this->Consumed);
@@ -342,7 +342,7 @@
 
 void TcpConnection::countSent(std::size_t Bytes) {
   this->TotalSent += Bytes;
-  this->Loop.traffic().BytesSent += Bytes;
+  this->Traffic->BytesSent += Bytes;
 }
 
 void TcpConnection::finish(TimePoint Deadline) {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -170,6 +170,7 @@
   void finishClose();
 
   NetRuntime &Loop;
+  std::shared_ptr<NetTraffic> Traffic;
   Runtime Tasks;
   boost::asio::ip::tcp::socket Socket;
   TcpLimits Limits;
--- a/Libraries/LibOverload/LoadShedder.h
+++ b/Libraries/LibOverload/LoadShedder.h
@@ -43,6 +43,8 @@
 
   /// Adapts the refused fraction to the utilization of the link.
   void update(double LinkUtilization);
+  /// Refuses no more calls.
+  void stop() { this->Refused = 0; }
 
   /// Counts a call. \returns whether it may start.
   bool admit(const CallDemand &Call, TimePoint Now);
--- a/Libraries/LibOverload/OverloadControl.cpp
+++ b/Libraries/LibOverload/OverloadControl.cpp
@@ -52,16 +52,26 @@
 }
 
 void OverloadControl::update(const HostUsage &Usage, TimePoint Now) {
-  if (this->LastAt && Now > *this->LastAt) {
+  bool IsMeasured = this->LastAt && Now > *this->LastAt &&
+                    Now - *this->LastAt <= this->Policy.MaxInterval;
+  if (IsMeasured) {
     Duration Elapsed = Now - *this->LastAt;
     PerResource Measured = this->measure(Usage, Elapsed);
     std::chrono::duration<double> Span = Elapsed;
-    double Weight = 1 - std::exp(-(Span / this->Policy.Smoothing));
-    for (std::size_t I = 0; I < HostResourceCount; ++I)
-      this->Utilization[I] += Weight * (Measured[I] - this->Utilization[I]);
-    this->Shedder.update(this->linkUtilization());
+    for (std::size_t I = 0; I < HostResourceCount; ++I) {
+      bool IsProcessor = I == static_cast<std::size_t>(HostResource::Processor);
+      double Weight =
+          1 - std::exp(-(Span / (IsProcessor ? this->Policy.ProcessorSmoothing
+                                             : this->Policy.Smoothing)));
+      this->Utilization[I] +=
+          Weight * (std::min(Measured[I], 1.0) - this->Utilization[I]);
+    }
     this->decide(Now);
-    this->planMoves(Usage.CallerConnections, Elapsed);
+    if (this->OverloadedBy)
+      this->Shedder.update(this->linkUtilization());
+    else
+      this->Shedder.stop();
+    this->planCloses(Usage.CallerConnections, Elapsed, Now);
   }
   this->Last = Usage;
   this->LastAt = Now;
@@ -72,50 +82,78 @@
                   this->utilization(HostResource::LinkSend));
 }
 
+bool OverloadControl::isRelieved() const {
+  for (std::size_t I = 0; I < HostResourceCount; ++I)
+    if (this->Utilization[I] >= (this->HasCausedOverload[I]
+                                     ? this->Thresholds[I].RelievedBelow
+                                     : this->Thresholds[I].OverloadedAbove))
+      return false;
+  return true;
+}
+
+bool OverloadControl::isTolerable() const {
+  for (std::size_t I = 0; I < HostResourceCount; ++I)
+    if (this->Utilization[I] > this->Thresholds[I].OverloadedAbove)
+      return false;
+  return true;
+}
+
 void OverloadControl::decide(TimePoint Now) {
-  bool IsRelieved = true;
   for (std::size_t I = 0; I < HostResourceCount; ++I) {
-    IsRelieved &= this->Utilization[I] < this->Thresholds[I].RelievedBelow;
-    if (this->OverloadedBy ||
-        this->Utilization[I] <= this->Thresholds[I].OverloadedAbove)
+    if (this->Utilization[I] <= this->Thresholds[I].OverloadedAbove)
+      continue;
+    this->HasCausedOverload[I] = true;
+    if (this->OverloadedBy)
       continue;
     this->OverloadedBy = static_cast<HostResource>(I);
     this->OverloadedAt = Now;
     this->ExtraTime = std::chrono::duration_cast<Duration>(
         this->Rng.uniform() * this->Policy.MaxExtraTime);
   }
-  if (!IsRelieved)
-    this->RelievedSince.reset();
-  else if (!this->RelievedSince)
-    this->RelievedSince = Now;
-  if (this->OverloadedBy && this->RelievedSince &&
-      Now - this->OverloadedAt >= this->Policy.MinNotReady + this->ExtraTime &&
-      Now - *this->RelievedSince >= this->Policy.RelievedFor)
+  auto Track = [Now](std::optional<TimePoint> &Since, bool Holds) {
+    if (!Holds)
+      Since.reset();
+    else if (!Since)
+      Since = Now;
+  };
+  Track(this->RelievedSince, this->isRelieved());
+  Track(this->TolerableSince, this->isTolerable());
+  auto HasHeld = [&](const std::optional<TimePoint> &Since, Duration For) {
+    return Since && Now - *Since >= For + this->ExtraTime;
+  };
+  if (this->OverloadedBy &&
+      Now - this->OverloadedAt >= this->Policy.BalancerDelay &&
+      (HasHeld(this->RelievedSince, this->Policy.RelievedFor) ||
+       HasHeld(this->TolerableSince, this->Policy.MaxNotReady))) {
     this->OverloadedBy.reset();
+    this->HasCausedOverload = {};
+  }
 }
 
-void OverloadControl::planMoves(std::size_t Connections, Duration Elapsed) {
+void OverloadControl::planCloses(std::size_t Connections, Duration Elapsed,
+                                 TimePoint Now) {
   auto Resource = static_cast<std::size_t>(
       this->OverloadedBy.value_or(HostResource::LinkReceive));
   double Used = this->Utilization[Resource];
   // No more than necessary: what remains stays while the host is not ready, and
-  // the siblings that follow get less and less.
+  // the hosts that follow get less and less.
   if (!this->OverloadedBy ||
+      Now - this->OverloadedAt < this->Policy.BalancerDelay ||
       Used <= this->Thresholds[Resource].OverloadedAbove) {
-    this->PendingMoves = 0;
+    this->PendingCloses = 0;
     return;
   }
   // Connections that were due and had no answer since are not added up.
-  this->PendingMoves -= std::floor(this->PendingMoves);
-  this->PendingMoves += this->Policy.MovedPerSecond / Used *
-                        static_cast<double>(Connections) *
-                        std::chrono::duration<double>(Elapsed).count();
+  this->PendingCloses -= std::floor(this->PendingCloses);
+  this->PendingCloses += this->Policy.MovedPerSecond / Used *
+                         static_cast<double>(Connections) *
+                         std::chrono::duration<double>(Elapsed).count();
 }
 
 bool OverloadControl::endsConnection() {
-  if (this->PendingMoves < 1)
+  if (this->PendingCloses < 1)
     return false;
-  this->PendingMoves -= 1;
+  this->PendingCloses -= 1;
   return true;
 }
 
--- a/Libraries/LibOverload/OverloadControl.h
+++ b/Libraries/LibOverload/OverloadControl.h
@@ -31,25 +31,32 @@
 struct OverloadPolicy {
   /// The link has to carry what arrives before the load balancer notices.
   ResourceThresholds Link = {0.55, 0.4};
-  /// Short peaks of the processor are normal.
   ResourceThresholds Processor = {0.95, 0.7};
   ResourceThresholds Descriptors = {0.9, 0.75};
   ResourceThresholds Memory = {0.9, 0.6};
-  /// Thresholds of hosts differ by up to this fraction, so that siblings with
-  /// the same load do not all become unready together.
+  /// Thresholds of hosts differ by up to this fraction, so that hosts with the
+  /// same load do not all become unready together.
   double ThresholdJitter = 0.1;
-  /// The time constant of the moving average of what is used a second.
+  /// The time constants of the moving averages. The processor is busy for short
+  /// times under a normal load.
   Duration Smoothing = std::chrono::milliseconds(600);
-  /// The load balancer asks each second and acts on the second miss.
-  Duration MinNotReady = std::chrono::milliseconds(2500);
-  /// How long the load must have been low before the host is ready again, and
-  /// the random time that is added.
+  Duration ProcessorSmoothing = std::chrono::milliseconds(3000);
+  /// A longer interval is not a measurement: the process was suspended, and
+  /// what the kernel received meanwhile is read at once.
+  Duration MaxInterval = std::chrono::milliseconds(1000);
+  /// The load balancer probes once per second and removes a host after the
+  /// second failure. Connections that end earlier come back to this host.
+  Duration BalancerDelay = std::chrono::milliseconds(2000);
+  /// How long the load must have been below the lower threshold before the host
+  /// is ready again, and the maximum random time that is added.
   Duration RelievedFor = std::chrono::milliseconds(1000);
   Duration MaxExtraTime = std::chrono::milliseconds(1000);
+  /// A host whose load stays between the thresholds is ready again after this
+  /// time and the random one.
+  Duration MaxNotReady = std::chrono::milliseconds(6000);
   /// The load that is moved to other hosts in a second by ending connections,
-  /// as a fraction of the capacity. A sibling that gets all of it is out of the
-  /// load balancer's rotation 2.5 s after it is overloaded, before its link is
-  /// full.
+  /// as a fraction of the capacity. A host that gets all of it is out of the
+  /// load balancer's rotation before its link is full.
   double MovedPerSecond = 0.15;
   ShedderPolicy Shedder;
 };
@@ -90,9 +97,14 @@
 
   PerResource measure(const HostUsage &Usage, Duration Elapsed) const;
   double linkUtilization() const;
+  /// \returns whether all resources are below the threshold that ends an
+  /// overload: the lower one for those that caused it.
+  bool isRelieved() const;
+  /// \returns whether all resources are below their upper thresholds.
+  bool isTolerable() const;
   void decide(TimePoint Now);
   /// Determines how many connections may end until the next measurement.
-  void planMoves(std::size_t Connections, Duration Elapsed);
+  void planCloses(std::size_t Connections, Duration Elapsed, TimePoint Now);
 
   OverloadPolicy Policy;
   HostCapacity Capacity;
@@ -102,13 +114,16 @@
   PerResource Utilization{};
   HostUsage Last;
   std::optional<TimePoint> LastAt;
+  /// The first resource that caused the overload, and all that did since.
   std::optional<HostResource> OverloadedBy;
+  std::array<bool, HostResourceCount> HasCausedOverload{};
   TimePoint OverloadedAt{};
-  /// Since when all resources have been below their lower thresholds.
+  /// Since when isRelieved() and isTolerable() have held.
   std::optional<TimePoint> RelievedSince;
+  std::optional<TimePoint> TolerableSince;
   Duration ExtraTime{};
   /// How many connections are to end; a fraction is carried over.
-  double PendingMoves = 0;
+  double PendingCloses = 0;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/EvacuatedDomains.cpp
+++ b/Libraries/LibRelay/EvacuatedDomains.cpp
@@ -3,6 +3,8 @@
 namespace bergamothook {
 
 bool EvacuatedDomains::onRecord(const EvacuationRecord &Record) {
+  if (Record.Offset < this->SnapshotEnd)
+    return false;
   auto Found = this->Offsets.find(Record.Domain);
   bool WasEvacuated = Found != this->Offsets.end();
   const std::uint64_t *ReturnedAt = this->Returned.find(Record.Domain);
@@ -19,7 +21,9 @@
 }
 
 std::vector<EvacuationRecord>
-EvacuatedDomains::onSnapshot(const std::vector<EvacuationRecord> &Evacuated) {
+EvacuatedDomains::onSnapshot(const std::vector<EvacuationRecord> &Evacuated,
+                             std::uint64_t End) {
+  this->SnapshotEnd = End;
   std::map<std::string, std::uint64_t> Next;
   for (const EvacuationRecord &Record : Evacuated)
     Next[Record.Domain] = Record.Offset;
--- a/Libraries/LibRelay/EvacuatedDomains.h
+++ b/Libraries/LibRelay/EvacuatedDomains.h
@@ -13,7 +13,7 @@
 
 namespace bergamothook {
 
-/// The operator's newest word on one failure domain.
+/// The operator's newest record on one failure domain.
 struct EvacuationRecord {
   std::string Domain;
   bool IsEvacuated = false;
@@ -31,12 +31,13 @@
   bool onRecord(const EvacuationRecord &Record);
 
   /// Replaces all evacuations by those that a snapshot of the topic lists; a
-  /// domain that it lacks has been returned. Offsets are not compared, because
+  /// domain that it lacks has been returned. Records before \p End have no
+  /// effect from now on. Offsets are not compared with earlier ones, because
   /// the topic may have been restored from an older copy. \returns the domains
   /// whose state changed; the offset of a returned one is the offset of its
   /// evacuation.
   std::vector<EvacuationRecord>
-  onSnapshot(const std::vector<EvacuationRecord> &Evacuated);
+  onSnapshot(const std::vector<EvacuationRecord> &Evacuated, std::uint64_t End);
 
   bool contains(const std::string &Domain) const {
     return this->Offsets.contains(Domain);
@@ -48,7 +49,9 @@
 
   /// The offsets of the evacuations in force.
   std::map<std::string, std::uint64_t> Offsets;
-  /// The offsets at which domains were returned.
+  /// Where the records after the last snapshot begin.
+  std::uint64_t SnapshotEnd = 0;
+  /// The offsets at which domains were returned since then.
   RecentMap<std::string, std::uint64_t> Returned{MaxReturnedDomains};
 };
 
--- a/Libraries/LibRelay/EvacuationMonitor.cpp
+++ b/Libraries/LibRelay/EvacuationMonitor.cpp
@@ -7,9 +7,10 @@
 namespace bergamothook {
 
 void EvacuationMonitor::onSnapshot(
-    const std::vector<EvacuationRecord> &Evacuated, TimePoint Now) {
+    const std::vector<EvacuationRecord> &Evacuated, std::uint64_t End,
+    TimePoint Now) {
   for (const EvacuationRecord &Change :
-       this->Targets.onEvacuationSnapshot(Evacuated, Now))
+       this->Targets.onEvacuationSnapshot(Evacuated, End, Now))
     this->logChange(Change, "snapshot", Now);
 }
 
@@ -22,7 +23,7 @@
 void EvacuationMonitor::logChange(const EvacuationRecord &Change,
                                   const char *Source, TimePoint Now) {
   if (Change.IsEvacuated)
-    this->Draining[Change.Domain] = Now;
+    this->Draining[Change.Domain] = {Change.Offset, Source, Now};
   else
     this->Draining.erase(Change.Domain);
   logEvent(LogLevel::Warning,
@@ -35,15 +36,16 @@
 
 void EvacuationMonitor::checkProgress(TimePoint Now) {
   std::erase_if(this->Draining, [&](const auto &Each) {
-    const auto &[Domain, Since] = Each;
+    const auto &[Domain, Evacuation] = Each;
     if (this->Targets.runningIn(Domain) > 0)
       return false;
-    logEvent(
-        LogLevel::Info, "evacuation_complete",
-        {{"failure_domain", Domain},
-         {"after_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(Now - Since)
-              .count()}});
+    auto After = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - Evacuation.Since);
+    logEvent(LogLevel::Info, "evacuation_complete",
+             {{"failure_domain", Domain},
+              {"offset", Evacuation.Offset},
+              {"source", Evacuation.Source},
+              {"after_ms", After.count()}});
     return true;
   });
 }
--- a/Libraries/LibRelay/EvacuationMonitor.h
+++ b/Libraries/LibRelay/EvacuationMonitor.h
@@ -19,9 +19,10 @@
 public:
   explicit EvacuationMonitor(TargetDirectory &Targets) : Targets(Targets) {}
 
-  /// Applies all evacuations of a snapshot of the operator's topic.
+  /// Applies all evacuations of a snapshot of the operator's records before
+  /// \p End.
   void onSnapshot(const std::vector<EvacuationRecord> &Evacuated,
-                  TimePoint Now);
+                  std::uint64_t End, TimePoint Now);
 
   /// Applies a later record.
   void onRecord(const EvacuationRecord &Record, TimePoint Now);
@@ -36,9 +37,15 @@
   void logChange(const EvacuationRecord &Change, const char *Source,
                  TimePoint Now);
 
+  /// An evacuation with calls of this host in progress.
+  struct DrainingDomain {
+    std::uint64_t Offset = 0;
+    const char *Source = "";
+    TimePoint Since{};
+  };
+
   TargetDirectory &Targets;
-  /// When the evacuations became known that still have calls in progress.
-  std::map<std::string, TimePoint> Draining;
+  std::map<std::string, DrainingDomain> Draining;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/FailureGate.h
+++ b/Libraries/LibRelay/FailureGate.h
@@ -1,10 +1,10 @@
 /// \file
-/// Refuses calls at once that are about to wait for something that recent calls
-/// have waited for in vain.
+/// Refuses calls immediately that would wait for something that recent calls
+/// did not get.
 ///
-/// This answers many calls that need what can't be had at the moment: tokens
-/// whose holders are out of reach, or targets that can't be connected to. Each
-/// would be refused after its wait, too late for its caller to return
+/// This answers many calls that need what is not available at the moment:
+/// tokens whose holders are out of reach, or targets that can't be connected
+/// to. Each would be refused after its wait, too late for its caller to retry
 /// elsewhere.
 
 #ifndef BERGAMOTHOOK_LIBRELAY_FAILUREGATE_H
@@ -25,32 +25,46 @@
   Duration Memory = std::chrono::seconds(2);
 };
 
-enum class GateVerdict {
-  /// The call goes on.
-  Open,
-  /// The call goes on, and is the only one that finds out whether calls succeed
-  /// again. It has to report its end.
-  Probe,
-  /// The call is refused.
-  Closed,
-};
-
-/// A circuit breaker for each key: a team or a service. Half open from the
-/// start, since there is always one call that tries. Not thread-safe.
+/// A circuit breaker for each key: a team or a service. While it is open, one
+/// call at a time is let through as a probe. Not thread-safe.
 class FailureGate {
 public:
-  explicit FailureGate(FailureGatePolicy Policy = {}) : Policy(Policy) {}
+  /// The decision on one call. Ends the probe, if the call is one, at the end
+  /// of its scope. Must not outlive the gate.
+  class Pass {
+  public:
+    Pass(FailureGate &Gate, std::string Key, std::int64_t Amount)
+        : Gate(&Gate), Key(std::move(Key)), Amount(Amount) {}
+    ~Pass() { this->endProbe(); }
+    Pass(Pass &&Other) noexcept;
+    Pass(const Pass &) = delete;
+    Pass &operator=(const Pass &) = delete;
+
+    bool isRefused() const { return this->IsRefused; }
+    bool isProbe() const { return this->Probe != 0; }
+
+    /// Records that the call got what it needed.
+    void succeed();
+    /// Records that it waited and did not get it.
+    void fail(TimePoint Now);
 
-  /// Decides on a call that needs \p Amount. What failed for larger amounts
-  /// only says nothing on it.
-  GateVerdict enter(const std::string &Key, std::int64_t Amount, TimePoint Now);
+  private:
+    friend class FailureGate;
 
-  void onSuccess(const std::string &Key, std::int64_t Amount);
-  void onFailure(const std::string &Key, std::int64_t Amount, TimePoint Now);
+    void endProbe();
+
+    FailureGate *Gate;
+    std::string Key;
+    std::int64_t Amount;
+    bool IsRefused = false;
+    std::uint64_t Probe = 0;
+  };
+
+  explicit FailureGate(FailureGatePolicy Policy = {}) : Policy(Policy) {}
 
-  /// Ends a probe without a result: its caller left, or the host stops. One
-  /// that does not end counts as ended after Policy.Memory.
-  void onAbandoned(const std::string &Key);
+  /// Decides on a call that needs \p Amount. A failure for a larger amount does
+  /// not count against it.
+  Pass enter(const std::string &Key, std::int64_t Amount, TimePoint Now);
 
 private:
   struct Entry {
@@ -58,14 +72,15 @@
     /// The smallest amount that failed.
     std::int64_t Amount = 0;
     TimePoint LastFailure{};
-    /// A probe is in progress until it ends, or until this time.
-    TimePoint ProbeUntil{};
+    /// The number of the probe in progress; 0 if there is none.
+    std::uint64_t Probe = 0;
   };
 
   FailureGatePolicy Policy;
   /// Keys with recent failures. They come from the configuration, so that their
   /// number is bounded.
   std::map<std::string, Entry> Entries;
+  std::uint64_t LastProbe = 0;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -80,6 +80,8 @@
   this->chooseService();
   if (this->isQuarantined())
     this->finishFailed(AttemptEnd::Quarantined);
+  else if (this->isEvacuated())
+    this->finishFailed(AttemptEnd::Evacuated);
   else if (this->mayResume() && this->reserveTokens())
     this->runAttempts();
 }
@@ -111,34 +113,36 @@
   if (!this->Call.Team || !this->Call.Team->Budget || Amount == 0)
     return true;
   const std::string &Team = this->Call.Team->Name;
-  FailureGate &Gate = this->Dispatcher.tokenGate();
-  if (Gate.enter(Team, Amount, this->now()) == GateVerdict::Closed) {
-    this->refuseAtGate(RelayReason::BudgetNotInHand, TokensRetryAfter);
-    return false;
-  }
-  auto Reservation = this->Dispatcher.tokens().reserve(
-      Team, Amount, this->Deadline, [this] { return this->isGivenUp(); });
+  FailureGate::Pass Pass =
+      this->Dispatcher.tokenGate().enter(Team, Amount, this->now());
+  // A call that the gate refuses still gets what this host has in hand.
+  TimePoint Until = Pass.isRefused() ? this->now() : this->Deadline;
+  auto Reservation =
+      this->Dispatcher.tokens().reserve(Team, Amount, Until, [this] {
+        return this->isGivenUp() || this->isEvacuated();
+      });
   this->Outcome.TokensWait = this->now() - this->Call.ArrivedAt;
   if (Reservation) {
-    Gate.onSuccess(Team, Amount);
+    Pass.succeed();
     this->Hold = std::move(Reservation).value();
     return true;
   }
-  bool IsOutOfReach =
-      !this->isGivenUp() && Reservation.error() != WalletError::Exhausted;
-  if (IsOutOfReach)
-    Gate.onFailure(Team, Amount, this->now());
-  else
-    Gate.onAbandoned(Team);
+  bool IsExhausted = Reservation.error() == WalletError::Exhausted;
   if (this->Caller.HasLeft())
     this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
   else if (!this->maySend())
     this->finishFailed(AttemptEnd::HostStops);
-  else if (Reservation.error() == WalletError::Exhausted)
+  else if (this->isEvacuated())
+    this->finishFailed(AttemptEnd::Evacuated);
+  else if (IsExhausted)
     this->refuse(402, RelayEnd::NotRun, RelayReason::BudgetExhausted);
-  else
+  else if (Pass.isRefused())
+    this->refuseAtGate(RelayReason::BudgetNotInHand, TokensRetryAfter);
+  else {
+    Pass.fail(this->now());
     this->refuse(503, RelayEnd::NotRun, RelayReason::BudgetNotInHand,
                  TokensRetryAfter);
+  }
   return false;
 }
 
@@ -151,10 +155,17 @@
 }
 
 bool RelayCallHandler::mayResume() {
-  if (!this->Versions.resolve(this->Service, this->Deadline,
-                              [this] { return this->isGivenUp(); })) {
-    this->finishFailed(!this->maySend() ? AttemptEnd::HostStops
-                                        : AttemptEnd::VersionUnknown);
+  bool IsResolved =
+      this->Versions.resolve(this->Service, this->Deadline, [this] {
+        return this->isGivenUp() || this->isEvacuated();
+      });
+  if (!IsResolved) {
+    AttemptEnd End = AttemptEnd::VersionUnknown;
+    if (!this->maySend())
+      End = AttemptEnd::HostStops;
+    else if (this->isEvacuated())
+      End = AttemptEnd::Evacuated;
+    this->finishFailed(End);
     return false;
   }
   if (this->Versions.hasBegun() && !this->Versions.hasMatch()) {
@@ -165,17 +176,19 @@
 }
 
 void RelayCallHandler::runAttempts() {
-  FailureGate &Gate = this->Dispatcher.targetGate();
-  if (Gate.enter(this->Service, 0, this->now()) == GateVerdict::Closed)
+  // A stream that goes on may need a version that only lost targets serve,
+  // which says nothing of other calls.
+  if (this->Versions.hasBegun())
+    return this->tryTargets();
+  this->TargetPass.emplace(
+      this->Dispatcher.targetGate().enter(this->Service, 0, this->now()));
+  if (this->TargetPass->isRefused())
     return this->refuseAtGate(RelayReason::TargetUnreachable,
                               NoTargetRetryAfter);
   this->tryTargets();
-  if (this->Outcome.Sends > 0)
-    Gate.onSuccess(this->Service, 0);
-  else if (this->Outcome.Reason == RelayReason::TargetUnreachable)
-    Gate.onFailure(this->Service, 0, this->now());
-  else
-    Gate.onAbandoned(this->Service);
+  if (this->Attempts > 0 && this->AttemptsNotSent == this->Attempts)
+    this->TargetPass->fail(this->now());
+  this->TargetPass.reset();
 }
 
 void RelayCallHandler::tryTargets() {
@@ -196,15 +209,17 @@
       return this->finishFailed(this->endWithoutTarget());
     ListedTarget Chosen = Target->Listed;
     this->Outcome.Target = Chosen.Id;
-    if (!this->acquirePermit(Chosen)) {
-      this->Excluded.insert(Chosen.Id);
-      continue;
-    }
+    bool HasPermit = this->acquirePermit(Chosen);
     // These decisions may have changed while the permit was awaited.
     if (!this->maySend())
       return this->finishFailed(AttemptEnd::HostStops);
+    // If the target restarted, its new run may be chosen.
     if (!this->Dispatcher.targets().mayReceive(Chosen))
       continue;
+    if (!HasPermit) {
+      this->Excluded.insert(Chosen.Id);
+      continue;
+    }
     this->Admission =
         this->Dispatcher.quarantine().admit(this->Traits, this->now());
     if (this->Admission >= SendAdmission::Busy)
@@ -218,15 +233,16 @@
       return this->finish(RelayEnd::Done, RelayReason::None);
     if (!this->shouldRetry(End))
       return this->finishFailed(End);
-    this->Excluded.insert(Chosen.Id);
+    if (End != AttemptEnd::Withdrawn)
+      this->Excluded.insert(Chosen.Id);
   }
 }
 
 AttemptEnd RelayCallHandler::endWithoutTarget() {
+  if (this->isEvacuated())
+    return AttemptEnd::Evacuated;
   if (!this->rateLimitedTargets().empty())
     return AttemptEnd::RateLimited;
-  if (this->Dispatcher.targets().isEvacuated(this->Service))
-    return AttemptEnd::Evacuated;
   return this->IsRunUnknown ? AttemptEnd::RunUnknown : AttemptEnd::NotSent;
 }
 
@@ -234,6 +250,10 @@
   return this->Caller.isSendGivenUp(this->Deadline, this->Call.mayRepeat());
 }
 
+bool RelayCallHandler::isEvacuated() const {
+  return this->Dispatcher.targets().isEvacuated(this->Service);
+}
+
 bool RelayCallHandler::maySend() const {
   return !this->Caller.MustAnswer() &&
          this->Caller.MaySend(this->Deadline, this->Call.mayRepeat());
@@ -346,6 +366,8 @@
                                                     : AttemptEnd::NotSent;
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
   ++this->Outcome.Sends;
+  if (this->TargetPass)
+    this->TargetPass->succeed();
   return Opened ? this->readResponse(Opened.value(), Target)
                 : this->attemptEndOf(Opened.error());
 }
@@ -606,6 +628,7 @@
     Targets.onFailure(Id, this->now());
     break;
   case AttemptEnd::NotSent:
+    ++this->AttemptsNotSent;
     Targets.onLost(Id, this->now());
     [[fallthrough]];
   case AttemptEnd::Malformed:
@@ -674,7 +697,7 @@
     return false;
   case AttemptEnd::Withdrawn:
     // What ended the attempt also ends the next one before it begins, or
-    // excludes the target.
+    // another target is chosen.
     return true;
   case AttemptEnd::NotSent:
   case AttemptEnd::RunUnknown:
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -105,6 +105,8 @@
   bool isQuarantined();
   /// \returns whether the call may be passed on: the host may stop too soon.
   bool maySend() const;
+  /// \returns whether the service has only evacuated targets.
+  bool isEvacuated() const;
   /// \returns whether there is no use in waiting to pass the call on.
   bool isGivenUp() const;
   void finish(RelayEnd End, RelayReason Reason);
@@ -130,6 +132,10 @@
   std::set<std::string> RefusedPermits;
   /// Targets to which the call was sent, or that could not be reached.
   unsigned Attempts = 0;
+  /// Attempts whose target could not be connected to.
+  unsigned AttemptsNotSent = 0;
+  /// Set while a call that may be refused for unreachable targets tries them.
+  std::optional<FailureGate::Pass> TargetPass;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPrefillPending = false;
   /// Events that the current target has sent.
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -147,8 +147,10 @@
 }
 
 std::vector<EvacuationRecord> TargetDirectory::onEvacuationSnapshot(
-    const std::vector<EvacuationRecord> &Listed, TimePoint Now) {
-  std::vector<EvacuationRecord> Changes = this->Evacuated.onSnapshot(Listed);
+    const std::vector<EvacuationRecord> &Listed, std::uint64_t End,
+    TimePoint Now) {
+  std::vector<EvacuationRecord> Changes =
+      this->Evacuated.onSnapshot(Listed, End);
   for (const EvacuationRecord &Change : Changes)
     if (!Change.IsEvacuated)
       this->beginReturn(Change.Domain, Now);
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -125,10 +125,11 @@
   /// \returns whether it changed anything.
   bool onEvacuationRecord(const EvacuationRecord &Record, TimePoint Now);
 
-  /// Replaces all evacuations by those of a snapshot. \returns the changes.
+  /// Replaces all evacuations by those of a snapshot of the records before
+  /// \p End. \returns the changes.
   std::vector<EvacuationRecord>
   onEvacuationSnapshot(const std::vector<EvacuationRecord> &Evacuated,
-                       TimePoint Now);
+                       std::uint64_t End, TimePoint Now);
 
   /// \returns the targets of a service that may receive new calls.
   std::vector<TargetState *> usable(const std::string &Service);
--- a/Libraries/LibRelay/TargetPicker.cpp
+++ b/Libraries/LibRelay/TargetPicker.cpp
@@ -70,8 +70,8 @@
   };
   if (std::none_of(Candidates.begin(), Candidates.end(), IsReturning))
     return;
-  // Differs from the key of the hash order, so that a target does not get the
-  // topics first for which it ranks first.
+  // A topic becomes eligible at all targets of a failure domain together, so
+  // that it moves once, to the target at which it stays.
   std::uint64_t Key = Call.Parts.empty()
                           ? this->Rng.next()
                           : hash64(sharedPart(Call.Parts), hash64("return"));
@@ -80,7 +80,7 @@
       return true;
     std::chrono::duration<double> Since = Now - *Candidate->ReturnedAt;
     double Position =
-        static_cast<double>(hash64(Candidate->Listed.Id, Key)) /
+        static_cast<double>(hash64(Candidate->Listed.FailureDomain, Key)) /
         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     return Position < Since / this->Policy.ReturnTime;
   });
--- a/Libraries/LibRelayFront/HostMonitor.cpp
+++ b/Libraries/LibRelayFront/HostMonitor.cpp
@@ -40,8 +40,8 @@
 
 void HostMonitor::measure() {
   HostUsage Usage;
-  Usage.BytesReceived = this->Loop.traffic().BytesReceived;
-  Usage.BytesSent = this->Loop.traffic().BytesSent;
+  Usage.BytesReceived = this->Loop.traffic()->BytesReceived;
+  Usage.BytesSent = this->Loop.traffic()->BytesSent;
   Usage.ProcessorTime = readProcessorTime();
   this->Complete(Usage);
   std::optional<HostResource> Before = this->Control.overloadedBy();
@@ -65,9 +65,9 @@
   Stats.set("relay_host_overloaded", this->Control.isOverloaded() ? 1 : 0);
   Stats.set("relay_host_refused_fraction", this->Control.refusedFraction());
   Stats.set("relay_link_bytes_received",
-            static_cast<double>(this->Loop.traffic().BytesReceived));
+            static_cast<double>(this->Loop.traffic()->BytesReceived));
   Stats.set("relay_link_bytes_sent",
-            static_cast<double>(this->Loop.traffic().BytesSent));
+            static_cast<double>(this->Loop.traffic()->BytesSent));
 }
 
 } // namespace bergamothook
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -243,8 +243,6 @@
       Decoded.RefusalStatus = 503;
       Decoded.Reason = RelayReason::HostOverloaded;
       Decoded.RetryAfter = RetryAfter;
-      // The load balancer chooses another host for the next connection.
-      Client.MustClose = true;
     }
   Client.Connection->setOwners({Decoded.Call.memoryOwner()});
   CallerHooks Caller = this->makeCallerHooks(Client);
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -41,6 +41,8 @@
 /// Leaves file descriptors for targets, the store and the listening ports.
 constexpr std::size_t MaxCallerConnections = 2500;
 constexpr int CallerAcceptBacklog = 1024;
+/// The platform reserves these of limits.maxFds.
+constexpr std::size_t FileDescriptorsForFiles = 200;
 /// How much of an unreadable entry is logged.
 constexpr std::size_t MaxLoggedBytes = 200;
 
@@ -205,7 +207,9 @@
   HostCapacity Capacity;
   Capacity.LinkBytesPerSecond = this->Settings.LinkBytesPerSecond;
   Capacity.ProcessorCores = this->Settings.ProcessorCores;
-  Capacity.Descriptors = this->Settings.Descriptors;
+  Capacity.Descriptors =
+      this->Settings.Descriptors -
+      std::min(this->Settings.Descriptors, FileDescriptorsForFiles);
   Capacity.MessageBytes = this->Memory->policy().MaxBytes;
   return Capacity;
 }
@@ -229,8 +233,9 @@
 
 platform::FeedHooks RelayService::configFeedHooks() {
   platform::FeedHooks Hooks;
-  Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
-    this->applyOperatorSnapshot(Records);
+  Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records,
+                            std::uint64_t End) {
+    this->applyOperatorSnapshot(Records, End);
   };
   Hooks.OnRecord = [this](const KeyedRecord &Record) {
     this->applyOperatorRecord(Record);
@@ -241,7 +246,7 @@
 }
 
 void RelayService::applyOperatorSnapshot(
-    const std::vector<KeyedRecord> &Records) {
+    const std::vector<KeyedRecord> &Records, std::uint64_t End) {
   std::vector<EvacuationRecord> Evacuated;
   for (const KeyedRecord &Record : Records)
     if (auto Listed = platform::readEvacuation(Record)) {
@@ -249,7 +254,7 @@
       Listed->IsEvacuated = true;
       Evacuated.push_back(std::move(*Listed));
     }
-  this->Evacuations.onSnapshot(Evacuated, this->Tasks.Now());
+  this->Evacuations.onSnapshot(Evacuated, End, this->Tasks.Now());
   for (const KeyedRecord &Record : Records)
     this->applyConfigRecord(Record);
 }
@@ -282,7 +287,8 @@
   platform::FeedHooks Hooks;
   Hooks.Clock = readLeaseClock;
   Hooks.OnRestored = [this] { this->Dispatcher.targets().onListRestored(); };
-  Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
+  Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records,
+                            std::uint64_t) {
     std::vector<ListedTarget> Targets;
     for (const KeyedRecord &Record : Records)
       if (auto Target =
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -42,7 +42,8 @@
   HostCapacity capacity() const;
   platform::FeedHooks configFeedHooks();
   platform::FeedHooks targetFeedHooks();
-  void applyOperatorSnapshot(const std::vector<platform::KeyedRecord> &Records);
+  void applyOperatorSnapshot(const std::vector<platform::KeyedRecord> &Records,
+                             std::uint64_t End);
   void applyOperatorRecord(const platform::KeyedRecord &Record);
   void applyConfigRecord(const platform::KeyedRecord &Record);
   void noteVersion(const ListedTarget &Target);
--- a/Tests/LibRelay/EvacuationTest.cpp
+++ b/Tests/LibRelay/EvacuationTest.cpp
@@ -86,7 +86,7 @@
   Three.record("east", true, 50);
   Three.record("west", true, 51);
   auto Changes =
-      Three.Targets.onEvacuationSnapshot({{"north", true, 12}}, Start);
+      Three.Targets.onEvacuationSnapshot({{"north", true, 12}}, 13, Start);
   CHECK(Changes.size() == 3);
   CHECK(usableIds(Three.Targets) == std::set<std::string>{"e", "w"});
   CHECK(Three.record("north", false, 13));
@@ -121,7 +121,7 @@
   CHECK(Relay.Simulated.now() == Before);
   CHECK(Relay.SentCalls.empty());
   Relay.evacuate("east", false);
-  Relay.Responses = {{.Pieces = {{1ms, "id: 1\ndata: x\n\n"}}}};
+  Relay.Responses = {RelayFixture::makeOneEvent()};
   CHECK(Relay.serve(Relay.makeCall()).End == RelayEnd::Done);
 }
 
@@ -132,12 +132,13 @@
   Relay.addTarget("a");
   Relay.configure();
   Relay.WhileConnecting = [&Relay] {
-    Relay.WhileConnecting = [] {};
+    if (Relay.TargetDomain == "west")
+      return;
     Relay.TargetDomain = "west";
     Relay.addTarget("b");
     Relay.evacuate("east");
   };
-  Relay.Responses = {{.Pieces = {{1ms, "id: 1\ndata: x\n\n"}}}};
+  Relay.Responses = {RelayFixture::makeOneEvent()};
   RelayOutcome Outcome = Relay.serve(Relay.makeCall());
   CHECK(Outcome.End == RelayEnd::Done);
   CHECK(Outcome.Sends == 1);
@@ -153,21 +154,29 @@
   Relay.addTarget("a");
   Relay.configure();
   bool HasStarted = false;
+  bool IsEvacuated = true;
   SUBCASE("before the first event") {}
   SUBCASE("after the first event") { HasStarted = true; }
+  SUBCASE("without an evacuation") { IsEvacuated = false; }
   ScriptedResponse Lost;
   if (HasStarted)
     Lost.Pieces = {{1ms, "id: 1\ndata: x\n\n"}};
   Lost.ConnectionError = NetError::Reset;
-  Relay.Responses = {Lost};
-  Relay.BeforeSend = [&Relay](std::size_t Sent) {
+  Relay.Responses = {Lost, RelayFixture::makeOneEvent()};
+  Relay.BeforeSend = [&](std::size_t Sent) {
     if (Sent > 0)
       return;
     Relay.TargetDomain = "west";
     Relay.addTarget("b");
-    Relay.evacuate("west");
+    if (IsEvacuated)
+      Relay.evacuate("west");
   };
   RelayOutcome Outcome = Relay.serve(Relay.makeCall());
+  if (!IsEvacuated) {
+    CHECK(Relay.SentCalls.size() == 2);
+    CHECK(Outcome.End == RelayEnd::Done);
+    return;
+  }
   CHECK(Relay.SentCalls.size() == 1);
   CHECK(Outcome.End == (HasStarted ? RelayEnd::Broken : RelayEnd::Unknown));
 }
@@ -229,6 +238,7 @@
   TimePoint Return = Start + 10s;
   Fleet.Targets.onEvacuationRecord({"east", false, 2}, Return);
   std::map<std::string, std::deque<std::size_t>> NewTopics;
+  std::vector<int> Moves(Topics);
   for (int Step = 0; Step <= 50; ++Step) {
     TimePoint Now = Return + Step * 100ms;
     std::map<std::string, std::size_t> New;
@@ -236,8 +246,10 @@
       std::string Target = Fleet.pick(Fleet.First, Topic, Now);
       REQUIRE_FALSE(Target.empty());
       CHECK(Fleet.pick(Fleet.Second, Topic, Now) == Target);
-      if (Target != Last[Topic])
+      if (Target != Last[Topic]) {
         ++New[Target];
+        CHECK(++Moves[Topic] == 1);
+      }
       Last[Topic] = Target;
     }
     for (int I = 0; I < 60; ++I) {
@@ -338,7 +350,7 @@
       if (this->isEvacuated(Domain))
         Listed.push_back({Domain, true, this->Read - 1});
     if (this->Injected != Defect::SnapshotEndsNothing) {
-      this->Targets.onEvacuationSnapshot(Listed, Start);
+      this->Targets.onEvacuationSnapshot(Listed, this->Read, Start);
       return;
     }
     for (const EvacuationRecord &Record : Listed)
@@ -408,8 +420,10 @@
        {Defect::SendsWithoutAsking, Defect::SnapshotEndsNothing,
         Defect::AppliesOlderRecords}) {
     bool IsFound = false;
-    for (std::uint64_t Seed = 1; Seed <= 100 && !IsFound; ++Seed)
+    for (std::uint64_t Seed = 1; Seed <= 100 && !IsFound; ++Seed) {
       IsFound = !EvacuatedHost(Seed, Injected).run(ScheduleSteps);
+      CHECK(EvacuatedHost(Seed, Defect::None).run(ScheduleSteps));
+    }
     CAPTURE(static_cast<int>(Injected));
     CHECK(IsFound);
   }
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -98,6 +98,18 @@
   return Outcome;
 }
 
+ScriptedResponse RelayFixture::makeOneEvent() {
+  ScriptedResponse Response;
+  Response.Pieces = {{std::chrono::milliseconds(1), "id: 1\ndata: x\n\n"}};
+  return Response;
+}
+
+ScriptedResponse RelayFixture::makeUnreachable() {
+  ScriptedResponse Response;
+  Response.IsUnreachable = true;
+  return Response;
+}
+
 RelayHooks RelayFixture::makeHooks() {
   RelayHooks Hooks;
   Hooks.Tasks = this->Simulated.hooks();
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -70,6 +70,9 @@
   RelayOutcome serve(RelayCall Call);
   RelayCall makeCall();
   CallerHooks makeCaller();
+  /// Responses of a target: a stream of one event, and a failed connection.
+  static ScriptedResponse makeOneEvent();
+  static ScriptedResponse makeUnreachable();
 
   /// Where targets are that are listed from now on.
   std::string TargetDomain;
--- a/Tests/LibRelay/VersionFleetTest.cpp
+++ b/Tests/LibRelay/VersionFleetTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::vector<int> FleetSizes = {1, 9, 90, 300};
+const std::vector<int> VersionFleetSizes = {1, 9, 90, 300};
 
 using Setup = std::function<void(VersionFleetSettings &)>;
 
@@ -72,7 +72,7 @@
 
 TEST_CASE("while one version serves, nothing is written for streams, and they "
           "are resumed after the loss of all hosts") {
-  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
     Fleet.runFor(20s);
     CHECK(Fleet.Results.VersionReads == 0);
     for (int I = 0; I < 3; ++I) {
@@ -93,7 +93,7 @@
 
 TEST_CASE("streams continue at their version during a release, when hosts and "
           "targets are lost") {
-  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     for (int I = 0; I < 4; ++I) {
       Fleet.breakStreams(0.3);
@@ -106,7 +106,7 @@
 }
 
 TEST_CASE("streams continue at their version after the loss of all hosts") {
-  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     for (int I = 0; I < 4; ++I) {
       restartAll(Fleet, Hosts, 1s);
@@ -118,7 +118,7 @@
 
 TEST_CASE("a version that came into service or left while all hosts were down "
           "is not taken for the only one") {
-  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     Fleet.kill(0, Hosts);
     Fleet.setTargets("v2", 10);
     Fleet.setTargets("v1", 0);
@@ -136,7 +136,7 @@
 }
 
 TEST_CASE("a release is taken back, and three versions serve") {
-  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int) {
+  onFleets(VersionFleetSizes, 1, [](VersionFleet &Fleet, int) {
     roll(Fleet, "v1", "v2", 10, 7);
     Fleet.breakStreams(0.5);
     roll(Fleet, "v2", "v1", 7, 4);
@@ -166,7 +166,7 @@
     // Nobody can be asked by a fleet of one host, and answers are lost.
     checkResults(Fleet.Results, Hosts > 1 ? 0.75 : 0.4);
   };
-  onFleets(FleetSizes, 1, Play,
+  onFleets(VersionFleetSizes, 1, Play,
            [](VersionFleetSettings &Settings) { Settings.LostPerCent = 10; });
 }
 
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("a store that comes back from a copy does not lose versions") {
-  onFleets(FleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 3, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     Fleet.setTargets("v1", 0);
     Fleet.restoreStore(4s);
@@ -225,7 +225,7 @@
     Fleet.runFor(4s);
     checkResults(Fleet.Results);
   };
-  onFleets(FleetSizes, 1, Play, [](VersionFleetSettings &Settings) {
+  onFleets(VersionFleetSizes, 1, Play, [](VersionFleetSettings &Settings) {
     Settings.MinStream = 10s;
     Settings.MaxStream = 20s;
   });
@@ -233,7 +233,7 @@
 
 TEST_CASE("callers that use ids twice do no harm to others, and the cost is "
           "bounded") {
-  onFleets(FleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
+  onFleets(VersionFleetSizes, 1, [](VersionFleet &Fleet, int Hosts) {
     roll(Fleet, "v1", "v2", 10, 5);
     Fleet.runFor(18s);
     // Two writers, for each of two partitions, of which each writes twenty
--- a/Tests/LibRelayFront/RelayServerTest.cpp
+++ b/Tests/LibRelayFront/RelayServerTest.cpp
@@ -104,7 +104,7 @@
   }
 
   static RelayServerSettings makeSettings() {
-    return {{"127.0.0.1:0", 100, 100, {}}, makeStopPolicy(), 300ms};
+    return {{"127.0.0.1:0", 100, 100, {}}, makeStopPolicy(), 300ms, {}};
   }
 
   RelayHooks makeHooks() {
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -286,7 +286,7 @@
     std::set<std::string> Keys;
     bool IsStopped = false;
     FeedHooks Hooks;
-    Hooks.OnSnapshot = [](const std::vector<KeyedRecord> &) {};
+    Hooks.OnSnapshot = [](const std::vector<KeyedRecord> &, std::uint64_t) {};
     Hooks.OnRecord = [&](const KeyedRecord &Record) {
       Keys.insert(Record.Key);
     };
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -121,7 +121,8 @@
   int Snapshots = 0;
   Fixture.run([&] {
     FeedHooks Hooks;
-    Hooks.OnSnapshot = [&](const std::vector<KeyedRecord> &Records) {
+    Hooks.OnSnapshot = [&](const std::vector<KeyedRecord> &Records,
+                           std::uint64_t) {
       ++Snapshots;
       for (const KeyedRecord &Record : Records)
         Seen.push_back(Record.Key + "=" + Record.Value.value_or("-"));
@@ -164,7 +165,8 @@
     std::vector<std::string> Seen;
     FeedHooks Hooks;
     Hooks.OnRestored = [&] { Seen.emplace_back("restored"); };
-    Hooks.OnSnapshot = [&](const std::vector<KeyedRecord> &Records) {
+    Hooks.OnSnapshot = [&](const std::vector<KeyedRecord> &Records,
+                           std::uint64_t) {
       for (const KeyedRecord &Record : Records)
         Seen.push_back("snapshot " + Record.Key);
     };
