--- a/Libraries/LibRelay/FailureGate.cpp
+++ b/Libraries/LibRelay/FailureGate.cpp
@@ -39,10 +39,13 @@
 }
 
 void FailureGate::Pass::fail(TimePoint Now) {
+  bool WasProbe = this->isProbe();
   this->endProbe();
   auto [Place, IsNew] = this->Gate->Entries.try_emplace(this->Key);
   Entry &Known = Place->second;
-  bool IsOld = Now - Known.LastFailure >= this->Gate->Policy.Memory;
+  // A probe confirms earlier failures, however long it took.
+  bool IsOld =
+      !WasProbe && Now - Known.LastFailure >= this->Gate->Policy.Memory;
   // What failed for a smaller amount has to be confirmed on its own.
   if (IsNew || IsOld || this->Amount < Known.Amount)
     Known.Failures = 0;
