--- a/Libraries/LibRateLimit/LimitMessages.h
+++ b/Libraries/LibRateLimit/LimitMessages.h
@@ -6,6 +6,7 @@
 #define BERGAMOTHOOK_LIBRATELIMIT_LIMITMESSAGES_H
 
 #include "LibPeer/PeerSessionManager.h"
+#include "LibRateLimit/ColdLimit.h"
 #include "LibRateLimit/StatedLimit.h"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
   ShareRequest,
   ShareLease,
   ShareRelease,
+  ColdNotice,
 };
 
 /// Maximum length in bytes of the key of a target in a message.
@@ -150,6 +152,38 @@
   }
 };
 
+/// Tells a host of a target that is cold. Sent with the requests for the leases
+/// and permits of its limit.
+struct ColdNotice {
+  /// Identifies one run of the target.
+  std::string RunKey;
+  std::uint64_t LeftMicroseconds = 0;
+  std::uint64_t Sequence = 0;
+
+  static ColdNotice of(const ColdReport &Report) {
+    auto Left =
+        std::chrono::duration_cast<std::chrono::microseconds>(Report.Left);
+    return {Report.RunKey,
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, Left.count())),
+            Report.Sequence};
+  }
+
+  ColdReport report() const {
+    return {this->RunKey, std::chrono::microseconds(this->LeftMicroseconds),
+            this->Sequence};
+  }
+
+  bool isValid() const {
+    constexpr std::uint64_t MaxLeftMicroseconds = 86'400'000'000;
+    return this->RunKey.size() <= MaxTargetKey &&
+           this->LeftMicroseconds <= MaxLeftMicroseconds;
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->RunKey, this->LeftMicroseconds, this->Sequence);
+  }
+};
+
 } // namespace bergamothook
 
 #endif
--- a/Libraries/LibRateLimit/LimitPool.h
+++ b/Libraries/LibRateLimit/LimitPool.h
@@ -28,6 +28,8 @@
   Duration IdleTime = std::chrono::seconds(10);
   /// Requests for permits that the hosts together may send per second.
   double MaxRequestsPerSecond = 100;
+  /// How long a permit can be taken after it was earned.
+  Duration PermitLifetime = PermitBucket::PermitLifetime;
 };
 
 /// What a host that was refused a permit has to know.
@@ -42,7 +44,8 @@
 
 class LimitPool {
 public:
-  explicit LimitPool(LimitPoolPolicy Policy) : Policy(Policy) {}
+  explicit LimitPool(LimitPoolPolicy Policy)
+      : Policy(Policy), Bucket(Policy.PermitLifetime) {}
 
   /// Sets the limit of the target.
   void setLimit(double PerSecond, TimePoint Now);
--- a/Libraries/LibRateLimit/PermitBucket.cpp
+++ b/Libraries/LibRateLimit/PermitBucket.cpp
@@ -14,7 +14,7 @@
   Duration Elapsed = std::max(Duration::zero(), Now - this->AccruedAt);
   this->AccruedAt = std::max(this->AccruedAt, Now);
   this->Permits += this->PerSecond * secondsOf(Elapsed);
-  double Expiry = 1 + this->PerSecond * secondsOf(PermitLifetime);
+  double Expiry = 1 + this->PerSecond * secondsOf(this->Lifetime);
   if (this->Permits >= Expiry)
     this->Permits -= std::floor(this->Permits - Expiry) + 1;
 }
--- a/Libraries/LibRateLimit/PermitBucket.h
+++ b/Libraries/LibRateLimit/PermitBucket.h
@@ -10,13 +10,15 @@
 
 namespace bergamothook {
 
-/// Starts empty. A permit can be taken within PermitLifetime after it was
-/// earned, which bounds a burst also where several hosts have buckets with low
-/// rates.
+/// Starts empty. A permit can be taken within its lifetime after it was earned,
+/// which bounds a burst also where several hosts have buckets with low rates.
 class PermitBucket {
 public:
   static constexpr Duration PermitLifetime = std::chrono::milliseconds(500);
 
+  explicit PermitBucket(Duration Lifetime = PermitLifetime)
+      : Lifetime(Lifetime) {}
+
   void setRate(double PerSecond, TimePoint Now);
 
   /// Takes one permit. \returns false if there is none.
@@ -30,6 +32,7 @@
 private:
   void accrue(TimePoint Now);
 
+  Duration Lifetime;
   double PerSecond = 0;
   double Permits = 0;
   TimePoint AccruedAt{};
--- a/Libraries/LibRateLimit/TargetLimiter.cpp
+++ b/Libraries/LibRateLimit/TargetLimiter.cpp
@@ -20,6 +20,9 @@
 /// When to request again after another host turned out not to be the home.
 constexpr Duration NotHomeRetryInterval = std::chrono::milliseconds(500);
 
+/// How often a home is told again that a target is cold. Notices may be lost.
+constexpr Duration NoticeInterval = std::chrono::seconds(1);
+
 const char *nameOf(SendKind Kind) {
   switch (Kind) {
   case SendKind::First:
@@ -103,6 +106,11 @@
       [this](const Incarnation &From, const ShareRelease &Release) {
         this->onShareRelease(From, Release);
       });
+  this->handle<ColdNotice>(
+      LimitMessageKind::ColdNotice,
+      [this](const Incarnation &, const ColdNotice &Notice) {
+        this->Hooks.OnCold(Notice.report());
+      });
 }
 
 template <typename Message>
@@ -203,6 +211,49 @@
   return this->applyResponse(Key, Response);
 }
 
+PermitDecision
+TargetLimiter::acquireCold(const std::string &RunKey, const ColdLimit &Limit,
+                           const std::function<bool()> &IsCancelled) {
+  TimePoint RequestedAt = this->Hooks.LeaseClock();
+  PermitDecision Permit{false, this->Policy.RequestRetryInterval};
+  if (Limit.PerSecond > 0) {
+    std::string Key = coldKey(RunKey, Limit.Shares);
+    LimitedTarget &Target = this->Targets[Key];
+    TimePoint Now = this->Hooks.Tasks.Now();
+    Target.LastUsed = Now;
+    if (Target.Limit.onAnswer(Limit.PerSecond, Now, Now))
+      this->onLimitChanged(Key, Target);
+    Permit = this->acquire(Key, IsCancelled);
+  }
+  Permit.RequestedAt = RequestedAt;
+  this->Stats.count(Permit.IsGranted
+                        ? "cold_target_permits_total{answer=\"granted\"}"
+                        : "cold_target_permits_total{answer=\"refused\"}");
+  return Permit;
+}
+
+void TargetLimiter::notifyHome(const std::string &Key, HostId Home) {
+  auto Cold = parseColdKey(Key);
+  LimitedTarget *Target = Cold ? this->find(Key) : nullptr;
+  TimePoint Now = this->Hooks.Tasks.Now();
+  if (!Target || (Target->NotifiedHome == Home &&
+                  Now - Target->NotifiedAt < NoticeInterval))
+    return;
+  auto Report = this->Hooks.DescribeCold(Cold->RunKey);
+  if (!Report)
+    return;
+  Target->NotifiedHome = Home;
+  Target->NotifiedAt = Now;
+  this->send(Home, LimitMessageKind::ColdNotice, ColdNotice::of(*Report));
+}
+
+LimitPoolPolicy TargetLimiter::poolPolicyOf(const std::string &Key) const {
+  LimitPoolPolicy Chosen = this->Policy.Pool;
+  if (parseColdKey(Key))
+    Chosen.PermitLifetime = ColdPermitLifetime;
+  return Chosen;
+}
+
 std::optional<PermitResponse>
 TargetLimiter::requestPermit(const std::string &Key, HostId Home,
                              const std::function<bool()> &IsCancelled) {
@@ -211,6 +262,7 @@
   std::uint64_t Number = ++this->LastNumber;
   PendingRequest &Pending = this->PendingRequests[Number];
   Pending.Home = Home;
+  this->notifyHome(Key, Home);
   for (unsigned Sent = 0;
        Sent < this->Policy.MaxRequestAttempts && !IsCancelled(); ++Sent) {
     const LimitedTarget *Target = this->find(Key);
@@ -266,12 +318,15 @@
 
 PermitResponse TargetLimiter::decide(const std::string &Key, HostId Requester) {
   LimitedTarget &Target = this->Targets[Key];
+  // The cold period of a target ends at its own time at each host.
+  if (!Target.Limit.perSecond() && parseColdKey(Key))
+    return refusalFor(PermitStatus::Refused, NotHomeRetryInterval);
   // Another host observed the end of the limit.
   if (!Target.Limit.perSecond())
     return {0, PermitStatus::Granted, 0, 0, 0, this->updateOf(Target)};
   TimePoint LeaseNow = this->Hooks.LeaseClock();
   if (!Target.Pool) {
-    Target.Pool.emplace(this->Policy.Pool);
+    Target.Pool.emplace(this->poolPolicyOf(Key));
     Target.Pool->setLimit(*Target.Limit.perSecond(), LeaseNow);
     this->beginRound(Key, Target);
     logEvent(LogLevel::Info, "target_limit_home_begun", {{"target", Key}});
@@ -312,10 +367,12 @@
 }
 
 std::vector<HostId> TargetLimiter::holdersOf(const std::string &Key) const {
+  auto Cold = parseColdKey(Key);
+  std::size_t Shares =
+      Cold ? std::min(Cold->Shares, this->Policy.Shares) : this->Policy.Shares;
   // A host that was removed a moment ago may have leased its share before.
-  return this->Roster.firstHosts(Key, this->Policy.Shares,
-                                 this->Hooks.Tasks.Now() -
-                                     this->Policy.LeaseTime);
+  return this->Roster.firstHosts(
+      Key, Shares, this->Hooks.Tasks.Now() - this->Policy.LeaseTime);
 }
 
 bool TargetLimiter::hasActiveHome(const LimitedTarget &Target) const {
@@ -355,6 +412,7 @@
   std::vector<HostId> Holders = this->holdersOf(Key);
   if (std::find(Holders.begin(), Holders.end(), this->self()) == Holders.end())
     return false;
+  Target.LastUsed = this->Hooks.Tasks.Now();
   if (!Target.Share)
     Target.Share.emplace(this->Policy.LeaseTime);
   return Target.Share->lease(Lessee, Round, this->Hooks.LeaseClock());
@@ -371,10 +429,15 @@
   // Hosts without a share get the request too, since it tells them the limit.
   std::string Request =
       encodeMessage(ShareRequest{Round, Key, this->updateOf(Target)});
-  for (HostId Host : this->Roster.otherResponsiveHosts())
+  auto Cold = parseColdKey(Key);
+  auto Report = Cold ? this->Hooks.DescribeCold(Cold->RunKey) : std::nullopt;
+  for (HostId Host : this->Roster.otherResponsiveHosts()) {
     this->Hooks.Send(Host,
                      static_cast<std::uint16_t>(LimitMessageKind::ShareRequest),
                      Request);
+    if (Report)
+      this->send(Host, LimitMessageKind::ColdNotice, ColdNotice::of(*Report));
+  }
 }
 
 void TargetLimiter::onShareRequest(const Incarnation &From,
@@ -505,6 +568,9 @@
     auto &[Key, Target] = Each;
     if (Target.Pool || Now - Target.Limit.newest().At < PastLimitMemory)
       return false;
+    // A share of a cold period that may still be leased is not forgotten.
+    if (parseColdKey(Key))
+      return Now - Target.LastUsed >= PastLimitMemory;
     return !Target.Limit.perSecond() || !IsListed(Key);
   });
 }
@@ -518,7 +584,8 @@
 std::size_t TargetLimiter::limitedTargets() const {
   return static_cast<std::size_t>(std::count_if(
       this->Targets.begin(), this->Targets.end(), [](const auto &Each) {
-        return Each.second.Limit.perSecond().has_value();
+        return Each.second.Limit.perSecond().has_value() &&
+               !parseColdKey(Each.first);
       }));
 }
 
--- a/Libraries/LibRateLimit/TargetLimiter.h
+++ b/Libraries/LibRateLimit/TargetLimiter.h
@@ -66,12 +66,21 @@
       SetHandler;
   /// Records that a host did not answer.
   std::function<void(HostId Host)> MarkSilent;
+  /// \returns what this host knows of the cold period of one run of a target;
+  /// nothing if it is warm.
+  std::function<std::optional<ColdReport>(const std::string &RunKey)>
+      DescribeCold = [](const std::string &) { return std::nullopt; };
+  /// Handles what another host knows of a cold period.
+  std::function<void(const ColdReport &Report)> OnCold =
+      [](const ColdReport &) {};
 };
 
 struct PermitDecision {
   bool IsGranted = false;
   /// After a refusal, how long no permit of this target needs to be requested.
   Duration NextRequestAfter{};
+  /// When the permit was requested, by LeaseClock.
+  TimePoint RequestedAt{};
 };
 
 /// The limiter of one host. A target is addressed by the key of one run of its
@@ -92,6 +101,12 @@
   PermitDecision acquire(const std::string &Key,
                          const std::function<bool()> &IsCancelled);
 
+  /// Requests a permit to send one request to a target that is cold. Unlike
+  /// that of acquire(), the limit is not stated by the target, so there is none
+  /// without a permit.
+  PermitDecision acquireCold(const std::string &RunKey, const ColdLimit &Limit,
+                             const std::function<bool()> &IsCancelled);
+
   /// Chooses when a caller may return that was refused because every target in
   /// \p Keys is at its limit. Callers return at intervals at which there are
   /// permits for them.
@@ -142,6 +157,11 @@
     TimePoint NextReturn{};
     Duration ReturnInterval{};
     std::size_t PendingRequests = 0;
+    /// When this host last requested a permit, or leased its share.
+    TimePoint LastUsed{};
+    /// The home that was told last that the target is cold, and when.
+    std::optional<HostId> NotifiedHome;
+    TimePoint NotifiedAt{};
     Use Recent;
   };
 
@@ -151,6 +171,9 @@
     Event Changed;
   };
 
+  /// Tells the home that a target is cold, once per NoticeInterval.
+  void notifyHome(const std::string &Key, HostId Home);
+  LimitPoolPolicy poolPolicyOf(const std::string &Key) const;
   HostId self() const { return this->Roster.self().id(); }
   LimitedTarget *find(const std::string &Key);
   void mergeUpdate(const std::string &Key, const LimitUpdate &Update);
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -31,6 +31,8 @@
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
 /// Evacuations last for seconds at least.
 constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
+/// Over about which time callers return after the end of a cold period.
+constexpr Duration ColdReturnSpread = std::chrono::milliseconds(200);
 /// Tokens held by other hosts are returned within one or two of their rounds.
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
 /// Memory is freed as soon as other calls end.
@@ -223,6 +225,8 @@
 }
 
 AttemptEnd RelayCallHandler::endWithoutTarget() {
+  if (!this->refusingColdTargets().empty())
+    return AttemptEnd::Cold;
   if (!this->rateLimitedTargets().empty())
     return AttemptEnd::RateLimited;
   if (this->Dispatcher.targets().isEvacuated(this->Service))
@@ -246,6 +250,7 @@
 }
 
 TargetState *RelayCallHandler::chooseTarget() {
+  this->Dispatcher.endColdPeriods();
   return this->Dispatcher.picker().pick(
       this->Dispatcher.targets(), this->Service, this->Call,
       [this](const TargetState &Target) {
@@ -280,13 +285,82 @@
                !this->Dispatcher.targets().mayReceive(Target);
       });
   if (Permit.IsGranted)
+    return this->acquireColdPermit(Target);
+  this->recordRefusedPermit(Target, Target.runKey(), Permit);
+  return false;
+}
+
+bool RelayCallHandler::acquireColdPermit(const ListedTarget &Target) {
+  this->ColdPermit.reset();
+  if (!this->isCold(Target))
+    return true;
+  ColdLimit Limit = this->Dispatcher.coldLimitOf(Target.Service);
+  PermitDecision Permit = this->Dispatcher.limiter().acquireCold(
+      Target.runKey(), Limit, [this, &Target] {
+        return this->isGivenUp() ||
+               !this->Dispatcher.targets().mayReceive(Target);
+      });
+  if (Permit.IsGranted) {
+    this->ColdPermit = Permit;
     return true;
+  }
+  this->recordRefusedPermit(Target, this->coldKeyOf(Target), Permit);
+  return false;
+}
+
+void RelayCallHandler::recordRefusedPermit(const ListedTarget &Target,
+                                           const std::string &Key,
+                                           const PermitDecision &Permit) {
   if (!this->Dispatcher.targets().mayReceive(Target))
-    return false;
+    return;
   this->Dispatcher.targets().onRateLimited(
       Target.Id, this->now() + Permit.NextRequestAfter);
-  this->RefusedPermits.insert(Target.runKey());
-  return false;
+  this->RefusedPermits.insert(Key);
+}
+
+std::string RelayCallHandler::coldKeyOf(const ListedTarget &Target) const {
+  return coldKey(Target.runKey(),
+                 this->Dispatcher.coldLimitOf(Target.Service).Shares);
+}
+
+bool RelayCallHandler::isCold(const ListedTarget &Target) const {
+  this->Dispatcher.endColdPeriods();
+  return this->Dispatcher.targets().isCold(Target);
+}
+
+bool RelayCallHandler::maySendCold(const ListedTarget &Target) const {
+  return !this->isCold(Target) ||
+         (this->ColdPermit &&
+          this->Hooks.LeaseClock() - this->ColdPermit->RequestedAt <=
+              MaxColdPermitAge);
+}
+
+std::vector<const TargetState *> RelayCallHandler::refusingColdTargets() {
+  this->Dispatcher.endColdPeriods();
+  std::vector<const TargetState *> Cold;
+  TargetDirectory &Targets = this->Dispatcher.targets();
+  for (const TargetState *Target : Targets.usable(this->Service))
+    if (Targets.isCold(*Target) &&
+        (Target->RateLimitedUntil > this->now() ||
+         this->RefusedPermits.contains(this->coldKeyOf(Target->Listed))))
+      Cold.push_back(Target);
+  return Cold;
+}
+
+Duration RelayCallHandler::coldRetryAfter() {
+  std::vector<std::string> Keys;
+  Duration FirstEnd = Duration::max();
+  for (const TargetState *Target : this->refusingColdTargets()) {
+    Keys.push_back(this->coldKeyOf(Target->Listed));
+    FirstEnd =
+        std::min(FirstEnd, *Target->ColdUntil - this->Hooks.LeaseClock());
+  }
+  Duration Scheduled =
+      this->Dispatcher.limiter().scheduleReturn(Keys, this->now());
+  if (Scheduled <= FirstEnd)
+    return Scheduled;
+  // The callers of all hosts do not return in the same moment.
+  return FirstEnd + this->Dispatcher.rng().jitter(ColdReturnSpread);
 }
 
 std::vector<std::string> RelayCallHandler::rateLimitedTargets() {
@@ -330,7 +404,8 @@
                                                    this->Hooks.LeaseClock());
                   },
                   [this, &Target] {
-                    return this->Dispatcher.targets().mayReceive(Target);
+                    return this->Dispatcher.targets().mayReceive(Target) &&
+                           this->maySendCold(Target);
                   }};
   auto Opened = this->Hooks.Open(Target, this->Call, Head, this->Caller, Terms);
   if (!Opened && Opened.error() == NetError::UnexpectedPeer) {
@@ -341,6 +416,9 @@
     this->IsRunUnknown = true;
     return AttemptEnd::RunUnknown;
   }
+  // The target became cold, or the permit too old, while it was connected to.
+  if (!Opened && !this->maySendCold(Target))
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
   if (!Opened && Opened.error() == NetError::ConnectFailed)
     return this->isGivenUp() || !Terms.MayReceive() ? AttemptEnd::Withdrawn
                                                     : AttemptEnd::NotSent;
@@ -623,6 +701,7 @@
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
+  case AttemptEnd::Cold:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
@@ -671,6 +750,7 @@
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
+  case AttemptEnd::Cold:
     return false;
   case AttemptEnd::Withdrawn:
     // What ended the attempt also ends the next one before it begins, or
@@ -749,6 +829,11 @@
     return this->refuse(503, RelayEnd::NotRun, RelayReason::Evacuated,
                         EvacuatedRetryAfter);
   }
+  if (End == AttemptEnd::Cold) {
+    this->Dispatcher.stats().count("relay_refusals_cold_total");
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsCold,
+                        this->coldRetryAfter());
+  }
   // Without a time to return: the caller had better start anew.
   if (End == AttemptEnd::VersionUnknown ||
       (End == AttemptEnd::RunUnknown && this->Versions.hasBegun()))
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -45,6 +45,8 @@
   HostStops,
   /// All targets that are left are in evacuated failure domains.
   Evacuated,
+  /// All targets that are left are cold, and there is no permit for them.
+  Cold,
 };
 
 class RelayCallHandler {
@@ -70,6 +72,21 @@
   /// Requests a permit to send the call to \p Target if that one states a rate
   /// limit.
   bool acquirePermit(const ListedTarget &Target);
+  /// Requests a permit to send the call to \p Target if that one is cold.
+  bool acquireColdPermit(const ListedTarget &Target);
+  /// \returns whether \p Target is warm, or this call has a permit that is new
+  /// enough to be used.
+  bool maySendCold(const ListedTarget &Target) const;
+  bool isCold(const ListedTarget &Target) const;
+  std::string coldKeyOf(const ListedTarget &Target) const;
+  /// Excludes a target that refused this call a permit, for a time.
+  void recordRefusedPermit(const ListedTarget &Target, const std::string &Key,
+                           const PermitDecision &Permit);
+  /// \returns the cold targets that this call was not sent to.
+  std::vector<const TargetState *> refusingColdTargets();
+  /// \returns when a caller may return that was refused because the targets
+  /// are cold.
+  Duration coldRetryAfter();
   /// \returns the keys of the targets that are at their rate limits, or were
   /// when this call was to be sent to them.
   std::vector<std::string> rateLimitedTargets();
@@ -128,6 +145,8 @@
   std::set<std::string> Excluded;
   /// Keys of the targets for which this call got no permit.
   std::set<std::string> RefusedPermits;
+  /// The permit for the cold target that the call is sent to next.
+  std::optional<PermitDecision> ColdPermit;
   /// Targets to which the call was sent, or that could not be reached.
   unsigned Attempts = 0;
   unsigned TargetsThatMayHaveRun = 0;
--- a/Libraries/LibRelay/RelayConfig.cpp
+++ b/Libraries/LibRelay/RelayConfig.cpp
@@ -51,6 +51,14 @@
   return nullptr;
 }
 
+std::map<std::string, double> RelayConfig::coldRates() const {
+  std::map<std::string, double> Rates;
+  for (const auto &[Name, Service] : this->Services)
+    if (Service.ColdPerSecond > 0)
+      Rates[Name] = Service.ColdPerSecond;
+  return Rates;
+}
+
 std::set<std::string> RelayConfig::resumableServices() const {
   std::set<std::string> Services;
   for (const auto &[Host, HostRoutes] : this->Routes)
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -70,6 +70,11 @@
   std::uint32_t EngineSlots = 0;
   /// The maximum number of tokens in one event of a stream.
   std::uint32_t TokensPerEvent = 1;
+  /// Requests per second that a target accepts from all hosts together while it
+  /// is cold; 0 if the service has no cold targets.
+  double ColdPerSecond = 0;
+  /// How long a target is cold after its start.
+  Duration ColdTime{};
 };
 
 struct RelayTeam {
@@ -106,6 +111,10 @@
   const RoutedService *findService(const std::string &Name) const;
   const RelayTeam *findTeamByKey(std::string_view Key) const;
 
+  /// \returns the rates at which cold targets accept requests, of the services
+  /// that have such targets.
+  std::map<std::string, double> coldRates() const;
+
   /// \returns the services that have streams which may be resumed.
   std::set<std::string> resumableServices() const;
 
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -58,6 +58,12 @@
   Chosen.MarkSilent = [this](HostId Host) {
     this->TokenSource.markHostSilent(Host);
   };
+  Chosen.DescribeCold = [this](const std::string &RunKey) {
+    return this->Targets.describeCold(RunKey, this->Hooks.LeaseClock());
+  };
+  Chosen.OnCold = [this](const ColdReport &Report) {
+    this->onColdReport(Report, "other host");
+  };
   return Chosen;
 }
 
@@ -120,10 +126,32 @@
                 {"tokens", *Team.Budget},
                 {"config_version", Next->Version}});
   this->Versions.setServices(Next->resumableServices());
+  this->Targets.setColdRates(Next->coldRates());
   this->Config = std::move(Next);
   return true;
 }
 
+void RelayDispatcher::onColdReport(const ColdReport &Report,
+                                   const char *Source) {
+  if (!this->Targets.onColdReport(Report, this->Hooks.LeaseClock()))
+    return;
+  logEvent(LogLevel::Warning, "target_cold",
+           {{"target", Report.RunKey},
+            {"ends_in_ms", millisecondsOf(Report.Left)},
+            {"source", Source}});
+}
+
+void RelayDispatcher::endColdPeriods() {
+  for (const ListedTarget &Target : this->Targets.endColdPeriods(
+           this->Hooks.LeaseClock(), this->Hooks.Tasks.Now()))
+    logEvent(LogLevel::Info, "target_warm", {{"target", Target.runKey()}});
+}
+
+ColdLimit RelayDispatcher::coldLimitOf(const std::string &Service) const {
+  return coldLimit(this->Targets.coldRate(Service), this->Settings.Cold,
+                   this->Settings.Limiter.Shares);
+}
+
 RelayOutcome RelayDispatcher::serve(const RelayCall &Call,
                                     const CallerHooks &Caller) {
   detail::RelayCallHandler Handler(*this, Call, Caller);
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -29,6 +29,7 @@
   LimiterPolicy Limiter = {};
   VersionPolicy Versions = {};
   OriginPolicy Origins = {};
+  ColdBounds Cold = {};
 };
 
 /// All member functions are called from tasks of one runtime. The token broker
@@ -54,6 +55,16 @@
                       unsigned Status, RelayReason Reason,
                       std::optional<Duration> RetryAfter = std::nullopt);
 
+  /// Applies a report on the cold period of a target. \p Source is where it
+  /// comes from, for the log.
+  void onColdReport(const ColdReport &Report, const char *Source);
+
+  /// Ends the cold periods that are over.
+  void endColdPeriods();
+
+  /// \returns the limit of a cold target of a service.
+  ColdLimit coldLimitOf(const std::string &Service) const;
+
   TargetDirectory &targets() { return this->Targets; }
   RequestQuarantine &quarantine() { return this->Quarantine; }
   QuarantineExchange &quarantineReports() { return this->QuarantineReports; }
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -58,6 +58,8 @@
     return "all targets of the service are in evacuated failure domains";
   case RelayReason::HostOverloaded:
     return "the link of the host is full";
+  case RelayReason::TargetsCold:
+    return "the targets have just started and accept few requests yet";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -57,6 +57,7 @@
   OutOfMemory,
   Evacuated,
   HostOverloaded,
+  TargetsCold,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -36,6 +36,8 @@
     State.BackoffUntil = {};
     State.FullUntil = {};
     State.RateLimitedUntil = {};
+    State.ColdUntil.reset();
+    State.ColdSequence.reset();
   }
   State.Listed = Target;
   State.MissingSince.reset();
@@ -81,6 +83,77 @@
     this->onRemoved(Id, Now);
 }
 
+const TargetState *TargetDirectory::findRun(const std::string &RunKey) const {
+  auto Found = this->Targets.find(RunKey.substr(0, RunKey.rfind('#')));
+  return Found != this->Targets.end() && Found->second.Listed.runKey() == RunKey
+             ? &Found->second
+             : nullptr;
+}
+
+bool TargetDirectory::onColdReport(const ColdReport &Report,
+                                   TimePoint LeaseNow) {
+  const TargetState *Run = this->findRun(Report.RunKey);
+  // An entry may be read more than once, and the store may be restored from a
+  // copy with older ones.
+  if (!Run || (Report.Sequence > 0 && Run->ColdSequence &&
+               Report.Sequence <= *Run->ColdSequence))
+    return false;
+  TargetState &State = *this->find(Run->Listed.Id);
+  bool WasCold = State.ColdUntil.has_value();
+  State.ColdSequence = Report.Sequence;
+  if (Report.Left > Duration::zero())
+    State.ColdUntil = LeaseNow + Report.Left;
+  else if (WasCold)
+    State.ColdUntil = std::min(*State.ColdUntil, LeaseNow);
+  return !WasCold && this->isCold(State);
+}
+
+std::vector<ListedTarget> TargetDirectory::endColdPeriods(TimePoint LeaseNow,
+                                                          TimePoint Now) {
+  std::vector<ListedTarget> Warm;
+  for (auto &[Id, State] : this->Targets) {
+    if (!State.ColdUntil || LeaseNow < *State.ColdUntil)
+      continue;
+    if (this->isCold(State)) {
+      State.ReturnedAt = Now - (LeaseNow - *State.ColdUntil);
+      // Set when a permit was refused; a limit that the target states is asked
+      // for again.
+      State.RateLimitedUntil = {};
+      Warm.push_back(State.Listed);
+    }
+    State.ColdUntil.reset();
+  }
+  return Warm;
+}
+
+bool TargetDirectory::isCold(const ListedTarget &Target) const {
+  const TargetState *Run = this->findRun(Target.runKey());
+  return Run && this->isCold(*Run);
+}
+
+double TargetDirectory::coldRate(const std::string &Service) const {
+  auto Found = this->ColdRates.find(Service);
+  return Found == this->ColdRates.end() ? 0 : Found->second;
+}
+
+std::optional<ColdReport>
+TargetDirectory::describeCold(const std::string &RunKey,
+                              TimePoint LeaseNow) const {
+  const TargetState *Run = this->findRun(RunKey);
+  if (!Run || !this->isCold(*Run) || !Run->ColdSequence)
+    return std::nullopt;
+  return ColdReport{RunKey,
+                    std::max(Duration::zero(), *Run->ColdUntil - LeaseNow),
+                    *Run->ColdSequence};
+}
+
+std::size_t TargetDirectory::coldTargets() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Targets.begin(), this->Targets.end(), [this](const auto &Each) {
+        return !Each.second.IsRetired && this->isCold(Each.second);
+      }));
+}
+
 void TargetDirectory::expire(TimePoint Now) {
   std::vector<std::string> Expired;
   for (auto &[Id, State] : this->Targets)
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -9,6 +9,7 @@
 #include "LibBase/RecentMap.h"
 #include "LibBase/Time.h"
 #include "LibNet/MemoryBudget.h"
+#include "LibRateLimit/ColdLimit.h"
 #include "LibRelay/EvacuatedDomains.h"
 
 #include <map>
@@ -76,8 +77,14 @@
   std::optional<TimePoint> MissingSince;
   /// Receives no new calls.
   bool IsRetired = false;
-  /// When its failure domain was returned after an evacuation.
+  /// When its failure domain was returned after an evacuation, or when it
+  /// became warm.
   std::optional<TimePoint> ReturnedAt;
+  /// When the target will be warm, by the clock that counts the time during
+  /// which the machine was suspended; unset if it is warm.
+  std::optional<TimePoint> ColdUntil;
+  /// Orders the reports on the cold period of this run.
+  std::optional<std::uint64_t> ColdSequence;
 };
 
 struct DirectoryPolicy {
@@ -139,6 +146,39 @@
   /// time directly before the call is sent.
   bool mayReceive(const ListedTarget &Target) const;
 
+  /// Sets the rates at which the cold targets of services accept requests.
+  /// Services without a rate have no cold targets.
+  void setColdRates(std::map<std::string, double> Rates) {
+    this->ColdRates = std::move(Rates);
+  }
+
+  /// Applies a report on the cold period of a target that was read, or
+  /// received, at \p LeaseNow. One for another run of the target, or one that
+  /// is not newer than the last, has no effect. \returns whether the target
+  /// became cold.
+  bool onColdReport(const ColdReport &Report, TimePoint LeaseNow);
+
+  /// Ends the cold periods that are over. \returns the targets that became
+  /// warm.
+  std::vector<ListedTarget> endColdPeriods(TimePoint LeaseNow, TimePoint Now);
+
+  /// \returns whether requests to a target need permits since it is cold.
+  bool isCold(const TargetState &Target) const {
+    return Target.ColdUntil && this->coldRate(Target.Listed.Service) > 0;
+  }
+  bool isCold(const ListedTarget &Target) const;
+
+  /// \returns the rate at which a cold target of a service accepts requests; 0
+  /// if it has no cold targets.
+  double coldRate(const std::string &Service) const;
+
+  /// \returns what is known of the cold period of one run of a target; nothing
+  /// if it is warm.
+  std::optional<ColdReport> describeCold(const std::string &RunKey,
+                                         TimePoint LeaseNow) const;
+
+  std::size_t coldTargets() const;
+
   /// \returns whether a service has targets, but all of those that could
   /// receive calls are in evacuated failure domains.
   bool isEvacuated(const std::string &Service) const;
@@ -174,12 +214,15 @@
 private:
   static constexpr std::size_t MaxRemovedRuns = 4096;
 
+  const TargetState *findRun(const std::string &RunKey) const;
   void eraseIfIdle(const std::string &Id);
   bool isRemovedRun(const ListedTarget &Target) const;
   void beginReturn(const std::string &FailureDomain, TimePoint Now);
 
   DirectoryPolicy Policy;
   EvacuatedDomains Evacuated;
+  /// Requests per second, by service.
+  std::map<std::string, double> ColdRates;
   std::map<std::string, TargetState> Targets;
   std::optional<TimePoint> UnreachableAt;
   bool IsNextListOld = false;
--- a/Libraries/LibRelay/TargetPicker.cpp
+++ b/Libraries/LibRelay/TargetPicker.cpp
@@ -39,6 +39,10 @@
   std::erase_if(Candidates, [&](const TargetState *Candidate) {
     return !IsEligible(*Candidate) || Candidate->RateLimitedUntil > Now;
   });
+  // A cold target crashes under a load that warm ones handle.
+  keepIfAny(Candidates, [&](const TargetState *Candidate) {
+    return !Targets.isCold(*Candidate);
+  });
   keepIfAny(Candidates, [&](const TargetState *Candidate) {
     return Candidate->BackoffUntil <= Now && !Candidate->MissingSince;
   });
--- a/Libraries/LibRelay/TargetPicker.h
+++ b/Libraries/LibRelay/TargetPicker.h
@@ -7,10 +7,11 @@
 /// hashing with bounded loads). This suits many callers that ask about the same
 /// topics, some of them far more often than others.
 ///
-/// A target whose failure domain returns from an evacuation gets a growing
-/// fraction of the topics. It keeps no parts of prompts any more, and reading
-/// those of all topics at once would delay every call there. This suits a
-/// steady load that was served by the other failure domains meanwhile.
+/// A target that is cold gets calls only if no warm one may get them. A target
+/// whose failure domain returns from an evacuation, or that was cold, gets a
+/// growing fraction of the topics. It keeps no parts of prompts any more, and
+/// reading those of all topics at once would delay every call there. This suits
+/// a steady load that was served by the other failure domains meanwhile.
 
 #ifndef BERGAMOTHOOK_LIBRELAY_TARGETPICKER_H
 #define BERGAMOTHOOK_LIBRELAY_TARGETPICKER_H
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -142,6 +142,7 @@
                     this->Settings.ResendRatio * HostResendShare,
                     this->Settings.ResendSlack * HostResendShare};
   Chosen.Seed = Seed;
+  Chosen.Cold = {this->Settings.ColdOvershoot, this->Settings.ColdSlack};
   return Chosen;
 }
 
@@ -284,16 +285,21 @@
   Hooks.OnRestored = [this] { this->Dispatcher.targets().onListRestored(); };
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records) {
     std::vector<ListedTarget> Targets;
+    std::vector<ColdReport> Reports;
     for (const KeyedRecord &Record : Records)
-      if (auto Target =
-              platform::parseTargetEntry(Record.Key, Record.Value.value_or("")))
+      if (auto Target = platform::parseTargetEntry(Record.Key,
+                                                   Record.Value.value_or(""))) {
         Targets.push_back(Target.value());
-      else
+        Reports.push_back(Target.value().coldReport());
+      } else {
         this->logUnreadableTarget(Record);
+      }
     this->Dispatcher.versions().onListGap(readLeaseClock());
     for (const ListedTarget &Target : Targets)
       this->noteVersion(Target);
     this->Dispatcher.targets().onFullList(Targets, this->Tasks.Now());
+    for (const ColdReport &Report : Reports)
+      this->Dispatcher.onColdReport(Report, "entry");
     this->HasTargets = true;
     logEvent(LogLevel::Info, "targets_read", {{"targets", Targets.size()}});
   };
@@ -333,6 +339,7 @@
               {"address", Target.value().Address},
               {"version", Target.value().Version},
               {"leaving", Target.value().IsLeaving}});
+  this->Dispatcher.onColdReport(Target.value().coldReport(), "entry");
 }
 
 void RelayService::noteVersion(const ListedTarget &Target) {
@@ -404,6 +411,7 @@
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
+    this->Dispatcher.endColdPeriods();
     this->Evacuations.checkProgress(this->Tasks.Now());
     this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
@@ -459,6 +467,9 @@
       static_cast<double>(this->Dispatcher.limiter().limitedTargets()));
   this->Measured.set("peer_datagrams_lost_here",
                      static_cast<double>(this->PeerSocket.sendFailures()));
+  this->Measured.set(
+      "relay_cold_targets",
+      static_cast<double>(this->Dispatcher.targets().coldTargets()));
   this->Evacuations.exportMetrics(this->Measured);
   this->Load.exportMetrics(this->Measured);
   this->TokenSource.measure();
--- /dev/null
+++ b/Tests/LibRateLimit/Depends.cmake
@@ -0,0 +1,2 @@
+find_package(rapidcheck REQUIRED)
+list(APPEND DEPENDS rapidcheck)
--- a/Tests/LibRelay/LimitFleet.cpp
+++ b/Tests/LibRelay/LimitFleet.cpp
@@ -20,6 +20,7 @@
 /// The rule for a target that states a limit.
 constexpr Duration RuleWindow = std::chrono::seconds(4);
 constexpr Duration RuleDelay = std::chrono::seconds(3);
+constexpr Duration RuleSecond = std::chrono::seconds(1);
 constexpr double RuleFactor = 1.5;
 constexpr double RuleSlack = 5;
 
@@ -51,6 +52,7 @@
   Fresh->addRoute(Route);
   RoutedService Service;
   Service.Name = ServiceName;
+  Service.ColdPerSecond = this->Settings.ColdPerSecond;
   Fresh->addService(Service);
   this->Config = Fresh;
   for (int Target = 0; Target < this->Settings.Targets; ++Target) {
@@ -109,6 +111,8 @@
   Chosen.OwnDomain = this->entryOf(Host, Run).FailureDomain;
   Chosen.Resends.FleetSlack = 1000;
   Chosen.Seed = Run;
+  if (this->Settings.HasShortLeases)
+    Chosen.Limiter.LeaseTime = std::chrono::milliseconds(100);
   return Chosen;
 }
 
@@ -145,7 +149,10 @@
   for (auto &Each : this->Processes)
     if (Each->IsAlive) {
       Each->Broker.roster().replaceAll(Hosts, this->now());
-      Each->Broker.roster().setSettled(this->now());
+      Each->Broker.roster().setSettled(this->Settings.LeasesAfterStart
+                                           ? this->now() -
+                                                 LimiterPolicy{}.LeaseTime
+                                           : this->now());
     }
 }
 
@@ -157,6 +164,39 @@
   for (auto &Each : this->Processes)
     if (Each->IsAlive)
       Each->Dispatcher.targets().onFullList(Listed, this->now());
+  this->publishCold();
+}
+
+void LimitFleet::setCold(int Target, Duration Left) {
+  this->Targets[static_cast<std::size_t>(Target)].ColdPeriods.emplace_back(
+      this->now(), this->now() + Left);
+  this->publishCold();
+}
+
+void LimitFleet::publishCold() {
+  ++this->LastEntry;
+  for (const ModelTarget &Each : this->Targets) {
+    if (Each.IsGone || Each.ColdPeriods.empty())
+      continue;
+    Duration Left = std::max(Duration::zero(),
+                             Each.ColdPeriods.back().second - this->now());
+    for (auto &Reader : this->Processes)
+      if (Reader->IsAlive)
+        Reader->Dispatcher.onColdReport(
+            {Each.Listed.runKey(), Left, this->LastEntry}, "entry");
+  }
+}
+
+std::size_t LimitFleet::mostInColdSecond(int Target) const {
+  const ModelTarget &Model = this->Targets[static_cast<std::size_t>(Target)];
+  std::size_t Most = 0;
+  for (const auto &[From, Until] : Model.ColdPeriods)
+    for (TimePoint Begin : Model.Arrivals)
+      if (Begin >= From && Begin < Until)
+        Most = std::max(
+            Most, static_cast<std::size_t>(this->arrivals(
+                      Target, Begin, std::min(Until, Begin + RuleSecond))));
+  return Most;
 }
 
 TokenHooks LimitFleet::tokenHooks(std::size_t Index) {
@@ -206,7 +246,15 @@
                       std::optional<std::uint64_t>) { return Call.Head; };
   Hooks.Open = [this, Index](const ListedTarget &Target, const RelayCall &,
                              const HttpRequestHead &, const CallerHooks &,
-                             const SendTerms &) {
+                             const SendTerms &Terms) -> Result<TargetExchange> {
+    auto Connecting =
+        static_cast<std::uint64_t>(this->Settings.MaxConnectTime.count());
+    if (Connecting > 0)
+      this->tasksOf(Index).sleepUntil(
+          this->now() +
+          Duration(static_cast<Duration::rep>(this->Rng.below(Connecting))));
+    if (!this->Settings.SkipsLastCheck && !Terms.MayReceive())
+      return NetError::ConnectFailed;
     return this->open(Index, Target);
   };
   Hooks.Classify = [](const HttpResponseHead &Head, const RelayCall &) {
--- a/Tests/LibRelay/LimitFleet.h
+++ b/Tests/LibRelay/LimitFleet.h
@@ -30,6 +30,17 @@
   /// sent again.
   std::uint64_t FailedPerMille = 0;
   CallKind Kind = CallKind::Idempotent;
+  /// Requests per second that a cold target accepts; 0 without cold targets.
+  double ColdPerSecond = 0;
+  /// The longest time for which a target is connected to.
+  Duration MaxConnectTime{};
+  // Defects that tests have to find.
+  /// The target is not checked again directly before the send.
+  bool SkipsLastCheck = false;
+  /// Holders lease their shares again before the earlier lease has ended.
+  bool HasShortLeases = false;
+  /// A host that has started leases its share at once.
+  bool LeasesAfterStart = false;
 };
 
 /// The outcomes of the calls since the last reset.
@@ -57,6 +68,13 @@
   /// Sets what a target states in its answers from now on.
   void setLimit(int Target, std::optional<double> PerSecond);
 
+  /// A target is cold for a time from now on, as its entry tells all hosts.
+  void setCold(int Target, Duration Left);
+
+  /// \returns the most requests that a target got within one second of a cold
+  /// period.
+  std::size_t mostInColdSecond(int Target) const;
+
   /// Ends a target; another one without a limit starts at its address. \returns
   /// the index of the new target.
   int replaceTarget(int Target);
@@ -139,6 +157,8 @@
     bool IsGone = false;
     std::vector<StatedChange> Limits;
     std::vector<TimePoint> Arrivals;
+    /// When the target was cold.
+    std::vector<std::pair<TimePoint, TimePoint>> ColdPeriods;
   };
 
   /// Serves one call. \returns after which time a refused caller may return.
@@ -152,6 +172,7 @@
   void start(int Host);
   void publishRosters();
   void publishTargets();
+  void publishCold();
   bool isConnected(int From, int To) const;
   void deliver(int From, int To, const std::string &Bytes);
   Process &process(int Host) {
@@ -170,6 +191,8 @@
   std::set<int> Isolated;
   int SplitBelow = 0;
   bool IsStoreOut = false;
+  /// Numbers the entries of targets.
+  std::uint64_t LastEntry = 0;
 };
 
 } // namespace bergamothook
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -62,6 +62,11 @@
       {FailureDomain, IsEvacuated, ++Offset}, this->Simulated.now());
 }
 
+void RelayFixture::reportCold(const std::string &Id, Duration Left) {
+  static std::uint64_t Sequence = 0;
+  this->Dispatcher.onColdReport({Id + "#0", Left, ++Sequence}, "entry");
+}
+
 void RelayFixture::configure() {
   auto Config = std::make_shared<RelayConfig>();
   Config->Version = this->Version++;
@@ -70,6 +75,7 @@
   RoutedService Service;
   Service.Name = "engines";
   Service.TokensPerEvent = 7;
+  Service.ColdPerSecond = this->ColdPerSecond;
   Config->addService(Service);
   this->Dispatcher.setConfig(Config);
 }
@@ -113,7 +119,9 @@
   Hooks.Open = [this](const ListedTarget &, const RelayCall &,
                       const HttpRequestHead &, const CallerHooks &,
                       const SendTerms &Terms) -> Result<TargetExchange> {
-    this->WhileConnecting();
+    // A copy, since the function may replace itself.
+    auto Connecting = this->WhileConnecting;
+    Connecting();
     if (!Terms.MayReceive()) {
       this->SentCalls.pop_back();
       return NetError::ConnectFailed;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -24,20 +24,20 @@
   ResponseVerdict Verdict = ResponseVerdict::Ran;
   unsigned Status = 200;
   /// Pieces of the body, each with the delay before it.
-  std::vector<std::pair<Duration, std::string>> Pieces;
+  std::vector<std::pair<Duration, std::string>> Pieces{};
   /// The body of the next response on the same connection.
-  std::vector<std::pair<Duration, std::string>> NextPieces;
+  std::vector<std::pair<Duration, std::string>> NextPieces{};
   bool IsEventStream = true;
   /// Memory runs out as the head is read.
   bool ThrowsBadAlloc = false;
   /// How the connection ends after the pieces; unset for a complete response.
-  std::error_code ConnectionError;
+  std::error_code ConnectionError{};
   /// The response has neither a length nor chunks.
   bool EndsWithConnection = false;
   /// The response stalls after the pieces.
   bool Stalls = false;
   /// The rate limit that the target states.
-  std::optional<double> RateLimit;
+  std::optional<double> RateLimit{};
   Duration HeadAfter = std::chrono::milliseconds(5);
 };
 
@@ -63,6 +63,9 @@
   /// Applies a record on the evacuation of a failure domain.
   void evacuate(const std::string &FailureDomain, bool IsEvacuated = true);
 
+  /// Reports that a target is cold for a time from now on, or warm.
+  void reportCold(const std::string &Id, Duration Left);
+
   /// Activates the configuration that the fields below describe.
   void configure();
 
@@ -73,6 +76,8 @@
 
   /// Where targets are that are listed from now on.
   std::string TargetDomain;
+  /// Requests per second that a cold target accepts; 0 without cold targets.
+  double ColdPerSecond = 0;
   RelayRoute Route;
   RelayTeam Team;
   std::uint64_t Version = 1;
--- a/Tests/LibRelay/TargetLimitFleetTest.cpp
+++ b/Tests/LibRelay/TargetLimitFleetTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int FleetSizes[] = {9, 90, 300};
+constexpr int LimitFleetSizes[] = {9, 90, 300};
 
 /// Number of random schedules for a fleet; the environment variable overrides
 /// the default, which takes about as long for each size.
@@ -71,7 +71,7 @@
 } // namespace
 
 TEST_CASE("a target does not get more than its limit from all hosts together") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 1);
     Fleet.setLimit(0, Limit);
@@ -95,7 +95,7 @@
 }
 
 TEST_CASE("one host with all the demand uses the whole limit") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 3);
     Fleet.setLimit(0, Limit);
@@ -117,7 +117,7 @@
 }
 
 TEST_CASE("lost and duplicated messages between hosts do not exceed a limit") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleetSettings Settings = fleetOf(Hosts);
     Settings.LostPerMille = 200;
@@ -132,7 +132,7 @@
 
 TEST_CASE("a limit is kept while hosts are killed, frozen, cut off, stopped "
           "and added") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     for (std::uint64_t Seed = 1; Seed <= scheduleCount(Hosts); ++Seed) {
       CAPTURE(Hosts);
       CAPTURE(Seed);
@@ -150,7 +150,7 @@
 }
 
 TEST_CASE("the limit is used again soon after its home died, froze or left") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     for (int Fault = 0; Fault < 3; ++Fault) {
       CAPTURE(Hosts);
       CAPTURE(Fault);
@@ -172,7 +172,7 @@
 }
 
 TEST_CASE("a host cut off from all others stays within its share") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 8);
     Fleet.setLimit(0, Limit);
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("both sides of a partition together stay within a limit") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 9);
     Fleet.setLimit(0, 10);
@@ -201,7 +201,7 @@
 }
 
 TEST_CASE("hosts that restart do not spend a limit that is leased already") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 10);
     Fleet.setLimit(0, 10);
@@ -218,7 +218,7 @@
 }
 
 TEST_CASE("hosts that start while the store is out do not exceed a limit") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 16);
     Fleet.setLimit(0, 10);
@@ -249,7 +249,7 @@
 }
 
 TEST_CASE("a raised, lowered or withdrawn limit is in force within seconds") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleet Fleet(fleetOf(Hosts), 12);
     Fleet.setLimit(0, Limit);
@@ -278,7 +278,7 @@
 
 TEST_CASE("what no target can accept is refused at once with a time to "
           "return") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleetSettings Settings = fleetOf(Hosts);
     Settings.Targets = 2;
@@ -296,7 +296,7 @@
 }
 
 TEST_CASE("most callers that return when they were told are served") {
-  for (int Hosts : FleetSizes) {
+  for (int Hosts : LimitFleetSizes) {
     CAPTURE(Hosts);
     LimitFleetSettings Settings = fleetOf(Hosts);
     Settings.Targets = 1;
--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -19,7 +19,8 @@
    "routeKind":"something_new","timeoutMs":800,"sloMs":150,"priority":2,
    "service":"s2","attempts":1,"public":true,"future":{}}],
  "services":[{"name":"s1","healthPath":"/h","maxConns":360,"protocol":"h1",
-   "tls":false,"engine":{"slots":64,"stride":7}},
+   "tls":false,"coldS":3,"coldPerS":14.5,
+   "engine":{"slots":64,"stride":7}},
   {"name":"s2","maxConns":96}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
    "idleTimeoutMs":15000},
@@ -71,6 +72,9 @@
   CHECK_FALSE(Config.findTeamByKey("k4"));
   CHECK(Config.findService("s1")->TokensPerEvent == 7);
   CHECK(Config.findService("s2")->EngineSlots == 0);
+  CHECK(Config.findService("s1")->ColdPerSecond == 14.5);
+  CHECK(Config.findService("s1")->ColdTime == 3s);
+  CHECK(Config.coldRates() == std::map<std::string, double>{{"s1", 14.5}});
 }
 
 TEST_CASE("a version of the configuration may use all of 64 bits") {
@@ -116,3 +120,35 @@
            "state":"ready"})"})
     CHECK_FALSE(parseTargetEntry("i-1", Text));
 }
+
+TEST_CASE("how long a target stays cold is read from its entry; a field that "
+          "is no number or out of range does not remove the target") {
+  auto ColdOf = [](const std::string &Fields) {
+    auto Read = parseTargetEntry(
+        "i-1", R"({"service":"s1","addr":"10.0.0.9:8080","zone":"east",
+        "version":"v1","slots":64,"state":"ready","born":7)" +
+                   Fields + "}");
+    REQUIRE(Read);
+    return Read.value().coldReport();
+  };
+  CHECK(ColdOf("").Left == 0s);
+  ColdReport Cold = ColdOf(R"(,"coldLeftMs":2350.5,"seq":4)");
+  CHECK(Cold.Left == 2350500us);
+  CHECK(Cold.Sequence == 4);
+  CHECK(Cold.RunKey == "i-1#7");
+  CHECK(ColdOf(R"(,"coldLeftMs":-5)").Left == 0s);
+  CHECK(ColdOf(R"(,"coldLeftMs":"soon","seq":"x")").Left == 0s);
+  CHECK(ColdOf(R"(,"coldLeftMs":null,"seq":-1)").Sequence == 0);
+  CHECK(ColdOf(R"(,"coldLeftMs":1e300)").Left == 24h);
+}
+
+TEST_CASE("a service whose fields for cold targets can't be read has none") {
+  for (const char *Value : {"\"14\"", "null", "-3", "0", "{}"}) {
+    std::string Text = Manifest;
+    Text.replace(Text.find("\"coldPerS\":14.5"), 15,
+                 "\"coldPerS\":" + std::string(Value));
+    auto Read = parseManifest(Text);
+    REQUIRE(Read);
+    CHECK(Read.value()->coldRates().empty());
+  }
+}
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -83,3 +83,22 @@
   REQUIRE_FALSE(Unreadable);
   CHECK(Unreadable.error().Field == "limits.linkMbps");
 }
+
+TEST_CASE("the bounds for cold targets may be missing, but not be unreadable") {
+  auto Missing = parseSettings(Good);
+  REQUIRE(Missing);
+  CHECK(Missing.value().ColdOvershoot == 1.5);
+  CHECK(Missing.value().ColdSlack == 5);
+  auto Stated = parseSettings(Good + "bounds.coldOvershoot=1.25\n"
+                                     "bounds.coldSlack=8\n");
+  REQUIRE(Stated);
+  CHECK(Stated.value().ColdOvershoot == 1.25);
+  CHECK(Stated.value().ColdSlack == 8);
+  for (const char *Field : {"bounds.coldOvershoot", "bounds.coldSlack"})
+    for (const char *Value : {"much", "-1", "", "nan"}) {
+      auto Unreadable =
+          parseSettings(Good + std::string(Field) + "=" + Value + "\n");
+      REQUIRE_FALSE(Unreadable);
+      CHECK(Unreadable.error().Field == Field);
+    }
+}
