Request the health of targets that may be cold while the store is out

Cause: a target that becomes cold while a host can't read the list of targets is not known to be cold there.

Change: while the list can't be read, a target of a service with coldPerS that this host lost, or that has not answered it yet, gets one GET of its healthPath before the next call; the field X-Bergamothook-Cold-Ms tells how long it stays cold. A host sends at most one a second to a target and ten a second in all. Without a usable response, or while another call waits for it, the target gets no call. A cold period known this way is told to other hosts in notices that only extend theirs. A connection that takes longer than a permit can be used counts as unreachable, not as withdrawn, so that the target is avoided for a time. Calls sent with a permit for a cold target are counted in target_limit_use.

--- a/Libraries/LibRateLimit/ColdLimit.h
+++ b/Libraries/LibRateLimit/ColdLimit.h
@@ -69,6 +69,8 @@
   /// Orders the entries of this run of the target; 0 for one without a number,
   /// which counts as the newest.
   std::uint64_t Sequence = 0;
+  /// Another host sent the report. Without a number it only extends a period.
+  bool IsNotice = false;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRateLimit/LimitMessages.h
+++ b/Libraries/LibRateLimit/LimitMessages.h
@@ -170,7 +170,7 @@
 
   ColdReport report() const {
     return {this->RunKey, std::chrono::microseconds(this->LeftMicroseconds),
-            this->Sequence};
+            this->Sequence, true};
   }
 
   bool isValid() const {
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -31,6 +31,8 @@
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
 /// Evacuations last for seconds at least.
 constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
+/// When the health of a target that may be cold can be requested again.
+constexpr Duration HealthRetryAfter = std::chrono::milliseconds(1000);
 /// Over about which time callers return after the end of a cold period.
 constexpr Duration ColdReturnSpread = std::chrono::milliseconds(200);
 /// Tokens held by other hosts are returned within one or two of their rounds.
@@ -198,7 +200,7 @@
       return this->finishFailed(this->endWithoutTarget());
     ListedTarget Chosen = Target->Listed;
     this->Outcome.Target = Chosen.Id;
-    if (!this->acquirePermit(Chosen)) {
+    if (!this->checkHealth(Chosen) || !this->acquirePermit(Chosen)) {
       this->Excluded.insert(Chosen.Id);
       continue;
     }
@@ -278,6 +280,31 @@
   }
 }
 
+bool RelayCallHandler::checkHealth(const ListedTarget &Target) {
+  TargetDirectory &Targets = this->Dispatcher.targets();
+  if (!Targets.needsHealthCheck(Target))
+    return true;
+  const RoutedService *Routed = this->Call.Config->findService(Target.Service);
+  TimePoint AskedAt = this->now();
+  if (!Routed || Routed->HealthPath.empty() ||
+      !Targets.beginHealthCheck(Target.Id, AskedAt)) {
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return false;
+  }
+  auto Left = this->Hooks.AskHealth(Target, Routed->HealthPath, this->Caller,
+                                    this->Deadline - MinTimeForSend);
+  this->Dispatcher.stats().count(
+      Left ? "relay_health_requests_total{answer=\"read\"}"
+           : "relay_health_requests_total{answer=\"none\"}");
+  if (!Left) {
+    Targets.onFailure(Target.Id, this->now());
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return false;
+  }
+  this->Dispatcher.onHealthResponse(Target, *Left, AskedAt);
+  return true;
+}
+
 bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
   PermitDecision Permit =
       this->Dispatcher.limiter().acquire(Target.runKey(), [this, &Target] {
@@ -329,6 +356,8 @@
 }
 
 bool RelayCallHandler::maySendCold(const ListedTarget &Target) const {
+  if (this->Dispatcher.targets().needsHealthCheck(Target))
+    return false;
   return !this->isCold(Target) ||
          (this->ColdPermit &&
           this->Hooks.LeaseClock() - this->ColdPermit->RequestedAt <=
@@ -340,7 +369,7 @@
   std::vector<const TargetState *> Cold;
   TargetDirectory &Targets = this->Dispatcher.targets();
   for (const TargetState *Target : Targets.usable(this->Service))
-    if (Targets.isCold(*Target) &&
+    if ((Targets.isCold(*Target) || Targets.needsHealthCheck(*Target)) &&
         (Target->RateLimitedUntil > this->now() ||
          this->RefusedPermits.contains(this->coldKeyOf(Target->Listed))))
       Cold.push_back(Target);
@@ -351,10 +380,14 @@
   std::vector<std::string> Keys;
   Duration FirstEnd = Duration::max();
   for (const TargetState *Target : this->refusingColdTargets()) {
+    if (!Target->ColdUntil)
+      continue;
     Keys.push_back(this->coldKeyOf(Target->Listed));
     FirstEnd =
         std::min(FirstEnd, *Target->ColdUntil - this->Hooks.LeaseClock());
   }
+  if (Keys.empty())
+    return this->Dispatcher.rng().jitter(HealthRetryAfter);
   Duration Scheduled =
       this->Dispatcher.limiter().scheduleReturn(Keys, this->now());
   if (Scheduled <= FirstEnd)
@@ -416,18 +449,29 @@
     this->IsRunUnknown = true;
     return AttemptEnd::RunUnknown;
   }
-  // The target became cold, or the permit too old, while it was connected to.
-  if (!Opened && !this->maySendCold(Target))
-    this->RefusedPermits.insert(this->coldKeyOf(Target));
   if (!Opened && Opened.error() == NetError::ConnectFailed)
-    return this->isGivenUp() || !Terms.MayReceive() ? AttemptEnd::Withdrawn
-                                                    : AttemptEnd::NotSent;
+    return this->endOfUnsent(Target);
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
+  if (this->ColdPermit)
+    this->Dispatcher.limiter().onSend(this->coldKeyOf(Target),
+                                      this->sendKind());
   ++this->Outcome.Sends;
   return Opened ? this->readResponse(Opened.value(), Target)
                 : this->attemptEndOf(Opened.error());
 }
 
+AttemptEnd RelayCallHandler::endOfUnsent(const ListedTarget &Target) {
+  if (this->isGivenUp() || !this->Dispatcher.targets().mayReceive(Target))
+    return AttemptEnd::Withdrawn;
+  bool LacksPermit = this->isCold(Target) && !this->ColdPermit;
+  if (LacksPermit || this->Dispatcher.targets().needsHealthCheck(Target)) {
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return AttemptEnd::Withdrawn;
+  }
+  // This includes a connection that took longer than a permit can be used.
+  return AttemptEnd::NotSent;
+}
+
 AttemptEnd RelayCallHandler::attemptEndOf(std::error_code Failure) const {
   if (this->Caller.HasLeft())
     return AttemptEnd::CallerLeft;
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -72,6 +72,9 @@
   /// Requests a permit to send the call to \p Target if that one states a rate
   /// limit.
   bool acquirePermit(const ListedTarget &Target);
+  /// Requests the health of \p Target if it may be cold without an entry that
+  /// tells. \returns whether the call may be sent as far as this decides.
+  bool checkHealth(const ListedTarget &Target);
   /// Requests a permit to send the call to \p Target if that one is cold.
   bool acquireColdPermit(const ListedTarget &Target);
   /// \returns whether \p Target is warm, or this call has a permit that is new
@@ -95,6 +98,9 @@
   AttemptEnd attempt(const ListedTarget &Target);
   /// Sends the call and reads the answer.
   AttemptEnd exchange(const ListedTarget &Target, const HttpRequestHead &Head);
+  /// \returns how an attempt ended that sent no byte: the target could not be
+  /// reached, or may no longer receive the call.
+  AttemptEnd endOfUnsent(const ListedTarget &Target);
   /// Reads and discards the body of a stale response. \returns why the
   /// connection can no longer be used, if it cannot.
   std::optional<AttemptEnd> discardStaleBody(TargetExchange &Exchange,
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -73,6 +73,8 @@
   /// Requests per second that a target accepts from all hosts together while it
   /// is cold; 0 if the service has no cold targets.
   double ColdPerSecond = 0;
+  /// The path of the health request; empty if there is none.
+  std::string HealthPath;
   /// How long a target is cold after its start.
   Duration ColdTime{};
 };
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -20,6 +20,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
 
+void logCold(const std::string &RunKey, Duration Left, const char *Source) {
+  logEvent(LogLevel::Warning, "target_cold",
+           {{"target", RunKey},
+            {"ends_in_ms", millisecondsOf(Left)},
+            {"source", Source}});
+}
+
 } // namespace
 
 RelayDispatcher::RelayDispatcher(RelaySettings Settings, RelayHooks Hooks,
@@ -133,12 +140,15 @@
 
 void RelayDispatcher::onColdReport(const ColdReport &Report,
                                    const char *Source) {
-  if (!this->Targets.onColdReport(Report, this->Hooks.LeaseClock()))
-    return;
-  logEvent(LogLevel::Warning, "target_cold",
-           {{"target", Report.RunKey},
-            {"ends_in_ms", millisecondsOf(Report.Left)},
-            {"source", Source}});
+  if (this->Targets.onColdReport(Report, this->Hooks.LeaseClock()))
+    logCold(Report.RunKey, Report.Left, Source);
+}
+
+void RelayDispatcher::onHealthResponse(const ListedTarget &Target,
+                                       Duration ColdLeft, TimePoint AskedAt) {
+  if (this->Targets.onHealthResponse(Target, ColdLeft, AskedAt,
+                                     this->Hooks.LeaseClock()))
+    logCold(Target.runKey(), ColdLeft, "health response");
 }
 
 void RelayDispatcher::endColdPeriods() {
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -59,6 +59,10 @@
   /// comes from, for the log.
   void onColdReport(const ColdReport &Report, const char *Source);
 
+  /// Applies the response to a health request that was sent at \p AskedAt.
+  void onHealthResponse(const ListedTarget &Target, Duration ColdLeft,
+                        TimePoint AskedAt);
+
   /// Ends the cold periods that are over.
   void endColdPeriods();
 
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -146,6 +146,15 @@
 
   std::function<RateLimitField(const HttpResponseHead &Head)> ReadRateLimit;
 
+  /// Sends a health request to a target. \returns for how long the target
+  /// stays cold; nothing if there is no usable response.
+  std::function<std::optional<Duration>(
+      const ListedTarget &Target, const std::string &Path,
+      const CallerHooks &Caller, TimePoint Deadline)>
+      AskHealth = [](const ListedTarget &, const std::string &,
+                     const CallerHooks &,
+                     TimePoint) { return std::optional<Duration>(); };
+
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
   std::function<HttpResponseHead(unsigned Status, const RelayCall &Call,
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -38,6 +38,9 @@
     State.RateLimitedUntil = {};
     State.ColdUntil.reset();
     State.ColdSequence.reset();
+    State.IsColdByHealth = false;
+    State.HasAnswered = false;
+    State.CheckedAt = {};
   }
   State.Listed = Target;
   State.MissingSince.reset();
@@ -100,6 +103,13 @@
     return false;
   TargetState &State = *this->find(Run->Listed.Id);
   bool WasCold = State.ColdUntil.has_value();
+  if (Report.IsNotice && Report.Sequence == 0) {
+    if (Report.Left > Duration::zero())
+      State.ColdUntil =
+          std::max(State.ColdUntil.value_or(LeaseNow), LeaseNow + Report.Left);
+    return !WasCold && this->isCold(State);
+  }
+  State.IsColdByHealth = false;
   State.ColdSequence = Report.Sequence;
   if (Report.Left > Duration::zero())
     State.ColdUntil = LeaseNow + Report.Left;
@@ -140,11 +150,50 @@
 TargetDirectory::describeCold(const std::string &RunKey,
                               TimePoint LeaseNow) const {
   const TargetState *Run = this->findRun(RunKey);
-  if (!Run || !this->isCold(*Run) || !Run->ColdSequence)
+  if (!Run || !this->isCold(*Run))
     return std::nullopt;
   return ColdReport{RunKey,
                     std::max(Duration::zero(), *Run->ColdUntil - LeaseNow),
-                    *Run->ColdSequence};
+                    Run->IsColdByHealth ? 0 : Run->ColdSequence.value_or(0)};
+}
+
+bool TargetDirectory::needsHealthCheck(const TargetState &Target) const {
+  if (!this->IsListUnreachable || Target.ColdUntil ||
+      this->coldRate(Target.Listed.Service) <= 0)
+    return false;
+  bool IsLost = Target.LostAt > std::max(Target.ListedAt, Target.CheckedAt);
+  bool IsNew = !Target.HasAnswered && Target.CheckedAt == TimePoint{};
+  return IsLost || IsNew;
+}
+
+bool TargetDirectory::needsHealthCheck(const ListedTarget &Target) const {
+  const TargetState *Run = this->findRun(Target.runKey());
+  return Run && this->needsHealthCheck(*Run);
+}
+
+bool TargetDirectory::beginHealthCheck(const std::string &Id, TimePoint Now) {
+  TargetState *State = this->find(Id);
+  if (!State || Now < State->NextCheckAt || Now < this->NextHealthCheckAt)
+    return false;
+  State->NextCheckAt = Now + this->Policy.TargetHealthInterval;
+  this->NextHealthCheckAt = Now + this->Policy.HealthInterval;
+  return true;
+}
+
+bool TargetDirectory::onHealthResponse(const ListedTarget &Target,
+                                       Duration ColdLeft, TimePoint AskedAt,
+                                       TimePoint LeaseNow) {
+  if (!this->findRun(Target.runKey()))
+    return false;
+  TargetState &State = *this->find(Target.Id);
+  State.CheckedAt = AskedAt;
+  if (ColdLeft <= Duration::zero())
+    return false;
+  bool WasCold = State.ColdUntil.has_value();
+  State.ColdUntil =
+      std::max(State.ColdUntil.value_or(LeaseNow), LeaseNow + ColdLeft);
+  State.IsColdByHealth = true;
+  return !WasCold && this->isCold(State);
 }
 
 std::size_t TargetDirectory::coldTargets() const {
@@ -271,6 +320,7 @@
   if (TargetState *State = this->find(Id)) {
     State->ConsecutiveFailures = 0;
     State->BackoffUntil = {};
+    State->HasAnswered = true;
   }
 }
 
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -85,6 +85,15 @@
   std::optional<TimePoint> ColdUntil;
   /// Orders the reports on the cold period of this run.
   std::optional<std::uint64_t> ColdSequence;
+  /// The target stated its cold period in a health response, which is newer
+  /// than its entry.
+  bool IsColdByHealth = false;
+  /// The target has answered a call of this host.
+  bool HasAnswered = false;
+  /// When the last health request that was answered was sent, and before when
+  /// no other one is sent.
+  TimePoint CheckedAt{};
+  TimePoint NextCheckAt{};
 };
 
 struct DirectoryPolicy {
@@ -101,6 +110,10 @@
   /// How long other targets are preferred after a target refused a call for
   /// lack of capacity.
   Duration FullDuration = std::chrono::milliseconds(250);
+  /// The shortest intervals of the health requests of this host to one target,
+  /// and to all of them. Targets charge for these requests.
+  Duration TargetHealthInterval = std::chrono::milliseconds(1000);
+  Duration HealthInterval = std::chrono::milliseconds(100);
 };
 
 /// The directory of one host. Not thread-safe.
@@ -123,7 +136,11 @@
   void onListRestored() { this->IsNextListOld = true; }
 
   /// Records that the list could not be read.
-  void onListUnreachable(TimePoint Now) { this->UnreachableAt = Now; }
+  void onListUnreachable(TimePoint Now) {
+    this->UnreachableAt = Now;
+    this->IsListUnreachable = true;
+  }
+  void onListReachable() { this->IsListUnreachable = false; }
 
   /// Retires targets that are still missing after their grace period.
   void expire(TimePoint Now);
@@ -179,6 +196,20 @@
 
   std::size_t coldTargets() const;
 
+  /// \returns whether a target may be cold without an entry that tells: the
+  /// list can't be read, and the target was lost or is new to this host. Its
+  /// health is to be requested before it gets a call.
+  bool needsHealthCheck(const TargetState &Target) const;
+  bool needsHealthCheck(const ListedTarget &Target) const;
+
+  /// \returns whether a health request may be sent to a target now, which is
+  /// then counted as sent.
+  bool beginHealthCheck(const std::string &Id, TimePoint Now);
+
+  /// Applies a health response. \returns whether the target became cold.
+  bool onHealthResponse(const ListedTarget &Target, Duration ColdLeft,
+                        TimePoint AskedAt, TimePoint LeaseNow);
+
   /// \returns whether a service has targets, but all of those that could
   /// receive calls are in evacuated failure domains.
   bool isEvacuated(const std::string &Service) const;
@@ -225,7 +256,10 @@
   std::map<std::string, double> ColdRates;
   std::map<std::string, TargetState> Targets;
   std::optional<TimePoint> UnreachableAt;
+  bool IsListUnreachable = false;
   bool IsNextListOld = false;
+  /// No health request of this host is sent before.
+  TimePoint NextHealthCheckAt{};
   /// Runs that were removed from the list, and whether they still are.
   RecentMap<std::string, bool> RemovedRuns{MaxRemovedRuns};
 };
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -232,6 +232,29 @@
   return Answer && Reader.canReuse() ? Answer.value() : RunAnswer::Unknown;
 }
 
+std::optional<HttpResponseHead> TargetDialer::ask(const ListedTarget &Target,
+                                                  const HttpRequestHead &Head,
+                                                  const CallerHooks &Caller,
+                                                  TimePoint Deadline) {
+  auto IsGivenUp = [&Caller] { return Caller.isGivenUp(); };
+  TimePoint End =
+      std::min(Deadline, this->Tasks.Now() + this->Limits.HealthTimeout);
+  TcpLimits Limits = this->Limits.Connection;
+  Limits.Owners = {Target.memoryOwner()};
+  auto Connection =
+      TcpConnection::connect(this->Loop, Target.Address, std::move(Limits), End,
+                             *Caller.Changed, IsGivenUp);
+  if (!Connection)
+    return std::nullopt;
+  ExchangeState State(Connection.value(), this->Tasks, Caller, false);
+  if (!State.Connection->write(formatRequestHead(Head, 0), End, IsGivenUp))
+    return std::nullopt;
+  auto Answer = State.Reader->readHead(End, IsGivenUp);
+  if (!Answer)
+    return std::nullopt;
+  return std::move(Answer.value());
+}
+
 void TargetDialer::runExpiry(const std::function<bool()> &IsStopped) {
   while (!IsStopped()) {
     this->Idle.closeExpired(this->Tasks.Now());
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -26,6 +26,8 @@
   /// How long a target may take to say which run it is. It needs no slot for
   /// that.
   Duration RunQueryTimeout = std::chrono::milliseconds(300);
+  /// How long a target may take to answer a health request. A cold one is slow.
+  Duration HealthTimeout = std::chrono::milliseconds(600);
   std::size_t MaxRunAnswerBytes = 64 * 1024;
 };
 
@@ -50,6 +52,13 @@
                               const CallerHooks &Caller,
                               const SendTerms &Terms);
 
+  /// Sends a request without a body on a connection of its own. \returns the
+  /// head of the response; nothing if none came within HealthTimeout.
+  std::optional<HttpResponseHead> ask(const ListedTarget &Target,
+                                      const HttpRequestHead &Head,
+                                      const CallerHooks &Caller,
+                                      TimePoint Deadline);
+
   /// Closes idle connections that have expired. Runs as a task of its own.
   void runExpiry(const std::function<bool()> &IsStopped);
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -224,6 +224,13 @@
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
   Hooks.ReadRateLimit = platform::readRateLimit;
+  Hooks.AskHealth = [this](const ListedTarget &Target, const std::string &Path,
+                           const CallerHooks &Caller,
+                           TimePoint Deadline) -> std::optional<Duration> {
+    auto Head = this->Dialer.ask(
+        Target, platform::makeHealthQuery(Target, Path), Caller, Deadline);
+    return Head ? platform::readColdLeft(*Head) : std::nullopt;
+  };
   Hooks.MakeRefusal = platform::makeRefusal;
   return Hooks;
 }
@@ -313,7 +320,10 @@
     this->Dispatcher.targets().onListUnreachable(this->Tasks.Now());
     this->TokenSource.setLogReachable(false);
   };
-  Hooks.OnAvailable = [this] { this->TokenSource.setLogReachable(true); };
+  Hooks.OnAvailable = [this] {
+    this->Dispatcher.targets().onListReachable();
+    this->TokenSource.setLogReachable(true);
+  };
   return Hooks;
 }
 
--- a/Tests/LibRelay/ColdTargetTest.cpp
+++ b/Tests/LibRelay/ColdTargetTest.cpp
@@ -202,6 +202,119 @@
 
 namespace {
 
+/// A host that has lost its only target, which answered it before, while the
+/// list can't be read.
+struct LostTarget {
+  explicit LostTarget(double ColdPerSecond, bool IsListUnreachable = true) {
+    this->Relay.ColdPerSecond = ColdPerSecond;
+    this->Relay.addTarget("a");
+    this->Relay.configure();
+    CHECK(this->serve() == RelayReason::None);
+    if (IsListUnreachable)
+      this->Relay.Dispatcher.targets().onListUnreachable(
+          this->Relay.Simulated.now());
+    CHECK(this->serve() == RelayReason::None);
+    CHECK(this->Relay.HealthRequests == 0);
+    this->Relay.Responses = {{.IsUnreachable = true}};
+    CHECK(this->Relay.serve(this->Relay.makeCall()).Reason ==
+          RelayReason::TargetUnreachable);
+    CHECK(this->Relay.HealthRequests == 0);
+    this->Sent = this->Relay.SentCalls.size();
+  }
+
+  /// Serves a call that the target answers, if it gets it.
+  RelayReason serve() {
+    this->Relay.Responses = {{.Pieces = {{1ms, "id: 1\ndata: x\n\n"}}}};
+    return this->Relay.serve(this->Relay.makeCall()).Reason;
+  }
+
+  std::size_t sent() const { return this->Relay.SentCalls.size() - this->Sent; }
+
+  RelayFixture Relay;
+  std::size_t Sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("a target that was lost while the list can't be read: one health "
+          "request decides before the next call") {
+  LostTarget Lost(14);
+  SUBCASE("it is warm") {
+    Lost.Relay.HealthResponse = 0ms;
+    CHECK(Lost.serve() == RelayReason::None);
+    CHECK(Lost.serve() == RelayReason::None);
+    CHECK(Lost.sent() == 2);
+  }
+  SUBCASE("it is cold") {
+    Lost.Relay.HealthResponse = 3s;
+    CHECK(Lost.serve() == RelayReason::TargetsCold);
+    CHECK(Lost.serve() == RelayReason::TargetsCold);
+    CHECK(Lost.sent() == 0);
+    Lost.Relay.Simulated.runFor(3s);
+    CHECK(Lost.serve() == RelayReason::None);
+  }
+  CHECK(Lost.Relay.HealthRequests == 1);
+}
+
+TEST_CASE("a target that does not answer its health request gets no call, and "
+          "no further request for a time") {
+  LostTarget Lost(14);
+  CHECK(Lost.serve() == RelayReason::TargetsCold);
+  TimePoint Before = Lost.Relay.Simulated.now();
+  for (int Call = 0; Call < 10; ++Call)
+    CHECK(Lost.serve() == RelayReason::TargetsCold);
+  CHECK(Lost.Relay.Simulated.now() == Before);
+  CHECK(Lost.Relay.HealthRequests == 1);
+  REQUIRE(Lost.Relay.RetryAfter);
+  CHECK(*Lost.Relay.RetryAfter >= 500ms);
+  Lost.Relay.Simulated.runFor(1s);
+  Lost.Relay.HealthResponse = 0ms;
+  CHECK(Lost.serve() == RelayReason::None);
+  CHECK(Lost.Relay.HealthRequests == 2);
+  CHECK(Lost.sent() == 1);
+}
+
+TEST_CASE("a target that has not answered this host yet is asked while the "
+          "list can't be read") {
+  RelayFixture Relay;
+  Relay.ColdPerSecond = 14;
+  Relay.addTarget("a");
+  Relay.configure();
+  Relay.Dispatcher.targets().onListUnreachable(Relay.Simulated.now());
+  Relay.HealthResponse = 2s;
+  CHECK(Relay.serve(Relay.makeCall()).Reason == RelayReason::TargetsCold);
+  CHECK(Relay.HealthRequests == 1);
+  CHECK(Relay.SentCalls.empty());
+}
+
+TEST_CASE("no health request is sent while the list can be read, nor for a "
+          "service without cold targets") {
+  bool HasColdTargets = false;
+  SUBCASE("list can be read") { HasColdTargets = true; }
+  SUBCASE("no cold targets") {}
+  LostTarget Lost(HasColdTargets ? 14 : 0, !HasColdTargets);
+  CHECK(Lost.serve() == RelayReason::None);
+  CHECK(Lost.Relay.HealthRequests == 0);
+}
+
+TEST_CASE("a notice of a cold period that was learned from a health response "
+          "extends what a host knows, and never shortens it") {
+  ColdDirectory Two;
+  auto Notice = [&Two](Duration Left) {
+    return Two.Targets.onColdReport({"a#1", Left, 0, true}, ColdStart);
+  };
+  Two.report("a#1", 0s, 5);
+  CHECK(Notice(3s));
+  CHECK_FALSE(Notice(1s));
+  CHECK_FALSE(Notice(0s));
+  CHECK(Two.isCold("a", ColdStart + 2s));
+  CHECK(Two.report("a#1", 1s, 5) == false);
+  CHECK_FALSE(Two.report("a#1", 0s, 6, ColdStart + 2s));
+  CHECK_FALSE(Two.isCold("a", ColdStart + 2s));
+}
+
+namespace {
+
 /// What all hosts together may send to a cold target in one second.
 std::size_t coldBound(double PerSecond) {
   return static_cast<std::size_t>(PerSecond * 1.5 + 5);
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -76,6 +76,7 @@
   Service.Name = "engines";
   Service.TokensPerEvent = 7;
   Service.ColdPerSecond = this->ColdPerSecond;
+  Service.HealthPath = "/health";
   Config->addService(Service);
   this->Dispatcher.setConfig(Config);
 }
@@ -147,6 +148,14 @@
       return {};
     return {std::stod(std::string(*Text)), std::nullopt};
   };
+  Hooks.AskHealth = [this](const ListedTarget &, const std::string &Path,
+                           const CallerHooks &, TimePoint) {
+    if (Path == "/health")
+      ++this->HealthRequests;
+    this->Simulated.hooks().sleepUntil(this->Simulated.now() +
+                                       std::chrono::milliseconds(5));
+    return this->HealthResponse;
+  };
   Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
                              std::optional<Duration> After) {
     this->RetryAfter = After;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -78,6 +78,10 @@
   std::string TargetDomain;
   /// Requests per second that a cold target accepts; 0 without cold targets.
   double ColdPerSecond = 0;
+  /// For how long targets stay cold by their health responses; unset if they
+  /// do not respond.
+  std::optional<Duration> HealthResponse;
+  int HealthRequests = 0;
   RelayRoute Route;
   RelayTeam Team;
   std::uint64_t Version = 1;
--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -301,3 +301,63 @@
   });
   Loop.run();
 }
+
+// Guards against a health request that waits for ever, or takes the connection
+// of a call.
+TEST_CASE("a health request ends with the head of its response, or without one "
+          "when its time is over") {
+  NetRuntime Loop;
+  Runtime Tasks = Loop.hooks();
+  std::vector<std::string> Received;
+  TcpListener Target(
+      Loop, {"127.0.0.1:0", 16, 100, {}},
+      [&](const TcpConnection::Handle &Connection) {
+        Event Changed;
+        ScopedEventAttachment Attached(Connection, Changed);
+        HttpRequestReader Reader(Connection, Tasks, Changed);
+        for (;;) {
+          auto Message = Reader.read({}, Tasks.Now() + 5s, [] {});
+          if (!Message)
+            return;
+          Received.push_back(Message.value().Head.Target);
+          if (Received.back() == "/silent")
+            continue;
+          HttpResponseHead Head;
+          Head.Status = 200;
+          Head.Headers.add("Cold", "2500");
+          (void)Connection->write(
+              formatResponseHead(Head, BodyFraming::Length, 2) + "ok",
+              Tasks.Now() + 1s);
+        }
+      });
+  REQUIRE(Target.start());
+  Tasks.Spawn([&] {
+    {
+      DialerLimits Limits;
+      Limits.HealthTimeout = 50ms;
+      TargetDialer Dialer(Loop, Limits);
+      Event Changed;
+      CallerHooks Caller;
+      Caller.Changed = &Changed;
+      Caller.HasLeft = [] { return false; };
+      ListedTarget Listed;
+      Listed.Address = "127.0.0.1:" + std::to_string(Target.port());
+      HttpRequestHead Head;
+      Head.Method = "GET";
+      Head.Target = "/health";
+      auto Answer = Dialer.ask(Listed, Head, Caller, TimePoint::max());
+      REQUIRE(Answer);
+      CHECK(Answer->Status == 200);
+      CHECK(Answer->Headers.find("Cold") == "2500");
+      Head.Target = "/silent";
+      CHECK_FALSE(Dialer.ask(Listed, Head, Caller, TimePoint::max()));
+      CHECK(Dialer.idle() == 0);
+      CHECK(Received == std::vector<std::string>{"/health", "/silent"});
+    }
+    Target.stop();
+    while (Target.connections() > 0)
+      Tasks.sleepUntil(Tasks.Now() + 5ms);
+    Loop.stop();
+  });
+  Loop.run();
+}
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -268,3 +268,22 @@
     CHECK(Read(200, Body) == RunAnswer::Unknown);
   CHECK(Read(404, R"({"born":1791239634959})") == RunAnswer::Unknown);
 }
+
+TEST_CASE("a health response tells how long its target stays cold") {
+  auto Left = [](unsigned Status, std::vector<HeaderField> Fields) {
+    return readColdLeft(answerOf(Status, std::move(Fields)));
+  };
+  CHECK(Left(200, {{"X-Bergamothook-Cold-Ms", " 2350.5 "}}) == 2350500us);
+  CHECK(Left(200, {{"x-bergamothook-cold-ms", "0"}}) == 0us);
+  CHECK(Left(200, {}) == 0us);
+  CHECK_FALSE(Left(503, {{"X-Bergamothook-Cold-Ms", "5"}}));
+  for (const char *Value :
+       {"", "soon", "-1", "1e3", "inf", "nan", "5 ms", "99999999999999999999"})
+    CHECK_FALSE(Left(200, {{"X-Bergamothook-Cold-Ms", Value}}));
+  ListedTarget Target;
+  Target.Address = "10.0.0.9:8080";
+  HttpRequestHead Query = makeHealthQuery(Target, "/h");
+  CHECK(Query.Method == "GET");
+  CHECK(Query.Target == "/h");
+  CHECK(Query.Headers.find("Host") == "10.0.0.9:8080");
+}
--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -74,6 +74,8 @@
   CHECK(Config.findService("s2")->EngineSlots == 0);
   CHECK(Config.findService("s1")->ColdPerSecond == 14.5);
   CHECK(Config.findService("s1")->ColdTime == 3s);
+  CHECK(Config.findService("s1")->HealthPath == "/h");
+  CHECK(Config.findService("s2")->HealthPath.empty());
   CHECK(Config.coldRates() == std::map<std::string, double>{{"s1", 14.5}});
 }
 
