Do no work for cold periods where no service has cold targets

Cause: the end of cold periods was looked for at all targets several times for each call, also in deployments without coldPerS.

Change: nothing is looked for while no service has a rate.

Tests: the files of TestLibRelay on calls, choices, evacuation and cold targets: 94 of 96 pass, the two that fail are those of EvacuationTest.cpp that failed before. TestPlatform 51 of 51 and TestLibRateLimit 17 of 17 pass.

--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -121,6 +121,9 @@
 std::vector<ListedTarget> TargetDirectory::endColdPeriods(TimePoint LeaseNow,
                                                           TimePoint Now) {
   std::vector<ListedTarget> Warm;
+  // Called several times for each call.
+  if (this->ColdRates.empty())
+    return Warm;
   for (auto &[Id, State] : this->Targets) {
     if (!State.ColdUntil || LeaseNow < *State.ColdUntil)
       continue;
