--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -31,6 +31,10 @@
 constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(1000);
 /// Evacuations last for seconds at least.
 constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
+/// When the health of a target that may be cold can be requested again.
+constexpr Duration HealthRetryAfter = std::chrono::milliseconds(1000);
+/// Over about which time callers return after the end of a cold period.
+constexpr Duration ColdReturnSpread = std::chrono::milliseconds(200);
 /// Tokens held by other hosts are returned within one or two of their rounds.
 constexpr Duration TokensRetryAfter = std::chrono::milliseconds(1000);
 /// Memory is freed as soon as other calls end.
@@ -209,7 +213,7 @@
       return this->finishFailed(this->endWithoutTarget());
     ListedTarget Chosen = Target->Listed;
     this->Outcome.Target = Chosen.Id;
-    bool HasPermit = this->acquirePermit(Chosen);
+    bool HasPermit = this->checkHealth(Chosen) && this->acquirePermit(Chosen);
     // These decisions may have changed while the permit was awaited.
     if (!this->maySend())
       return this->finishFailed(AttemptEnd::HostStops);
@@ -241,6 +245,8 @@
 AttemptEnd RelayCallHandler::endWithoutTarget() {
   if (this->isEvacuated())
     return AttemptEnd::Evacuated;
+  if (!this->refusingColdTargets().empty())
+    return AttemptEnd::Cold;
   if (!this->rateLimitedTargets().empty())
     return AttemptEnd::RateLimited;
   return this->IsRunUnknown ? AttemptEnd::RunUnknown : AttemptEnd::NotSent;
@@ -266,6 +272,7 @@
 }
 
 TargetState *RelayCallHandler::chooseTarget() {
+  this->Dispatcher.endColdPeriods();
   return this->Dispatcher.picker().pick(
       this->Dispatcher.targets(), this->Service, this->Call,
       [this](const TargetState &Target) {
@@ -293,6 +300,31 @@
   }
 }
 
+bool RelayCallHandler::checkHealth(const ListedTarget &Target) {
+  TargetDirectory &Targets = this->Dispatcher.targets();
+  if (!Targets.needsHealthCheck(Target))
+    return true;
+  const RoutedService *Routed = this->Call.Config->findService(Target.Service);
+  TimePoint AskedAt = this->now();
+  if (!Routed || Routed->HealthPath.empty() ||
+      !Targets.beginHealthCheck(Target.Id, AskedAt)) {
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return false;
+  }
+  auto Left = this->Hooks.AskHealth(Target, Routed->HealthPath, this->Caller,
+                                    this->Deadline - MinTimeForSend);
+  this->Dispatcher.stats().count(
+      Left ? "relay_health_requests_total{answer=\"read\"}"
+           : "relay_health_requests_total{answer=\"none\"}");
+  if (!Left) {
+    Targets.onFailure(Target.Id, this->now());
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return false;
+  }
+  this->Dispatcher.onHealthResponse(Target, *Left, AskedAt);
+  return true;
+}
+
 bool RelayCallHandler::acquirePermit(const ListedTarget &Target) {
   PermitDecision Permit =
       this->Dispatcher.limiter().acquire(Target.runKey(), [this, &Target] {
@@ -300,13 +332,88 @@
                !this->Dispatcher.targets().mayReceive(Target);
       });
   if (Permit.IsGranted)
+    return this->acquireColdPermit(Target);
+  this->recordRefusedPermit(Target, Target.runKey(), Permit);
+  return false;
+}
+
+bool RelayCallHandler::acquireColdPermit(const ListedTarget &Target) {
+  this->ColdPermit.reset();
+  if (!this->isCold(Target))
+    return true;
+  ColdLimit Limit = this->Dispatcher.coldLimitOf(Target.Service);
+  PermitDecision Permit = this->Dispatcher.limiter().acquireCold(
+      Target.runKey(), Limit, [this, &Target] {
+        return this->isGivenUp() ||
+               !this->Dispatcher.targets().mayReceive(Target);
+      });
+  if (Permit.IsGranted) {
+    this->ColdPermit = Permit;
     return true;
+  }
+  this->recordRefusedPermit(Target, this->coldKeyOf(Target), Permit);
+  return false;
+}
+
+void RelayCallHandler::recordRefusedPermit(const ListedTarget &Target,
+                                           const std::string &Key,
+                                           const PermitDecision &Permit) {
   if (!this->Dispatcher.targets().mayReceive(Target))
-    return false;
+    return;
   this->Dispatcher.targets().onRateLimited(
       Target.Id, this->now() + Permit.NextRequestAfter);
-  this->RefusedPermits.insert(Target.runKey());
-  return false;
+  this->RefusedPermits.insert(Key);
+}
+
+std::string RelayCallHandler::coldKeyOf(const ListedTarget &Target) const {
+  return coldKey(Target.runKey(),
+                 this->Dispatcher.coldLimitOf(Target.Service).Shares);
+}
+
+bool RelayCallHandler::isCold(const ListedTarget &Target) const {
+  this->Dispatcher.endColdPeriods();
+  return this->Dispatcher.targets().isCold(Target);
+}
+
+bool RelayCallHandler::maySendCold(const ListedTarget &Target) const {
+  if (this->Dispatcher.targets().needsHealthCheck(Target))
+    return false;
+  return !this->isCold(Target) ||
+         (this->ColdPermit &&
+          this->Hooks.LeaseClock() - this->ColdPermit->RequestedAt <=
+              MaxColdPermitAge);
+}
+
+std::vector<const TargetState *> RelayCallHandler::refusingColdTargets() {
+  this->Dispatcher.endColdPeriods();
+  std::vector<const TargetState *> Cold;
+  TargetDirectory &Targets = this->Dispatcher.targets();
+  for (const TargetState *Target : Targets.usable(this->Service))
+    if ((Targets.isCold(*Target) || Targets.needsHealthCheck(*Target)) &&
+        (Target->RateLimitedUntil > this->now() ||
+         this->RefusedPermits.contains(this->coldKeyOf(Target->Listed))))
+      Cold.push_back(Target);
+  return Cold;
+}
+
+Duration RelayCallHandler::coldRetryAfter() {
+  std::vector<std::string> Keys;
+  Duration FirstEnd = Duration::max();
+  for (const TargetState *Target : this->refusingColdTargets()) {
+    if (!Target->ColdUntil)
+      continue;
+    Keys.push_back(this->coldKeyOf(Target->Listed));
+    FirstEnd =
+        std::min(FirstEnd, *Target->ColdUntil - this->Hooks.LeaseClock());
+  }
+  if (Keys.empty())
+    return this->Dispatcher.rng().jitter(HealthRetryAfter);
+  Duration Scheduled =
+      this->Dispatcher.limiter().scheduleReturn(Keys, this->now());
+  if (Scheduled <= FirstEnd)
+    return Scheduled;
+  // The callers of all hosts do not return in the same moment.
+  return FirstEnd + this->Dispatcher.rng().jitter(ColdReturnSpread);
 }
 
 std::vector<std::string> RelayCallHandler::rateLimitedTargets() {
@@ -350,7 +457,8 @@
                                                    this->Hooks.LeaseClock());
                   },
                   [this, &Target] {
-                    return this->Dispatcher.targets().mayReceive(Target);
+                    return this->Dispatcher.targets().mayReceive(Target) &&
+                           this->maySendCold(Target);
                   }};
   auto Opened = this->Hooks.Open(Target, this->Call, Head, this->Caller, Terms);
   if (!Opened && Opened.error() == NetError::UnexpectedPeer) {
@@ -362,9 +470,11 @@
     return AttemptEnd::RunUnknown;
   }
   if (!Opened && Opened.error() == NetError::ConnectFailed)
-    return this->isGivenUp() || !Terms.MayReceive() ? AttemptEnd::Withdrawn
-                                                    : AttemptEnd::NotSent;
+    return this->endOfUnsent(Target);
   this->Dispatcher.limiter().onSend(Target.runKey(), this->sendKind());
+  if (this->ColdPermit)
+    this->Dispatcher.limiter().onSend(this->coldKeyOf(Target),
+                                      this->sendKind());
   ++this->Outcome.Sends;
   if (this->TargetPass)
     this->TargetPass->succeed();
@@ -372,6 +482,18 @@
                 : this->attemptEndOf(Opened.error());
 }
 
+AttemptEnd RelayCallHandler::endOfUnsent(const ListedTarget &Target) {
+  if (this->isGivenUp() || !this->Dispatcher.targets().mayReceive(Target))
+    return AttemptEnd::Withdrawn;
+  bool LacksPermit = this->isCold(Target) && !this->ColdPermit;
+  if (LacksPermit || this->Dispatcher.targets().needsHealthCheck(Target)) {
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    return AttemptEnd::Withdrawn;
+  }
+  // This includes a connection that took longer than a permit can be used.
+  return AttemptEnd::NotSent;
+}
+
 AttemptEnd RelayCallHandler::attemptEndOf(std::error_code Failure) const {
   if (this->Caller.HasLeft())
     return AttemptEnd::CallerLeft;
@@ -646,6 +768,7 @@
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
+  case AttemptEnd::Cold:
     break;
   }
   if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
@@ -694,6 +817,7 @@
   case AttemptEnd::VersionNotServed:
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
+  case AttemptEnd::Cold:
     return false;
   case AttemptEnd::Withdrawn:
     // What ended the attempt also ends the next one before it begins, or
@@ -772,6 +896,11 @@
     return this->refuse(503, RelayEnd::NotRun, RelayReason::Evacuated,
                         EvacuatedRetryAfter);
   }
+  if (End == AttemptEnd::Cold) {
+    this->Dispatcher.stats().count("relay_refusals_cold_total");
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsCold,
+                        this->coldRetryAfter());
+  }
   // Without a time to return: the caller had better start anew.
   if (End == AttemptEnd::VersionUnknown ||
       (End == AttemptEnd::RunUnknown && this->Versions.hasBegun()))
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -20,6 +20,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
 
+void logCold(const std::string &RunKey, Duration Left, const char *Source) {
+  logEvent(LogLevel::Warning, "target_cold",
+           {{"target", RunKey},
+            {"ends_in_ms", millisecondsOf(Left)},
+            {"source", Source}});
+}
+
 } // namespace
 
 RelayDispatcher::RelayDispatcher(RelaySettings Settings, RelayHooks Hooks,
@@ -58,6 +65,12 @@
   Chosen.MarkSilent = [this](HostId Host) {
     this->TokenSource.markHostSilent(Host);
   };
+  Chosen.DescribeCold = [this](const std::string &RunKey) {
+    return this->Targets.describeCold(RunKey, this->Hooks.LeaseClock());
+  };
+  Chosen.OnCold = [this](const ColdReport &Report) {
+    this->onColdReport(Report, "other host");
+  };
   return Chosen;
 }
 
@@ -120,10 +133,35 @@
                 {"tokens", *Team.Budget},
                 {"config_version", Next->Version}});
   this->Versions.setServices(Next->resumableServices());
+  this->Targets.setColdRates(Next->coldRates());
   this->Config = std::move(Next);
   return true;
 }
 
+void RelayDispatcher::onColdReport(const ColdReport &Report,
+                                   const char *Source) {
+  if (this->Targets.onColdReport(Report, this->Hooks.LeaseClock()))
+    logCold(Report.RunKey, Report.Left, Source);
+}
+
+void RelayDispatcher::onHealthResponse(const ListedTarget &Target,
+                                       Duration ColdLeft, TimePoint AskedAt) {
+  if (this->Targets.onHealthResponse(Target, ColdLeft, AskedAt,
+                                     this->Hooks.LeaseClock()))
+    logCold(Target.runKey(), ColdLeft, "health response");
+}
+
+void RelayDispatcher::endColdPeriods() {
+  for (const ListedTarget &Target : this->Targets.endColdPeriods(
+           this->Hooks.LeaseClock(), this->Hooks.Tasks.Now()))
+    logEvent(LogLevel::Info, "target_warm", {{"target", Target.runKey()}});
+}
+
+ColdLimit RelayDispatcher::coldLimitOf(const std::string &Service) const {
+  return coldLimit(this->Targets.coldRate(Service), this->Settings.Cold,
+                   this->Settings.Limiter.Shares);
+}
+
 RelayOutcome RelayDispatcher::serve(const RelayCall &Call,
                                     const CallerHooks &Caller) {
   detail::RelayCallHandler Handler(*this, Call, Caller);
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -36,6 +36,11 @@
     State.BackoffUntil = {};
     State.FullUntil = {};
     State.RateLimitedUntil = {};
+    State.ColdUntil.reset();
+    State.ColdSequence.reset();
+    State.IsColdByHealth = false;
+    State.HasAnswered = false;
+    State.CheckedAt = {};
   }
   State.Listed = Target;
   State.MissingSince.reset();
@@ -81,6 +86,126 @@
     this->onRemoved(Id, Now);
 }
 
+const TargetState *TargetDirectory::findRun(const std::string &RunKey) const {
+  auto Found = this->Targets.find(RunKey.substr(0, RunKey.rfind('#')));
+  return Found != this->Targets.end() && Found->second.Listed.runKey() == RunKey
+             ? &Found->second
+             : nullptr;
+}
+
+bool TargetDirectory::onColdReport(const ColdReport &Report,
+                                   TimePoint LeaseNow) {
+  const TargetState *Run = this->findRun(Report.RunKey);
+  // An entry may be read more than once, and the store may be restored from a
+  // copy with older ones.
+  if (!Run || (Report.Sequence > 0 && Run->ColdSequence &&
+               Report.Sequence <= *Run->ColdSequence))
+    return false;
+  TargetState &State = *this->find(Run->Listed.Id);
+  bool WasCold = State.ColdUntil.has_value();
+  if (Report.IsNotice && Report.Sequence == 0) {
+    if (Report.Left > Duration::zero())
+      State.ColdUntil =
+          std::max(State.ColdUntil.value_or(LeaseNow), LeaseNow + Report.Left);
+    return !WasCold && this->isCold(State);
+  }
+  State.IsColdByHealth = false;
+  State.ColdSequence = Report.Sequence;
+  if (Report.Left > Duration::zero())
+    State.ColdUntil = LeaseNow + Report.Left;
+  else if (WasCold)
+    State.ColdUntil = std::min(*State.ColdUntil, LeaseNow);
+  return !WasCold && this->isCold(State);
+}
+
+std::vector<ListedTarget> TargetDirectory::endColdPeriods(TimePoint LeaseNow,
+                                                          TimePoint Now) {
+  std::vector<ListedTarget> Warm;
+  // Called several times for each call.
+  if (this->ColdRates.empty())
+    return Warm;
+  for (auto &[Id, State] : this->Targets) {
+    if (!State.ColdUntil || LeaseNow < *State.ColdUntil)
+      continue;
+    if (this->isCold(State)) {
+      State.ReturnedAt = Now - (LeaseNow - *State.ColdUntil);
+      // Set when a permit was refused; a limit that the target states is asked
+      // for again.
+      State.RateLimitedUntil = {};
+      Warm.push_back(State.Listed);
+    }
+    State.ColdUntil.reset();
+  }
+  return Warm;
+}
+
+bool TargetDirectory::isCold(const ListedTarget &Target) const {
+  const TargetState *Run = this->findRun(Target.runKey());
+  return Run && this->isCold(*Run);
+}
+
+double TargetDirectory::coldRate(const std::string &Service) const {
+  auto Found = this->ColdRates.find(Service);
+  return Found == this->ColdRates.end() ? 0 : Found->second;
+}
+
+std::optional<ColdReport>
+TargetDirectory::describeCold(const std::string &RunKey,
+                              TimePoint LeaseNow) const {
+  const TargetState *Run = this->findRun(RunKey);
+  if (!Run || !this->isCold(*Run))
+    return std::nullopt;
+  return ColdReport{RunKey,
+                    std::max(Duration::zero(), *Run->ColdUntil - LeaseNow),
+                    Run->IsColdByHealth ? 0 : Run->ColdSequence.value_or(0)};
+}
+
+bool TargetDirectory::needsHealthCheck(const TargetState &Target) const {
+  if (!this->IsListUnreachable || Target.ColdUntil ||
+      this->coldRate(Target.Listed.Service) <= 0)
+    return false;
+  bool IsLost = Target.LostAt > std::max(Target.ListedAt, Target.CheckedAt);
+  bool IsNew = !Target.HasAnswered && Target.CheckedAt == TimePoint{};
+  return IsLost || IsNew;
+}
+
+bool TargetDirectory::needsHealthCheck(const ListedTarget &Target) const {
+  const TargetState *Run = this->findRun(Target.runKey());
+  return Run && this->needsHealthCheck(*Run);
+}
+
+bool TargetDirectory::beginHealthCheck(const std::string &Id, TimePoint Now) {
+  TargetState *State = this->find(Id);
+  if (!State || Now < State->NextCheckAt || Now < this->NextHealthCheckAt)
+    return false;
+  State->NextCheckAt = Now + this->Policy.TargetHealthInterval;
+  this->NextHealthCheckAt = Now + this->Policy.HealthInterval;
+  return true;
+}
+
+bool TargetDirectory::onHealthResponse(const ListedTarget &Target,
+                                       Duration ColdLeft, TimePoint AskedAt,
+                                       TimePoint LeaseNow) {
+  if (!this->findRun(Target.runKey()))
+    return false;
+  TargetState &State = *this->find(Target.Id);
+  State.CheckedAt = AskedAt;
+  if (ColdLeft <= Duration::zero())
+    return false;
+  bool WasCold = State.ColdUntil.has_value();
+  State.ColdUntil =
+      std::max(State.ColdUntil.value_or(LeaseNow), LeaseNow + ColdLeft);
+  State.IsColdByHealth = true;
+  return !WasCold && this->isCold(State);
+}
+
+std::size_t TargetDirectory::coldTargets() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Targets.begin(), this->Targets.end(), [this](const auto &Each) {
+        return !Each.second.IsRetired && this->isCold(Each.second);
+      }));
+}
+
 void TargetDirectory::expire(TimePoint Now) {
   std::vector<std::string> Expired;
   for (auto &[Id, State] : this->Targets)
@@ -200,6 +325,7 @@
   if (TargetState *State = this->find(Id)) {
     State->ConsecutiveFailures = 0;
     State->BackoffUntil = {};
+    State->HasAnswered = true;
   }
 }
 
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -9,6 +9,7 @@
 #include "LibBase/RecentMap.h"
 #include "LibBase/Time.h"
 #include "LibNet/MemoryBudget.h"
+#include "LibRateLimit/ColdLimit.h"
 #include "LibRelay/EvacuatedDomains.h"
 
 #include <map>
@@ -76,8 +77,23 @@
   std::optional<TimePoint> MissingSince;
   /// Receives no new calls.
   bool IsRetired = false;
-  /// When its failure domain was returned after an evacuation.
+  /// When its failure domain was returned after an evacuation, or when it
+  /// became warm.
   std::optional<TimePoint> ReturnedAt;
+  /// When the target will be warm, by the clock that counts the time during
+  /// which the machine was suspended; unset if it is warm.
+  std::optional<TimePoint> ColdUntil;
+  /// Orders the reports on the cold period of this run.
+  std::optional<std::uint64_t> ColdSequence;
+  /// The target stated its cold period in a health response, which is newer
+  /// than its entry.
+  bool IsColdByHealth = false;
+  /// The target has answered a call of this host.
+  bool HasAnswered = false;
+  /// When the last health request that was answered was sent, and before when
+  /// no other one is sent.
+  TimePoint CheckedAt{};
+  TimePoint NextCheckAt{};
 };
 
 struct DirectoryPolicy {
@@ -94,6 +110,10 @@
   /// How long other targets are preferred after a target refused a call for
   /// lack of capacity.
   Duration FullDuration = std::chrono::milliseconds(250);
+  /// The shortest intervals of the health requests of this host to one target,
+  /// and to all of them. Targets charge for these requests.
+  Duration TargetHealthInterval = std::chrono::milliseconds(1000);
+  Duration HealthInterval = std::chrono::milliseconds(100);
 };
 
 /// The directory of one host. Not thread-safe.
@@ -116,7 +136,11 @@
   void onListRestored() { this->IsNextListOld = true; }
 
   /// Records that the list could not be read.
-  void onListUnreachable(TimePoint Now) { this->UnreachableAt = Now; }
+  void onListUnreachable(TimePoint Now) {
+    this->UnreachableAt = Now;
+    this->IsListUnreachable = true;
+  }
+  void onListReachable() { this->IsListUnreachable = false; }
 
   /// Retires targets that are still missing after their grace period.
   void expire(TimePoint Now);
@@ -140,6 +164,53 @@
   /// time directly before the call is sent.
   bool mayReceive(const ListedTarget &Target) const;
 
+  /// Sets the rates at which the cold targets of services accept requests.
+  /// Services without a rate have no cold targets.
+  void setColdRates(std::map<std::string, double> Rates) {
+    this->ColdRates = std::move(Rates);
+  }
+
+  /// Applies a report on the cold period of a target that was read, or
+  /// received, at \p LeaseNow. One for another run of the target, or one that
+  /// is not newer than the last, has no effect. \returns whether the target
+  /// became cold.
+  bool onColdReport(const ColdReport &Report, TimePoint LeaseNow);
+
+  /// Ends the cold periods that are over. \returns the targets that became
+  /// warm.
+  std::vector<ListedTarget> endColdPeriods(TimePoint LeaseNow, TimePoint Now);
+
+  /// \returns whether requests to a target need permits since it is cold.
+  bool isCold(const TargetState &Target) const {
+    return Target.ColdUntil && this->coldRate(Target.Listed.Service) > 0;
+  }
+  bool isCold(const ListedTarget &Target) const;
+
+  /// \returns the rate at which a cold target of a service accepts requests; 0
+  /// if it has no cold targets.
+  double coldRate(const std::string &Service) const;
+
+  /// \returns what is known of the cold period of one run of a target; nothing
+  /// if it is warm.
+  std::optional<ColdReport> describeCold(const std::string &RunKey,
+                                         TimePoint LeaseNow) const;
+
+  std::size_t coldTargets() const;
+
+  /// \returns whether a target may be cold without an entry that tells: the
+  /// list can't be read, and the target was lost or is new to this host. Its
+  /// health is to be requested before it gets a call.
+  bool needsHealthCheck(const TargetState &Target) const;
+  bool needsHealthCheck(const ListedTarget &Target) const;
+
+  /// \returns whether a health request may be sent to a target now, which is
+  /// then counted as sent.
+  bool beginHealthCheck(const std::string &Id, TimePoint Now);
+
+  /// Applies a health response. \returns whether the target became cold.
+  bool onHealthResponse(const ListedTarget &Target, Duration ColdLeft,
+                        TimePoint AskedAt, TimePoint LeaseNow);
+
   /// \returns whether a service has targets, but all of those that could
   /// receive calls are in evacuated failure domains.
   bool isEvacuated(const std::string &Service) const;
@@ -175,15 +246,21 @@
 private:
   static constexpr std::size_t MaxRemovedRuns = 4096;
 
+  const TargetState *findRun(const std::string &RunKey) const;
   void eraseIfIdle(const std::string &Id);
   bool isRemovedRun(const ListedTarget &Target) const;
   void beginReturn(const std::string &FailureDomain, TimePoint Now);
 
   DirectoryPolicy Policy;
   EvacuatedDomains Evacuated;
+  /// Requests per second, by service.
+  std::map<std::string, double> ColdRates;
   std::map<std::string, TargetState> Targets;
   std::optional<TimePoint> UnreachableAt;
+  bool IsListUnreachable = false;
   bool IsNextListOld = false;
+  /// No health request of this host is sent before.
+  TimePoint NextHealthCheckAt{};
   /// Runs that were removed from the list, and whether they still are.
   RecentMap<std::string, bool> RemovedRuns{MaxRemovedRuns};
 };
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -144,6 +144,7 @@
                     this->Settings.ResendRatio * HostResendShare,
                     this->Settings.ResendSlack * HostResendShare};
   Chosen.Seed = Seed;
+  Chosen.Cold = {this->Settings.ColdOvershoot, this->Settings.ColdSlack};
   return Chosen;
 }
 
@@ -227,6 +228,13 @@
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
   Hooks.ReadRateLimit = platform::readRateLimit;
+  Hooks.AskHealth = [this](const ListedTarget &Target, const std::string &Path,
+                           const CallerHooks &Caller,
+                           TimePoint Deadline) -> std::optional<Duration> {
+    auto Head = this->Dialer.ask(
+        Target, platform::makeHealthQuery(Target, Path), Caller, Deadline);
+    return Head ? platform::readColdLeft(*Head) : std::nullopt;
+  };
   Hooks.MakeRefusal = platform::makeRefusal;
   return Hooks;
 }
@@ -290,16 +298,21 @@
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records,
                             std::uint64_t) {
     std::vector<ListedTarget> Targets;
+    std::vector<ColdReport> Reports;
     for (const KeyedRecord &Record : Records)
-      if (auto Target =
-              platform::parseTargetEntry(Record.Key, Record.Value.value_or("")))
+      if (auto Target = platform::parseTargetEntry(Record.Key,
+                                                   Record.Value.value_or(""))) {
         Targets.push_back(Target.value());
-      else
+        Reports.push_back(Target.value().coldReport());
+      } else {
         this->logUnreadableTarget(Record);
+      }
     this->Dispatcher.versions().onListGap(readLeaseClock());
     for (const ListedTarget &Target : Targets)
       this->noteVersion(Target);
     this->Dispatcher.targets().onFullList(Targets, this->Tasks.Now());
+    for (const ColdReport &Report : Reports)
+      this->Dispatcher.onColdReport(Report, "entry");
     this->HasTargets = true;
     logEvent(LogLevel::Info, "targets_read", {{"targets", Targets.size()}});
   };
@@ -313,7 +326,10 @@
     this->Dispatcher.targets().onListUnreachable(this->Tasks.Now());
     this->TokenSource.setLogReachable(false);
   };
-  Hooks.OnAvailable = [this] { this->TokenSource.setLogReachable(true); };
+  Hooks.OnAvailable = [this] {
+    this->Dispatcher.targets().onListReachable();
+    this->TokenSource.setLogReachable(true);
+  };
   return Hooks;
 }
 
@@ -339,6 +355,7 @@
               {"address", Target.value().Address},
               {"version", Target.value().Version},
               {"leaving", Target.value().IsLeaving}});
+  this->Dispatcher.onColdReport(Target.value().coldReport(), "entry");
 }
 
 void RelayService::noteVersion(const ListedTarget &Target) {
@@ -410,6 +427,7 @@
 void RelayService::runHousekeeping() {
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
+    this->Dispatcher.endColdPeriods();
     this->Evacuations.checkProgress(this->Tasks.Now());
     this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
@@ -465,6 +483,9 @@
       static_cast<double>(this->Dispatcher.limiter().limitedTargets()));
   this->Measured.set("peer_datagrams_lost_here",
                      static_cast<double>(this->PeerSocket.sendFailures()));
+  this->Measured.set(
+      "relay_cold_targets",
+      static_cast<double>(this->Dispatcher.targets().coldTargets()));
   this->Evacuations.exportMetrics(this->Measured);
   this->Load.exportMetrics(this->Measured);
   this->TokenSource.measure();
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -62,6 +62,11 @@
       {FailureDomain, IsEvacuated, ++Offset}, this->Simulated.now());
 }
 
+void RelayFixture::reportCold(const std::string &Id, Duration Left) {
+  static std::uint64_t Sequence = 0;
+  this->Dispatcher.onColdReport({Id + "#0", Left, ++Sequence}, "entry");
+}
+
 void RelayFixture::configure() {
   auto Config = std::make_shared<RelayConfig>();
   Config->Version = this->Version++;
@@ -70,6 +75,8 @@
   RoutedService Service;
   Service.Name = "engines";
   Service.TokensPerEvent = 7;
+  Service.ColdPerSecond = this->ColdPerSecond;
+  Service.HealthPath = "/health";
   Config->addService(Service);
   this->Dispatcher.setConfig(Config);
 }
@@ -125,7 +132,9 @@
   Hooks.Open = [this](const ListedTarget &, const RelayCall &,
                       const HttpRequestHead &, const CallerHooks &,
                       const SendTerms &Terms) -> Result<TargetExchange> {
-    this->WhileConnecting();
+    // A copy, since the function may replace itself.
+    auto Connecting = this->WhileConnecting;
+    Connecting();
     if (!Terms.MayReceive()) {
       this->SentCalls.pop_back();
       return NetError::ConnectFailed;
@@ -151,6 +160,14 @@
       return {};
     return {std::stod(std::string(*Text)), std::nullopt};
   };
+  Hooks.AskHealth = [this](const ListedTarget &, const std::string &Path,
+                           const CallerHooks &, TimePoint) {
+    if (Path == "/health")
+      ++this->HealthRequests;
+    this->Simulated.hooks().sleepUntil(this->Simulated.now() +
+                                       std::chrono::milliseconds(5));
+    return this->HealthResponse;
+  };
   Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
                              std::optional<Duration> After) {
     this->RetryAfter = After;
