Queue the calls of a service when its targets are overloaded

Cause: a team with eight times its usual load delayed all others, long prompts blocked short calls, and calls that could not start in time were refused too late for their callers to try elsewhere.

Change: a queue for each service on each host (CallAdmission) between the reservation of tokens and the choice of a target, built on Admission of LibRouting. ConcurrencyLimit can begin on demand, from the calls in progress, when targets are full or first events miss the objective; it ends without such signs, so that a calm host has no limit. DrainRate can begin without an assumed rate. The router keeps its settings; FairQueue and Admission stay consistent if memory runs out. Calls that can't start get 503, not run, with a reason of their own and a time to return.

--- a/Libraries/LibRelay/Depends.cmake
+++ b/Libraries/LibRelay/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibBase LibTask LibNet LibWallet LibLoan LibRateLimit LibObserve nlohmann_json::nlohmann_json)
+set(DEPENDS LibBase LibTask LibNet LibWallet LibLoan LibRateLimit LibRouting LibObserve nlohmann_json::nlohmann_json)
--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -68,9 +68,12 @@
   /// prompt takes several times the whole latency objective of a short answer,
   /// so a few long reports would delay many short questions.
   int rankAtEngine() const {
+    return 2 * this->priority() + (this->hasLongPrompt() ? 1 : 0);
+  }
+
+  bool hasLongPrompt() const {
     constexpr std::int64_t LongPromptTokens = 4000;
-    return 2 * this->priority() +
-           (this->PromptTokens > LongPromptTokens ? 1 : 0);
+    return this->PromptTokens > LongPromptTokens;
   }
 
   /// The time by which the caller must have the complete answer.
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -44,6 +44,9 @@
 /// A probe ends as soon as its target begins to answer.
 constexpr Duration ProbeRetryAfter = std::chrono::milliseconds(500);
 
+/// Bounds the time that is deducted for a prompt, whose length callers state.
+constexpr std::int64_t MaxTimedPromptTokens = 1'000'000;
+
 bool isEventStream(const HttpResponseHead &Head) {
   auto Type = Head.Headers.find("Content-Type");
   return Head.Status == 200 && Type && Type->starts_with("text/event-stream");
@@ -169,7 +172,9 @@
   if (Gate.enter(this->Service, 0, this->now()) == GateVerdict::Closed)
     return this->refuseAtGate(RelayReason::TargetUnreachable,
                               NoTargetRetryAfter);
-  this->tryTargets();
+  if (this->awaitStart())
+    this->tryTargets();
+  this->Place.reset();
   if (this->Outcome.Sends > 0)
     Gate.onSuccess(this->Service, 0);
   else if (this->Outcome.Reason == RelayReason::TargetUnreachable)
@@ -178,6 +183,41 @@
     Gate.onAbandoned(this->Service);
 }
 
+bool RelayCallHandler::awaitStart() {
+  TargetDirectory &Targets = this->Dispatcher.targets();
+  TimePoint QueuedAt = this->now();
+  this->Place.emplace(this->Dispatcher.admission(), this->Service);
+  auto Refusal = this->Place->await(
+      admissionRequestOf(this->Call, QueuedAt, this->Deadline),
+      this->Caller.Changed, [this, &Targets] {
+        return this->isGivenUp() || Targets.isEvacuated(this->Service);
+      });
+  this->Outcome.QueueWait = this->now() - QueuedAt;
+  if (!Refusal)
+    return true;
+  if (this->Caller.HasLeft())
+    this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
+  else if (!this->maySend())
+    this->finishFailed(AttemptEnd::HostStops);
+  else if (Targets.isEvacuated(this->Service))
+    this->finishFailed(AttemptEnd::Evacuated);
+  else
+    // Callers that were refused in the same moment do not return in the same
+    // one.
+    this->refuse(503, RelayEnd::NotRun, RelayReason::CannotStart,
+                 this->Dispatcher.rng().jitter(Refusal->RetryAfter));
+  return false;
+}
+
+void RelayCallHandler::recordFirstEvent() {
+  // A resumed stream says nothing of the time to a first event.
+  if (!this->Place || this->HasStreamStarted || this->Versions.hasBegun())
+    return;
+  Duration OwnPrompt =
+      PromptTokenTime * std::min(this->Call.PromptTokens, MaxTimedPromptTokens);
+  this->Place->onFirstEvent(this->now() - this->SentAt - OwnPrompt);
+}
+
 void RelayCallHandler::tryTargets() {
   this->Dispatcher.resends().onRequest(this->Service, this->now());
   for (;;) {
@@ -436,6 +476,9 @@
       return AttemptEnd::NotRun;
     case ResponseVerdict::NotRun:
       this->recordRateLimit(Head.value(), Target);
+      // The calls to a target that states a rate limit are bounded by permits.
+      if (this->Place && !this->Hooks.ReadRateLimit(Head.value()).PerSecond)
+        this->Place->onTargetFull();
       Exchange.FinishRefused();
       return AttemptEnd::NotRun;
     case ResponseVerdict::Unverified:
@@ -494,6 +537,8 @@
 
 bool RelayCallHandler::sendResponse(const HttpResponseHead &Head,
                                     std::string_view Body) {
+  // The call needs no target any more, however slowly its caller reads.
+  this->Place.reset();
   // Without memory for the answer, SendResponse throws before it writes.
   auto Sent = this->Caller.SendResponse(Head, Body);
   this->IsAnswered = true;
@@ -536,6 +581,7 @@
       this->recordAnswer();
     if (Batch.Events > 0 && this->IsPrefillPending) {
       this->IsPrefillPending = false;
+      this->recordFirstEvent();
       this->Dispatcher.targets().onPrefillDone(this->Outcome.Target,
                                                this->Call.PromptTokens);
     }
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -59,6 +59,11 @@
   bool reserveTokens();
   void runAttempts();
   void tryTargets();
+  /// Waits in the queue of the service. \returns whether the call may start;
+  /// otherwise it has been answered.
+  bool awaitStart();
+  /// Reports the first event of an answer, for the limit of the service.
+  void recordFirstEvent();
   /// Refuses a call because recent ones failed for the same reason.
   void refuseAtGate(RelayReason Reason, Duration RetryAfter);
   void chooseService();
@@ -146,6 +151,8 @@
   ListedTarget FirstTarget;
   StreamVersionRule Versions;
   MemoryHold Memory;
+  /// Held until the call no longer needs a target.
+  std::optional<CallPlace> Place;
   /// The tokens reserved for the call.
   std::optional<TokenReservation> Hold;
   /// The failure that a target reported; passed on to the caller if no other
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -43,7 +43,7 @@
                }),
       Origins(this->Settings.Origins, this->Versions, Tokens.roster(),
               this->originHooks()),
-      Rng(this->Settings.Seed + 1) {}
+      Queues({}, this->Hooks.Tasks, Stats), Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
   LimiterHooks Chosen;
@@ -179,6 +179,7 @@
        {"events", Outcome.Events},
        {"tokens_charged", Outcome.TokensCharged},
        {"tokens_wait_ms", millisecondsOf(Outcome.TokensWait)},
+       {"queue_wait_ms", millisecondsOf(Outcome.QueueWait)},
        {"first_event_ms", millisecondsOf(Outcome.FirstEvent)},
        {"total_ms", millisecondsOf(Outcome.Total)}});
 }
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -8,6 +8,7 @@
 #include "LibLoan/TokenBroker.h"
 #include "LibObserve/Metrics.h"
 #include "LibRateLimit/TargetLimiter.h"
+#include "LibRelay/CallAdmission.h"
 #include "LibRelay/FailureGate.h"
 #include "LibRelay/OriginExchange.h"
 #include "LibRelay/QuarantineExchange.h"
@@ -67,6 +68,8 @@
   FailureGate &tokenGate() { return this->TokenGate; }
   /// Calls that need a connection to a target, by service.
   FailureGate &targetGate() { return this->TargetGate; }
+  /// Calls that wait for a target or are in progress, by service.
+  CallAdmission &admission() { return this->Queues; }
   TokenBroker &tokens() { return this->TokenSource; }
   Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
@@ -95,6 +98,7 @@
   OriginExchange Origins;
   FailureGate TokenGate;
   FailureGate TargetGate;
+  CallAdmission Queues;
   Random Rng;
 };
 
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -58,6 +58,8 @@
     return "all targets of the service are in evacuated failure domains";
   case RelayReason::HostOverloaded:
     return "the link of the host is full";
+  case RelayReason::CannotStart:
+    return "the call can't start in time";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -57,6 +57,7 @@
   OutOfMemory,
   Evacuated,
   HostOverloaded,
+  CannotStart,
 };
 
 std::error_code make_error_code(RelayReason Value);
@@ -76,6 +77,8 @@
   std::uint32_t Events = 0;
   std::int64_t TokensCharged = 0;
   Duration TokensWait{};
+  /// The time in the queue of the service.
+  Duration QueueWait{};
   Duration FirstEvent{};
   Duration Total{};
 };
--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -29,9 +29,17 @@
     return make_error_code(RoutingError::QueueFull);
   }
   TicketId Ticket{++this->LastTicket};
-  this->Lanes[laneOf(Request)].Queue.push(workOf(Ticket, Request));
-  this->Waiting.emplace(Ticket, QueuedRequest{Request, Now});
-  this->Deadlines.emplace(Request.Deadline, Ticket);
+  // Memory may run out at each step, and a request must be known to all three
+  // containers or to none.
+  try {
+    this->Waiting.emplace(Ticket, QueuedRequest{Request, Now});
+    this->Deadlines.emplace(Request.Deadline, Ticket);
+    this->Lanes[laneOf(Request)].Queue.push(workOf(Ticket, Request));
+  } catch (...) {
+    this->Deadlines.erase({Request.Deadline, Ticket});
+    this->Waiting.erase(Ticket);
+    throw;
+  }
   ++this->Counts.Admitted;
   return Ticket;
 }
@@ -39,6 +47,7 @@
 std::optional<StartedRequest> Admission::next(TimePoint Now,
                                               const StartPredicate &MayStart) {
   this->expire(Now);
+  this->Limit.advance(Now);
   auto Selected = this->selectLane();
   if (Selected == this->Lanes.end())
     return std::nullopt;
@@ -50,21 +59,48 @@
     this->Drain.blocked(Now);
     return std::nullopt;
   }
+  // The only step that needs memory comes first.
+  this->Running.emplace(
+      Ticket, StartedState{Taken.Request.Class,
+                           Taken.Request.FirstTokenTarget.value_or(
+                               this->Settings.Concurrency.FirstTokenTarget),
+                           Now, Taken.Request.Cost});
   LaneKey Key = Selected->first;
   this->removeWaiting(Ticket);
   this->creditLowerLanes(Key, Taken.Request.Cost);
   this->Drain.started(Taken.Request.Cost, !this->Waiting.empty(), Now);
-  this->Running.emplace(Ticket, Taken.Request.Class);
   ++this->Counts.Started;
   return StartedRequest{Ticket, Taken.Request, Now - Taken.ArrivedAt};
 }
 
 void Admission::firstToken(TicketId Ticket, Duration Waited, TimePoint Now) {
   auto Found = this->Running.find(Ticket);
-  bool IsUrgent =
-      Found != this->Running.end() && Found->second != WorkClass::LongDraft;
-  if (IsUrgent)
-    this->Limit.firstToken(Waited, Now);
+  if (Found == this->Running.end())
+    return;
+  StartedState &Started = Found->second;
+  if (Started.IsPutBack)
+    this->Drain.resumed(Started.Cost);
+  Started.IsPutBack = false;
+  if (Started.Class != WorkClass::LongDraft)
+    this->Limit.observe(Waited > Started.FirstTokenTarget, Started.StartedAt,
+                        this->Running.size(), Now);
+}
+
+void Admission::targetFull(TicketId Ticket, TimePoint Now) {
+  auto Found = this->Running.find(Ticket);
+  if (Found == this->Running.end())
+    return;
+  StartedState &Started = Found->second;
+  if (!Started.IsPutBack)
+    this->Drain.putBack(Started.Cost);
+  Started.IsPutBack = true;
+  // This one is not in progress at a target.
+  this->Limit.observe(true, Started.StartedAt, this->Running.size() - 1, Now);
+}
+
+bool Admission::hasLimit(TimePoint Now) {
+  this->Limit.advance(Now);
+  return this->Limit.isActive();
 }
 
 Result<void> Admission::finish(TicketId Ticket, TimePoint) {
--- a/Libraries/LibRouting/Admission.h
+++ b/Libraries/LibRouting/Admission.h
@@ -37,8 +37,9 @@
   /// The share of the work reserved for lower lanes: requests of a lower
   /// priority or a slower class that wait while others start.
   double LowerLaneShare = 0.1;
-  /// The service rate assumed until one is measured, in tokens per second.
-  double AssumedCostPerSecond = 20000;
+  /// The service rate assumed until one is measured, in tokens per second. If
+  /// unset, no wait is expected until one is measured.
+  std::optional<double> AssumedCostPerSecond = 20000;
   ConcurrencyLimitSettings Concurrency;
   /// The bounds of the retry delay reported with a refusal.
   Duration MinRetryAfter = std::chrono::seconds(1);
@@ -59,6 +60,9 @@
   double Cost = 0;
   /// The latest useful start time.
   TimePoint Deadline;
+  /// The target latency of the first token, if it differs from that of the
+  /// concurrency limit.
+  std::optional<Duration> FirstTokenTarget = std::nullopt;
 };
 
 /// A request that may be sent now.
@@ -111,6 +115,10 @@
   /// since they may wait at their target.
   void firstToken(TicketId Ticket, Duration Waited, TimePoint Now);
 
+  /// Records that a target refused a started request since it was full. The
+  /// request remains started.
+  void targetFull(TicketId Ticket, TimePoint Now);
+
   /// Records the end of a started request. Errors: UnknownTicket.
   Result<void> finish(TicketId Ticket, TimePoint Now);
 
@@ -135,6 +143,8 @@
   std::size_t running() const { return this->Running.size(); }
   const AdmissionCounts &counts() const { return this->Counts; }
   double concurrencyLimit() const { return this->Limit.limit(); }
+  /// Returns whether there is a concurrency limit at \p Now.
+  bool hasLimit(TimePoint Now);
   double costPerSecond() const { return this->Drain.perSecond(); }
 
 private:
@@ -158,6 +168,15 @@
     TimePoint ArrivedAt;
   };
 
+  struct StartedState {
+    WorkClass Class = WorkClass::QuickAnswer;
+    Duration FirstTokenTarget{};
+    TimePoint StartedAt{};
+    double Cost = 0;
+    /// A target was full, and no other one has answered since.
+    bool IsPutBack = false;
+  };
+
   static LaneKey laneOf(const AdmissionRequest &Request);
   static QueuedWork workOf(TicketId Ticket, const AdmissionRequest &Request);
   void expire(TimePoint Now);
@@ -171,7 +190,7 @@
   AdmissionSettings Settings;
   std::map<LaneKey, Lane> Lanes;
   std::unordered_map<TicketId, QueuedRequest> Waiting;
-  std::unordered_map<TicketId, WorkClass> Running;
+  std::unordered_map<TicketId, StartedState> Running;
   std::set<std::pair<TimePoint, TicketId>> Deadlines;
   std::vector<RefusedRequest> Refused;
   DrainRate Drain;
--- a/Libraries/LibRouting/DrainRate.cpp
+++ b/Libraries/LibRouting/DrainRate.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/DrainRate.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bergamothook {
 
@@ -19,7 +20,9 @@
 
 } // namespace
 
-DrainRate::DrainRate(double InitialRate) : Rate(InitialRate) {}
+DrainRate::DrainRate(std::optional<double> InitialRate)
+    : IsAssumed(InitialRate.has_value()),
+      Rate(InitialRate.value_or(std::numeric_limits<double>::infinity())) {}
 
 void DrainRate::started(double Cost, bool IsBacklogged, TimePoint Now) {
   this->rollWindow(Now);
@@ -27,6 +30,10 @@
   this->WasBacklogged = this->WasBacklogged && IsBacklogged;
 }
 
+void DrainRate::putBack(double Cost) {
+  this->WindowCost = std::max(0.0, this->WindowCost - Cost);
+}
+
 void DrainRate::blocked(TimePoint Now) { this->rollWindow(Now); }
 
 void DrainRate::rollWindow(TimePoint Now) {
@@ -41,7 +48,12 @@
   double Seconds = std::chrono::duration<double>(Elapsed).count();
   double Measured = this->WindowCost / Seconds;
   bool IsMeasured = this->WasBacklogged && Seconds < MaxWindowSeconds;
-  if (IsMeasured || Measured > this->Rate)
+  bool IsUnknown = this->Rate == std::numeric_limits<double>::infinity();
+  bool IsRaised =
+      Measured > this->Rate || (IsUnknown && Seconds < MaxWindowSeconds);
+  if (!this->IsAssumed && IsRaised)
+    this->Rate = Measured;
+  else if (IsMeasured || IsRaised)
     this->Rate += NewWindowWeight * (Measured - this->Rate);
   this->Rate = std::max(this->Rate, MinRate);
   this->WindowCost = 0;
--- a/Libraries/LibRouting/FairQueue.cpp
+++ b/Libraries/LibRouting/FairQueue.cpp
@@ -6,13 +6,19 @@
 
 void FairQueue::push(const QueuedWork &Work) {
   TeamQueue &Team = this->Teams[Work.Team];
-  if (Team.Items.empty()) {
+  // Memory may run out at either insertion; neither may remain alone.
+  Team.Items.push_back(Work);
+  if (Team.Items.size() == 1) {
     Team.Weight = Work.Weight;
     Team.VirtualStart = std::max(Team.VirtualStart, this->VirtualTime);
+    try {
+      this->TeamsByStart.emplace(Team.VirtualStart, Work.Team);
+    } catch (...) {
+      Team.Items.pop_back();
+      throw;
+    }
     this->TotalWeight += Team.Weight;
-    this->TeamsByStart.emplace(Team.VirtualStart, Work.Team);
   }
-  Team.Items.push_back(Work);
   Team.Cost += Work.Cost;
   this->adjustCost(Work.Cost);
   ++this->Count;
@@ -25,9 +31,10 @@
 }
 
 QueuedWork FairQueue::pop() {
-  auto [VirtualStart, Id] = *this->TeamsByStart.begin();
-  this->TeamsByStart.erase(this->TeamsByStart.begin());
-  TeamQueue &Team = this->Teams[Id];
+  // The entry is reused, so that nothing here needs memory.
+  auto Entry = this->TeamsByStart.extract(this->TeamsByStart.begin());
+  auto [VirtualStart, Id] = Entry.value();
+  TeamQueue &Team = this->Teams.at(Id);
   QueuedWork Work = Team.Items.front();
   Team.Items.pop_front();
   Team.Cost -= Work.Cost;
@@ -35,8 +42,10 @@
   Team.VirtualStart = VirtualStart + Work.Cost / Team.Weight;
   this->adjustCost(-Work.Cost);
   --this->Count;
-  if (!Team.Items.empty())
-    this->TeamsByStart.emplace(Team.VirtualStart, Id);
+  if (!Team.Items.empty()) {
+    Entry.value() = {Team.VirtualStart, Id};
+    this->TeamsByStart.insert(std::move(Entry));
+  }
   this->removeTeamIfEmpty(Id);
   return Work;
 }
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -461,6 +461,7 @@
                      static_cast<double>(this->PeerSocket.sendFailures()));
   this->Evacuations.exportMetrics(this->Measured);
   this->Load.exportMetrics(this->Measured);
+  this->Dispatcher.admission().exportMetrics(this->Tasks.Now());
   this->TokenSource.measure();
   return {200, "text/plain", this->Measured.toPrometheusText()};
 }
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -113,7 +113,9 @@
   Hooks.Open = [this](const ListedTarget &, const RelayCall &,
                       const HttpRequestHead &, const CallerHooks &,
                       const SendTerms &Terms) -> Result<TargetExchange> {
-    this->WhileConnecting();
+    // A copy, since the hook may replace itself.
+    auto Callback = this->WhileConnecting;
+    Callback();
     if (!Terms.MayReceive()) {
       this->SentCalls.pop_back();
       return NetError::ConnectFailed;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -24,20 +24,20 @@
   ResponseVerdict Verdict = ResponseVerdict::Ran;
   unsigned Status = 200;
   /// Pieces of the body, each with the delay before it.
-  std::vector<std::pair<Duration, std::string>> Pieces;
+  std::vector<std::pair<Duration, std::string>> Pieces = {};
   /// The body of the next response on the same connection.
-  std::vector<std::pair<Duration, std::string>> NextPieces;
+  std::vector<std::pair<Duration, std::string>> NextPieces = {};
   bool IsEventStream = true;
   /// Memory runs out as the head is read.
   bool ThrowsBadAlloc = false;
   /// How the connection ends after the pieces; unset for a complete response.
-  std::error_code ConnectionError;
+  std::error_code ConnectionError = {};
   /// The response has neither a length nor chunks.
   bool EndsWithConnection = false;
   /// The response stalls after the pieces.
   bool Stalls = false;
   /// The rate limit that the target states.
-  std::optional<double> RateLimit;
+  std::optional<double> RateLimit = std::nullopt;
   Duration HeadAfter = std::chrono::milliseconds(5);
 };
 
