--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -60,6 +60,8 @@
     return "the link of the host is full";
   case RelayReason::TargetsCold:
     return "the targets have just started and accept few requests yet";
+  case RelayReason::CannotStart:
+    return "the call can't start in time";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -58,6 +58,7 @@
   Evacuated,
   HostOverloaded,
   TargetsCold,
+  CannotStart,
 };
 
 std::error_code make_error_code(RelayReason Value);
@@ -77,6 +78,8 @@
   std::uint32_t Events = 0;
   std::int64_t TokensCharged = 0;
   Duration TokensWait{};
+  /// The time in the queue of the service.
+  Duration QueueWait{};
   Duration FirstEvent{};
   Duration Total{};
 };
