--- a/Tests/LibRelayFront/RelayServerTest.cpp
+++ b/Tests/LibRelayFront/RelayServerTest.cpp
@@ -104,7 +104,11 @@
   }
 
   static RelayServerSettings makeSettings() {
-    return {{"127.0.0.1:0", 100, 100, {}}, makeStopPolicy(), 300ms};
+    RelayServerSettings Chosen;
+    Chosen.Listen = {"127.0.0.1:0", 100, 100, {}};
+    Chosen.Stop = makeStopPolicy();
+    Chosen.CloseTimeout = 300ms;
+    return Chosen;
   }
 
   RelayHooks makeHooks() {
