Bound what callers' connections hold

The relay took 2,500 caller connections on any host, did not count the fields of heads and trailers, and left the send buffers of unread responses to the kernel. Connections, calls and status ports now have bounds that follow from limits.memoryMb and limits.maxFds, and the connection that has been idle or incomplete the longest gives way to a new one.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <new>
+#include <optional>
 #include <stdexcept>
 
 namespace bergamothook {
@@ -102,6 +103,31 @@
   return Out;
 }
 
+/// Heads with more fields are counted as memory. Ordinary heads have 10 to 30.
+constexpr std::size_t MaxUncountedFields = 64;
+/// What a field takes in the parser, in the head and in its copy for a target,
+/// including the allocator's share; its own bytes may be as few as four.
+constexpr std::size_t BytesPerField = 256;
+
+struct FieldSize {
+  std::size_t Count = 0;
+  std::size_t Bytes = 0;
+
+  std::size_t heldBytes() const {
+    return this->Count > MaxUncountedFields ? this->Count * BytesPerField : 0;
+  }
+};
+
+template <typename Fields> FieldSize measureFields(const Fields &Of) {
+  FieldSize Size;
+  for (const auto &Field : Of) {
+    ++Size.Count;
+    Size.Bytes += Field.name_string().size() + Field.value().size() +
+                  std::string_view(": \r\n").size();
+  }
+  return Size;
+}
+
 HttpRequestHead
 toRequestHead(const http::request<detail::GrowingBody> &Message) {
   HttpRequestHead Head;
@@ -143,6 +169,8 @@
   Parser.header_limit(Limits.MaxHeadBytes);
   Parser.body_limit(Limits.MaxBodyBytes);
   bool HasCheckedExpect = false;
+  std::optional<FieldSize> HeadSize;
+  std::size_t FieldMemory = 0;
   while (!Parser.is_done()) {
     std::string_view Bytes = this->Connection->unread();
     boost::system::error_code Failure;
@@ -153,7 +181,18 @@
       return toNetError(Failure);
     std::size_t UnconsumedBytes = Bytes.size() - Consumed;
     this->Connection->consume(Consumed);
-    if (!this->Connection->keep(Parser.get().body().size()))
+    if (Parser.is_header_done() && !HeadSize) {
+      HeadSize = measureFields(Parser.get().base());
+      FieldMemory = HeadSize->heldBytes();
+    }
+    if (Parser.is_done() && Parser.chunked()) {
+      // The trailer's fields have been added to those of the head.
+      FieldSize Whole = measureFields(Parser.get().base());
+      if (Whole.Bytes - HeadSize->Bytes > Limits.MaxHeadBytes)
+        return NetError::HeadTooLarge;
+      FieldMemory = Whole.heldBytes();
+    }
+    if (!this->Connection->keep(Parser.get().body().size() + FieldMemory))
       return NetError::OutOfMemory;
     if (Parser.is_done())
       break;
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -36,7 +36,8 @@
 
   /// Reads one request. \p OnContinue is called when the client sent
   /// "Expect: 100-continue" and waits for the interim response. The connection
-  /// keeps the size of the body until TcpConnection::keep() is called again.
+  /// keeps the size of the body, and of fields where there are very many, until
+  /// TcpConnection::keep() is called again.
   Result<HttpRequestMessage> read(const HttpReadLimits &Limits,
                                   TimePoint Deadline,
                                   const std::function<void()> &OnContinue);
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -380,6 +380,11 @@
   this->Socket.close(Ignored);
 }
 
+void TcpConnection::evict() {
+  this->abort();
+  this->end(true);
+}
+
 void TcpConnection::abort() {
   if (this->IsClosed)
     return;
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -28,6 +28,10 @@
   /// What the kernel receives ahead of the process counts as memory of the
   /// process too.
   int ReceiveBufferBytes = 32 * 1024;
+  /// The same of what the kernel has yet to send; it allocates up to twice as
+  /// much. 0 leaves the size to the kernel, which lets it grow to megabytes
+  /// while the peer does not read.
+  int SendBufferBytes = 0;
   /// Counts the bytes that the connection holds for \c Owners; null if they are
   /// not bounded in sum.
   MemoryBudgetHandle Memory;
@@ -134,6 +138,9 @@
   /// Resets the connection immediately.
   void abort();
 
+  /// Resets the connection and ends the waits of its user.
+  void evict();
+
   bool isClosed() const { return this->IsClosed; }
 
   TimePoint createdAt() const { return this->CreatedAt; }
--- a/Libraries/LibNet/TcpListener.cpp
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/TcpListener.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <utility>
 
 namespace bergamothook {
 
@@ -40,6 +41,9 @@
     // Connections inherit it.
     this->Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(
         this->Settings.Limits.ReceiveBufferBytes));
+    if (this->Settings.Limits.SendBufferBytes > 0)
+      this->Acceptor.set_option(boost::asio::socket_base::send_buffer_size(
+          this->Settings.Limits.SendBufferBytes));
     this->Acceptor.bind(Endpoint);
     this->Acceptor.listen(this->Settings.Backlog);
     this->Acceptor.non_blocking(true);
@@ -71,6 +75,8 @@
   for (int I = 0; I < MaxAcceptsPerWakeup; ++I) {
     if (this->OpenConnections >= this->Settings.MaxConnections) {
       this->IsPaused = true;
+      if (this->Settings.MakeRoom)
+        this->Settings.MakeRoom();
       return;
     }
     boost::system::error_code Failure;
@@ -91,11 +97,13 @@
     this->Handler(Connection);
     Connection->close();
     --this->OpenConnections;
-    if (this->IsPaused) {
-      this->IsPaused = false;
-      this->acceptNext();
-    }
+    this->resume();
   });
 }
 
+void TcpListener::resume() {
+  if (std::exchange(this->IsPaused, false))
+    this->acceptNext();
+}
+
 } // namespace bergamothook
--- a/Libraries/LibNet/TcpListener.h
+++ b/Libraries/LibNet/TcpListener.h
@@ -18,6 +18,9 @@
   /// Maximum number of open connections; further ones wait in the accept queue.
   std::size_t MaxConnections = 3000;
   TcpLimits Limits;
+  /// Called when a connection waits in the accept queue while MaxConnections
+  /// are open; may close one of them.
+  std::function<void()> MakeRoom = {};
 };
 
 /// Accepts connections and spawns a task for each.
@@ -35,6 +38,10 @@
   /// Stops accepting; open connections continue.
   void stop();
 
+  /// Calls MakeRoom again if connections wait in the accept queue, as another
+  /// connection may be closed now.
+  void resume();
+
   std::uint16_t port() const { return this->Port; }
   std::size_t connections() const { return this->OpenConnections; }
 
--- /dev/null
+++ b/Libraries/LibRelayFront/ConnectionRoster.h
@@ -0,0 +1,76 @@
+/// \file
+/// The open connections of a listening port, in the order in which they are
+/// closed when it has too many.
+
+#ifndef BERGAMOTHOOK_LIBRELAYFRONT_CONNECTIONROSTER_H
+#define BERGAMOTHOOK_LIBRELAYFRONT_CONNECTIONROSTER_H
+
+#include "LibNet/TcpConnection.h"
+
+#include <map>
+#include <tuple>
+
+namespace bergamothook {
+
+/// What a connection does, in the order of eviction.
+enum class ConnectionPhase {
+  /// The last response was sent; the client has yet to close its side.
+  Closing,
+  /// No complete request was received yet.
+  FirstRequest,
+  /// A later request has begun to arrive.
+  NextRequest,
+  /// All requests were answered.
+  Idle,
+  /// A request is being answered; never evicted.
+  Answering,
+};
+
+/// Evicts the connection that has been in the first of these phases for the
+/// longest time, so that clients which hold connections without sending
+/// complete requests give way to those that send them. Not thread-safe.
+class ConnectionRoster {
+public:
+  /// \p Address names the port in log lines.
+  explicit ConnectionRoster(std::string Address)
+      : Address(std::move(Address)) {}
+
+  /// The entry of one connection, for the duration of a scope.
+  class Entry {
+  public:
+    Entry(ConnectionRoster &Roster, TcpConnection::Handle Connection,
+          TimePoint Now);
+    ~Entry();
+    Entry(const Entry &) = delete;
+    Entry &operator=(const Entry &) = delete;
+
+    void enter(ConnectionPhase Phase, TimePoint Now);
+
+  private:
+    friend class ConnectionRoster;
+
+    ConnectionRoster &Roster;
+    TcpConnection::Handle Connection;
+    std::tuple<ConnectionPhase, TimePoint, std::uint64_t> Rank;
+  };
+
+  /// Resets one connection. \returns false if all are answering.
+  bool evictOne(TimePoint Now);
+
+  std::uint64_t evictions() const { return this->Evictions; }
+
+private:
+  void log(ConnectionPhase Phase, TimePoint Now);
+
+  std::string Address;
+  std::map<std::tuple<ConnectionPhase, TimePoint, std::uint64_t>, Entry *>
+      ByRank;
+  std::uint64_t LastEntry = 0;
+  std::uint64_t Evictions = 0;
+  std::uint64_t LoggedEvictions = 0;
+  TimePoint NextLogAt{};
+};
+
+} // namespace bergamothook
+
+#endif
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -27,6 +27,9 @@
 /// How long a write may block on a caller that does not read.
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+/// Retry-After of a call that is refused for want of descriptors: by then, the
+/// load balancer chooses another host for the caller's next connection.
+constexpr Duration DescriptorRetryAfter = std::chrono::milliseconds(500);
 /// Requests that have not been read whole are of no team yet.
 const MemoryOwner UnreadRequests = hash64("unread requests");
 
@@ -49,26 +52,34 @@
   TcpConnection::Handle Connection;
   Event Changed;
   HttpRequestReader Reader;
+  ConnectionRoster::Entry Place;
   /// Unset once a request was read.
   std::optional<TimePoint> OpenedAt;
   bool MustClose = false;
   bool MustAbort = false;
 
-  Session(const TcpConnection::Handle &Connection, const Runtime &Tasks)
+  Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
+          ConnectionRoster &Roster)
       : Connection(Connection), Reader(Connection, Tasks, this->Changed),
-        OpenedAt(Tasks.Now()) {}
+        Place(Roster, Connection, Tasks.Now()), OpenedAt(Tasks.Now()) {}
 };
 
 RelayServer::RelayServer(NetRuntime &Loop, RelayServerSettings Settings,
                          RelayDispatcher &Dispatcher, Decode Decoder)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
-      Listener(Loop, this->Settings.Listen,
+      Listener(Loop, this->listenerSettings(),
                [this](const TcpConnection::Handle &Connection) {
                  this->handleConnection(Connection);
                }),
       Plan(this->Settings.Stop) {}
 
+TcpListenerSettings RelayServer::listenerSettings() {
+  TcpListenerSettings Listen = this->Settings.Listen;
+  Listen.MakeRoom = [this] { this->Roster.evictOne(this->Tasks.Now()); };
+  return Listen;
+}
+
 bool RelayServer::mayExit() const {
   return this->Plan.mayExit(this->InProgress, this->connections(),
                             this->Tasks.Now());
@@ -102,7 +113,7 @@
 
 void RelayServer::handleConnection(const TcpConnection::Handle &Connection) {
   Connection->setOwners({UnreadRequests});
-  Session Client(Connection, this->Tasks);
+  Session Client(Connection, this->Tasks, this->Roster);
   ScopedEventAttachment Attached(Connection, Client.Changed);
   try {
     this->Sessions.insert(&Client.Changed);
@@ -114,6 +125,8 @@
     Client.MustAbort = true;
   }
   this->Sessions.erase(&Client.Changed);
+  Client.Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
+  this->Listener.resume();
   if (Client.MustAbort)
     Connection->abort();
   else
@@ -123,6 +136,8 @@
 void RelayServer::serveConnection(Session &Client) {
   while (!Client.MustClose && this->waitForRequest(Client)) {
     CallerLimits Limits = this->limits();
+    if (!Client.OpenedAt)
+      Client.Place.enter(ConnectionPhase::NextRequest, this->Tasks.Now());
     auto Message = Client.Reader.read(
         {Limits.MaxHeadBytes, Limits.MaxBodyBytes},
         this->Tasks.Now() + Limits.HeadTimeout, [&Client, this] {
@@ -134,12 +149,15 @@
       break;
     }
     Client.OpenedAt.reset();
+    Client.Place.enter(ConnectionPhase::Answering, this->Tasks.Now());
     detail::ScopedCount Counted(this->InProgress);
     bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
     Client.Connection->keep(0);
     if (!KeepsOpen)
       break;
     Client.Connection->setOwners({UnreadRequests});
+    Client.Place.enter(ConnectionPhase::Idle, this->Tasks.Now());
+    this->Listener.resume();
   }
 }
 
@@ -217,6 +235,15 @@
   return Caller;
 }
 
+std::optional<Duration> RelayServer::refuse(const RelayCall &Call) {
+  std::size_t Limit = this->Settings.MaxConnectionsAndCalls;
+  if (Limit > 0 && this->connections() + this->InProgress > Limit) {
+    ++this->DescriptorRefusals;
+    return DescriptorRetryAfter;
+  }
+  return this->Settings.Load.Refuse(Call, this->Tasks.Now());
+}
+
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
   std::optional<DecodedCall> Read;
@@ -238,8 +265,7 @@
     Decoded.RetryAfter = StoppingRetryAfter;
   }
   if (Decoded.RefusalStatus == 0)
-    if (auto RetryAfter =
-            this->Settings.Load.Refuse(Decoded.Call, this->Tasks.Now())) {
+    if (auto RetryAfter = this->refuse(Decoded.Call)) {
       Decoded.RefusalStatus = 503;
       Decoded.Reason = RelayReason::HostOverloaded;
       Decoded.RetryAfter = RetryAfter;
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -7,6 +7,7 @@
 #include "LibNet/HttpReader.h"
 #include "LibNet/TcpListener.h"
 #include "LibRelay/RelayDispatcher.h"
+#include "LibRelayFront/ConnectionRoster.h"
 #include "LibRelayFront/StopPlan.h"
 
 namespace bergamothook {
@@ -35,7 +36,10 @@
   StopPolicy Stop;
   /// How long to wait for the caller to close its side of a closed connection.
   Duration CloseTimeout = std::chrono::milliseconds(1500);
-  ServerLoadHooks Load;
+  ServerLoadHooks Load = {};
+  /// Caller connections and calls in progress beyond which a call is refused;
+  /// 0 if not limited.
+  std::size_t MaxConnectionsAndCalls = 0;
 };
 
 /// Reads requests, passes calls to the dispatcher and writes the responses.
@@ -60,6 +64,10 @@
   /// Requests read but not yet answered.
   std::size_t inProgress() const { return this->InProgress; }
   std::size_t connections() const { return this->Listener.connections(); }
+  /// Connections that were closed to accept others.
+  std::uint64_t evictions() const { return this->Roster.evictions(); }
+  /// Calls refused for want of descriptors.
+  std::uint64_t descriptorRefusals() const { return this->DescriptorRefusals; }
   std::uint16_t port() const { return this->Listener.port(); }
 
 private:
@@ -72,6 +80,8 @@
   void refuseMessage(Session &Client, std::error_code Failure);
   CallerHooks makeCallerHooks(Session &Client) const;
   CallerLimits limits() const;
+  TcpListenerSettings listenerSettings();
+  std::optional<Duration> refuse(const RelayCall &Call);
   bool mayExit() const;
   void wakeCalls();
 
@@ -80,9 +90,11 @@
   RelayServerSettings Settings;
   RelayDispatcher &Dispatcher;
   Decode Decoder;
+  ConnectionRoster Roster{"callers"};
   TcpListener Listener;
   std::set<Event *> Sessions;
   std::size_t InProgress = 0;
+  std::uint64_t DescriptorRefusals = 0;
   StopPlan Plan;
 };
 
--- a/Libraries/LibRelayFront/StatusServer.cpp
+++ b/Libraries/LibRelayFront/StatusServer.cpp
@@ -1,6 +1,8 @@
 #include "LibRelayFront/StatusServer.h"
 
+#include "LibBase/Hash.h"
 #include "LibNet/HttpReader.h"
+#include "LibRelayFront/ConnectionLimits.h"
 
 namespace bergamothook {
 
@@ -14,22 +16,38 @@
 /// The load balancer and the metrics collector send about one request per
 /// second.
 constexpr int Backlog = 64;
-constexpr std::size_t MaxConnections = 100;
+/// What the kernel holds of a client's pipelined requests, and of responses
+/// that it does not read.
+constexpr int ReceiveBufferBytes = 8 * 1024;
+constexpr int SendBufferBytes = 16 * 1024;
+const MemoryOwner StatusRequests = hash64("status requests");
 
 } // namespace
 
 StatusServer::StatusServer(NetRuntime &Loop, const std::string &Address,
-                           ResponseHandler Handler)
-    : Tasks(Loop.hooks()), Handler(std::move(Handler)),
-      Listener(Loop, {Address, Backlog, MaxConnections, {}},
+                           MemoryBudgetHandle Memory, ResponseHandler Handler)
+    : Tasks(Loop.hooks()), Handler(std::move(Handler)), Roster(Address),
+      Listener(Loop, this->listenerSettings(Address, std::move(Memory)),
                [this](const TcpConnection::Handle &Connection) {
                  this->serveConnection(Connection);
                }) {}
 
+TcpListenerSettings StatusServer::listenerSettings(const std::string &Address,
+                                                   MemoryBudgetHandle Memory) {
+  TcpListenerSettings Listen{Address, Backlog, MaxStatusConnections, {}};
+  Listen.Limits.ReceiveBufferBytes = ReceiveBufferBytes;
+  Listen.Limits.SendBufferBytes = SendBufferBytes;
+  Listen.Limits.Memory = std::move(Memory);
+  Listen.Limits.Owners = {StatusRequests};
+  Listen.MakeRoom = [this] { this->Roster.evictOne(this->Tasks.Now()); };
+  return Listen;
+}
+
 void StatusServer::serveConnection(const TcpConnection::Handle &Connection) {
   Event Changed;
   ScopedEventAttachment Attached(Connection, Changed);
   HttpRequestReader Reader(Connection, this->Tasks, Changed);
+  ConnectionRoster::Entry Place(this->Roster, Connection, this->Tasks.Now());
   while (Reader.waitForFirstByte(this->Tasks.Now() + IdleTimeout,
                                  [] { return false; })) {
     auto Message =
@@ -48,7 +66,12 @@
     if (!Connection->write(Bytes, this->Tasks.Now() + ReadTimeout) ||
         !Head.KeepAlive)
       break;
+    Connection->keep(0);
+    Place.enter(ConnectionPhase::Idle, this->Tasks.Now());
+    this->Listener.resume();
   }
+  Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
+  this->Listener.resume();
   Connection->finish(this->Tasks.Now() + CloseTimeout);
 }
 
--- a/Libraries/LibRelayFront/StatusServer.h
+++ b/Libraries/LibRelayFront/StatusServer.h
@@ -6,6 +6,7 @@
 
 #include "LibNet/HttpMessage.h"
 #include "LibNet/TcpListener.h"
+#include "LibRelayFront/ConnectionRoster.h"
 
 namespace bergamothook {
 
@@ -21,18 +22,25 @@
   using ResponseHandler =
       std::function<StatusResponse(const std::string &Path)>;
 
+  /// \p Memory bounds what all connections hold, together with other users of
+  /// the budget.
   StatusServer(NetRuntime &Loop, const std::string &Address,
-               ResponseHandler Handler);
+               MemoryBudgetHandle Memory, ResponseHandler Handler);
 
   Result<void> start() { return this->Listener.start(); }
   void stop() { this->Listener.stop(); }
+  /// Connections that were closed to accept others.
+  std::uint64_t evictions() const { return this->Roster.evictions(); }
   std::uint16_t port() const { return this->Listener.port(); }
 
 private:
+  TcpListenerSettings listenerSettings(const std::string &Address,
+                                       MemoryBudgetHandle Memory);
   void serveConnection(const TcpConnection::Handle &Connection);
 
   Runtime Tasks;
   ResponseHandler Handler;
+  ConnectionRoster Roster;
   TcpListener Listener;
 };
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -1,6 +1,7 @@
 #include "RelayService.h"
 
 #include "LibObserve/StructuredLog.h"
+#include "LibRelayFront/ConnectionLimits.h"
 #include "platform/HeaderCodec.h"
 #include "platform/ManifestReader.h"
 #include "platform/WalletStore.h"
@@ -38,8 +39,6 @@
 /// to its own requests. The rest is a margin, since the windows of the hosts
 /// and of the fleet do not start at the same time.
 constexpr double HostResendShare = 0.85;
-/// Leaves file descriptors for targets, the store and the listening ports.
-constexpr std::size_t MaxCallerConnections = 2500;
 constexpr int CallerAcceptBacklog = 1024;
 /// How much of an unreadable entry is logged.
 constexpr std::size_t MaxLoggedBytes = 200;
@@ -115,9 +114,9 @@
                                            std::move(Message), Now);
              }),
       ReadyServer(
-          Loop, this->Settings.ReadyAddress,
+          Loop, this->Settings.ReadyAddress, this->Memory,
           [this](const std::string &Path) { return this->answerReady(Path); }),
-      MetricsServer(Loop, this->Settings.MetricsAddress,
+      MetricsServer(Loop, this->Settings.MetricsAddress, this->Memory,
                     [this](const std::string &Path) {
                       return this->answerMetrics(Path);
                     }),
@@ -176,11 +175,15 @@
 }
 
 RelayServerSettings RelayService::serverSettings() {
+  ConnectionLimits Limits = deriveConnectionLimits(this->Settings.MemoryBytes,
+                                                   this->Settings.Descriptors);
   RelayServerSettings Chosen;
   Chosen.Listen = {this->Settings.FrontAddress,
                    CallerAcceptBacklog,
-                   MaxCallerConnections,
+                   Limits.CallerConnections,
                    {}};
+  Chosen.Listen.Limits.SendBufferBytes = CallerSendBufferBytes;
+  Chosen.MaxConnectionsAndCalls = Limits.ConnectionsAndCalls;
   Chosen.Listen.Limits.Memory = this->Memory;
   Chosen.Load = this->loadHooks();
   return Chosen;
@@ -439,6 +442,14 @@
                      static_cast<double>(this->Server.inProgress()));
   this->Measured.set("relay_caller_connections",
                      static_cast<double>(this->Server.connections()));
+  this->Measured.set("relay_connections_evicted{address=\"callers\"}",
+                     static_cast<double>(this->Server.evictions()));
+  this->Measured.set("relay_connections_evicted{address=\"readiness\"}",
+                     static_cast<double>(this->ReadyServer.evictions()));
+  this->Measured.set("relay_connections_evicted{address=\"metrics\"}",
+                     static_cast<double>(this->MetricsServer.evictions()));
+  this->Measured.set("relay_refusals_descriptors",
+                     static_cast<double>(this->Server.descriptorRefusals()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
   this->Measured.set("relay_target_run_queries",
