Close idle connections gracefully at the bound, and bound trailers

A connection is closed for another only if one waits in the accept queue, and what the kernel has accepted of its last response is still sent. Trailers are bounded like heads.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -165,7 +165,8 @@
 HttpRequestReader::readMessage(const HttpReadLimits &Limits, TimePoint Deadline,
                                const std::function<void()> &OnContinue) {
   http::request_parser<detail::GrowingBody> Parser;
-  Parser.eager(true);
+  // Stops at the end of the head, whose fields the trailer's are added to.
+  Parser.eager(false);
   Parser.header_limit(Limits.MaxHeadBytes);
   Parser.body_limit(Limits.MaxBodyBytes);
   bool HasCheckedExpect = false;
@@ -175,6 +176,7 @@
     std::string_view Bytes = this->Connection->unread();
     boost::system::error_code Failure;
     std::size_t Consumed = 0;
+    bool IsHeadNew = false;
     if (!Bytes.empty())
       Consumed = detail::feed(Parser, Bytes, Failure);
     if (Failure && Failure != http::error::need_more)
@@ -184,9 +186,10 @@
     if (Parser.is_header_done() && !HeadSize) {
       HeadSize = measureFields(Parser.get().base());
       FieldMemory = HeadSize->heldBytes();
+      Parser.eager(true);
+      IsHeadNew = true;
     }
     if (Parser.is_done() && Parser.chunked()) {
-      // The trailer's fields have been added to those of the head.
       FieldSize Whole = measureFields(Parser.get().base());
       if (Whole.Bytes - HeadSize->Bytes > Limits.MaxHeadBytes)
         return NetError::HeadTooLarge;
@@ -196,6 +199,8 @@
       return NetError::OutOfMemory;
     if (Parser.is_done())
       break;
+    if (IsHeadNew && UnconsumedBytes > 0)
+      continue;
     if (Parser.is_header_done() && !HasCheckedExpect) {
       HasCheckedExpect = true;
       if (Parser.get()[http::field::expect] == "100-continue")
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -381,7 +381,7 @@
 }
 
 void TcpConnection::evict() {
-  this->abort();
+  this->finishClose();
   this->end(true);
 }
 
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -138,7 +138,8 @@
   /// Resets the connection immediately.
   void abort();
 
-  /// Resets the connection and ends the waits of its user.
+  /// Closes the connection and ends the waits of its user. The kernel still
+  /// sends what it has accepted; queued bytes are dropped.
   void evict();
 
   bool isClosed() const { return this->IsClosed; }
--- a/Libraries/LibNet/TcpListener.cpp
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -12,6 +12,8 @@
 /// Bounds the accepts per wakeup so that a burst does not starve open
 /// connections.
 constexpr int MaxAcceptsPerWakeup = 32;
+/// Pause until connections that could not be closed are looked at again.
+constexpr Duration RetryInterval = std::chrono::milliseconds(250);
 
 Result<tcp::endpoint> parseListenAddress(const std::string &Address) {
   // Port 0 is valid for listening only.
@@ -31,7 +33,8 @@
 TcpListener::TcpListener(NetRuntime &Loop, TcpListenerSettings Settings,
                          Serve Handler)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
-      Handler(std::move(Handler)), Acceptor(Loop.context()) {}
+      Handler(std::move(Handler)), Acceptor(Loop.context()),
+      RetryTimer(Loop.context()) {}
 
 Result<void> TcpListener::start() {
   BOOST_OUTCOME_TRY(Endpoint, parseListenAddress(this->Settings.Address));
@@ -58,6 +61,7 @@
 void TcpListener::stop() {
   boost::system::error_code Ignored; // Closing an acceptor can't be retried.
   this->Acceptor.close(Ignored);
+  this->RetryTimer.cancel();
 }
 
 void TcpListener::acceptNext() {
@@ -74,9 +78,12 @@
     return;
   for (int I = 0; I < MaxAcceptsPerWakeup; ++I) {
     if (this->OpenConnections >= this->Settings.MaxConnections) {
+      // Only the wakeup proves that a connection waits.
+      if (I > 0)
+        break;
       this->IsPaused = true;
-      if (this->Settings.MakeRoom)
-        this->Settings.MakeRoom();
+      if (this->Settings.MakeRoom && !this->Settings.MakeRoom())
+        this->retryLater();
       return;
     }
     boost::system::error_code Failure;
@@ -101,6 +108,14 @@
   });
 }
 
+void TcpListener::retryLater() {
+  this->RetryTimer.expires_after(RetryInterval);
+  this->RetryTimer.async_wait([this](const boost::system::error_code &Failure) {
+    if (!Failure)
+      this->resume();
+  });
+}
+
 void TcpListener::resume() {
   if (std::exchange(this->IsPaused, false))
     this->acceptNext();
--- a/Libraries/LibNet/TcpListener.h
+++ b/Libraries/LibNet/TcpListener.h
@@ -6,6 +6,7 @@
 
 #include "LibNet/TcpConnection.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace bergamothook {
@@ -19,8 +20,8 @@
   std::size_t MaxConnections = 3000;
   TcpLimits Limits;
   /// Called when a connection waits in the accept queue while MaxConnections
-  /// are open; may close one of them.
-  std::function<void()> MakeRoom = {};
+  /// are open; may close one of them. Called again later if it returns false.
+  std::function<bool()> MakeRoom = {};
 };
 
 /// Accepts connections and spawns a task for each.
@@ -47,6 +48,7 @@
 
 private:
   void acceptNext();
+  void retryLater();
   void onAcceptable(const boost::system::error_code &Failure);
   void serve(boost::asio::ip::tcp::socket Socket);
 
@@ -55,6 +57,7 @@
   TcpListenerSettings Settings;
   Serve Handler;
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer RetryTimer;
   std::uint16_t Port = 0;
   std::size_t OpenConnections = 0;
   bool IsPaused = false;
--- a/Libraries/LibRelayFront/ConnectionRoster.cpp
+++ b/Libraries/LibRelayFront/ConnectionRoster.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// How long the end of a response may take to be sent before its connection
+/// may be closed; as long as any other write to a caller.
+constexpr Duration SendingTime = std::chrono::seconds(5);
+/// Bounds the work for each new connection.
+constexpr int MaxExamined = 64;
 constexpr Duration EvictionLogInterval = std::chrono::seconds(1);
 
 const char *nameOf(ConnectionPhase Phase) {
@@ -47,17 +52,21 @@
 }
 
 bool ConnectionRoster::evictOne(TimePoint Now) {
-  auto First = this->ByRank.begin();
-  if (First == this->ByRank.end() ||
-      std::get<0>(First->first) == ConnectionPhase::Answering)
-    return false;
-  TcpConnection::Handle Connection = First->second->Connection;
-  ConnectionPhase Phase = std::get<0>(First->first);
-  this->ByRank.erase(First);
-  ++this->Evictions;
-  Connection->evict();
-  this->log(Phase, Now);
-  return true;
+  int Examined = 0;
+  for (auto At = this->ByRank.begin(); At != this->ByRank.end(); ++At) {
+    auto [Phase, Since, Id] = At->first;
+    if (Phase == ConnectionPhase::Answering || ++Examined > MaxExamined)
+      return false;
+    TcpConnection::Handle Connection = At->second->Connection;
+    if (Connection->unsent() > 0 && Now - Since < SendingTime)
+      continue;
+    this->ByRank.erase(At);
+    ++this->Evictions;
+    Connection->evict();
+    this->log(Phase, Now);
+    return true;
+  }
+  return false;
 }
 
 void ConnectionRoster::log(ConnectionPhase Phase, TimePoint Now) {
--- a/Libraries/LibRelayFront/ConnectionRoster.h
+++ b/Libraries/LibRelayFront/ConnectionRoster.h
@@ -54,7 +54,8 @@
     std::tuple<ConnectionPhase, TimePoint, std::uint64_t> Rank;
   };
 
-  /// Resets one connection. \returns false if all are answering.
+  /// Closes one connection. \returns false if none may be closed: all are
+  /// answering, or still send a response that they have had little time for.
   bool evictOne(TimePoint Now);
 
   std::uint64_t evictions() const { return this->Evictions; }
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -76,7 +76,7 @@
 
 TcpListenerSettings RelayServer::listenerSettings() {
   TcpListenerSettings Listen = this->Settings.Listen;
-  Listen.MakeRoom = [this] { this->Roster.evictOne(this->Tasks.Now()); };
+  Listen.MakeRoom = [this] { return this->Roster.evictOne(this->Tasks.Now()); };
   return Listen;
 }
 
--- a/Libraries/LibRelayFront/StatusServer.cpp
+++ b/Libraries/LibRelayFront/StatusServer.cpp
@@ -39,7 +39,7 @@
   Listen.Limits.SendBufferBytes = SendBufferBytes;
   Listen.Limits.Memory = std::move(Memory);
   Listen.Limits.Owners = {StatusRequests};
-  Listen.MakeRoom = [this] { this->Roster.evictOne(this->Tasks.Now()); };
+  Listen.MakeRoom = [this] { return this->Roster.evictOne(this->Tasks.Now()); };
   return Listen;
 }
 
--- a/Tests/LibNet/HttpReaderTest.cpp
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -164,3 +164,28 @@
   Loop.run();
   CHECK(Failure == NetError::ConnectFailed);
 }
+
+TEST_CASE("a trailer is bounded like a head") {
+  const std::string Request = "POST / HTTP/1.1\r\nHost: a\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n0\r\n";
+  for (std::size_t Bytes : {1'000U, 40'000U}) {
+    CAPTURE(Bytes);
+    ConnectionPair Connections;
+    auto Read = Connections.readRequest(
+        Request + "X: " + std::string(Bytes, 'a') + "\r\n\r\n");
+    CHECK(static_cast<bool>(Read) == (Bytes < 16 * 1024));
+    if (!Read)
+      CHECK(Read.error() == NetError::HeadTooLarge);
+  }
+}
+
+TEST_CASE("a head within the limit may consist of very many short fields") {
+  std::string Head = "GET / HTTP/1.1\r\nHost: a\r\n";
+  while (Head.size() < 16'000)
+    Head += "a:\r\n";
+  ConnectionPair Connections;
+  auto Read = Connections.readRequest(Head + "\r\n");
+  REQUIRE(Read);
+  CHECK(Read.value().Head.Headers.fields().size() > 3'000);
+}
