Test that a large request is served in calm; table of misbehaving clients

Cause: the relay took 2,500 caller connections on any host, did not count the fields of heads and trailers, and left the send buffers of unread responses to the kernel.

--- a/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
+++ b/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
@@ -332,3 +332,19 @@
   CHECK(isAnswered(Relay, RelayProcess::FrontPort, "/plain/x", true));
   checkBounds(Relay, "datagrams, other hosts | 1 sender, 20000");
 }
+
+TEST_CASE("a single large request of very many short fields is served") {
+  // Guards against bounds that refuse what the limits allow in calm. A body of
+  // maxBodyBytes would take half of the memory that these settings leave for
+  // messages, so this one is smaller.
+  constexpr std::size_t BodyBytes = LegalBodyBytes / 2;
+  std::string Request = "POST /plain/x" + RouteHead +
+                        "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
+  while (Request.size() < 16'000)
+    Request += ShortField;
+  Request += "\r\n" + std::string(BodyBytes, 'x');
+  RelayProcess Relay;
+  Relay.start();
+  CHECK(requestOnce(Relay.ip(), RelayProcess::FrontPort, Request,
+                    RequestLimit) == 200);
+}
