--- a/Libraries/LibNet/TcpListener.cpp
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/TcpListener.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <utility>
 
 namespace bergamothook {
 
@@ -11,6 +12,8 @@
 /// Bounds the accepts per wakeup so that a burst does not starve open
 /// connections.
 constexpr int MaxAcceptsPerWakeup = 32;
+/// Pause until connections that could not be closed are looked at again.
+constexpr Duration RetryInterval = std::chrono::milliseconds(250);
 
 Result<tcp::endpoint> parseListenAddress(const std::string &Address) {
   // Port 0 is valid for listening only.
@@ -30,7 +33,8 @@
 TcpListener::TcpListener(NetRuntime &Loop, TcpListenerSettings Settings,
                          Serve Handler)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
-      Handler(std::move(Handler)), Acceptor(Loop.context()) {}
+      Handler(std::move(Handler)), Acceptor(Loop.context()),
+      RetryTimer(Loop.context()) {}
 
 Result<void> TcpListener::start() {
   BOOST_OUTCOME_TRY(Endpoint, parseListenAddress(this->Settings.Address));
@@ -40,6 +44,9 @@
     // Connections inherit it.
     this->Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(
         this->Settings.Limits.ReceiveBufferBytes));
+    if (this->Settings.Limits.SendBufferBytes > 0)
+      this->Acceptor.set_option(boost::asio::socket_base::send_buffer_size(
+          this->Settings.Limits.SendBufferBytes));
     this->Acceptor.bind(Endpoint);
     this->Acceptor.listen(this->Settings.Backlog);
     this->Acceptor.non_blocking(true);
@@ -54,6 +61,7 @@
 void TcpListener::stop() {
   boost::system::error_code Ignored; // Closing an acceptor can't be retried.
   this->Acceptor.close(Ignored);
+  this->RetryTimer.cancel();
 }
 
 void TcpListener::acceptNext() {
@@ -70,7 +78,12 @@
     return;
   for (int I = 0; I < MaxAcceptsPerWakeup; ++I) {
     if (this->OpenConnections >= this->Settings.MaxConnections) {
+      // Only the wakeup proves that a connection waits.
+      if (I > 0)
+        break;
       this->IsPaused = true;
+      if (this->Settings.MakeRoom && !this->Settings.MakeRoom())
+        this->retryLater();
       return;
     }
     boost::system::error_code Failure;
@@ -91,11 +104,21 @@
     this->Handler(Connection);
     Connection->close();
     --this->OpenConnections;
-    if (this->IsPaused) {
-      this->IsPaused = false;
-      this->acceptNext();
-    }
+    this->resume();
+  });
+}
+
+void TcpListener::retryLater() {
+  this->RetryTimer.expires_after(RetryInterval);
+  this->RetryTimer.async_wait([this](const boost::system::error_code &Failure) {
+    if (!Failure)
+      this->resume();
   });
 }
 
+void TcpListener::resume() {
+  if (std::exchange(this->IsPaused, false))
+    this->acceptNext();
+}
+
 } // namespace bergamothook
--- a/Libraries/LibNet/TcpListener.h
+++ b/Libraries/LibNet/TcpListener.h
@@ -6,6 +6,7 @@
 
 #include "LibNet/TcpConnection.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace bergamothook {
@@ -18,6 +19,9 @@
   /// Maximum number of open connections; further ones wait in the accept queue.
   std::size_t MaxConnections = 3000;
   TcpLimits Limits;
+  /// Called when a connection waits in the accept queue while MaxConnections
+  /// are open; may close one of them. Called again later if it returns false.
+  std::function<bool()> MakeRoom = {};
 };
 
 /// Accepts connections and spawns a task for each.
@@ -35,11 +39,16 @@
   /// Stops accepting; open connections continue.
   void stop();
 
+  /// Calls MakeRoom again if connections wait in the accept queue, as another
+  /// connection may be closed now.
+  void resume();
+
   std::uint16_t port() const { return this->Port; }
   std::size_t connections() const { return this->OpenConnections; }
 
 private:
   void acceptNext();
+  void retryLater();
   void onAcceptable(const boost::system::error_code &Failure);
   void serve(boost::asio::ip::tcp::socket Socket);
 
@@ -48,6 +57,7 @@
   TcpListenerSettings Settings;
   Serve Handler;
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer RetryTimer;
   std::uint16_t Port = 0;
   std::size_t OpenConnections = 0;
   bool IsPaused = false;
