--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -40,8 +40,6 @@
 /// and of the fleet do not start at the same time.
 constexpr double HostResendShare = 0.85;
 constexpr int CallerAcceptBacklog = 1024;
-/// The platform reserves these of limits.maxFds.
-constexpr std::size_t FileDescriptorsForFiles = 200;
 /// How much of an unreadable entry is logged.
 constexpr std::size_t MaxLoggedBytes = 200;
 
@@ -211,9 +209,9 @@
   HostCapacity Capacity;
   Capacity.LinkBytesPerSecond = this->Settings.LinkBytesPerSecond;
   Capacity.ProcessorCores = this->Settings.ProcessorCores;
-  Capacity.Descriptors =
-      this->Settings.Descriptors -
-      std::min(this->Settings.Descriptors, FileDescriptorsForFiles);
+  Capacity.Descriptors = deriveConnectionLimits(this->Settings.MemoryBytes,
+                                                this->Settings.Descriptors)
+                             .ConnectionsAndCalls;
   Capacity.MessageBytes = this->Memory->policy().MaxBytes;
   return Capacity;
 }
