--- a/Tests/MisbehavingClients/RelayProcess.cpp
+++ b/Tests/MisbehavingClients/RelayProcess.cpp
@@ -1,6 +1,7 @@
 #include "RelayProcess.h"
 
 #include "../Platform/FakeStore.h"
+#include "../Platform/RouteEntry.h"
 #include "LibNet/HttpReader.h"
 #include "LibObserve/StructuredLog.h"
 #include "ProcessUsage.h"
@@ -114,25 +115,19 @@
 
 void RelayProcess::LocalServers::configure() {
   using nlohmann::json;
-  auto Route = [](const char *Name, const char *Path, const char *Kind,
-                  const char *Service) {
-    return json{{"name", Name},      {"host", RouteHost},  {"pathPrefix", Path},
-                {"routeKind", Kind}, {"timeoutMs", 20000}, {"sloMs", 1000},
-                {"priority", 1},     {"service", Service}, {"attempts", 1},
-                {"public", true}};
-  };
-  json Config{{"version", 1},
-              {"routes",
-               {Route("plain", "/plain", "idempotent", "plain"),
-                Route("stream", "/stream", "streaming", "stream")}},
-              {"services",
-               {{{"name", "plain"}, {"maxConns", 1000}},
-                {{"name", "stream"}, {"maxConns", 1000}}}},
-              {"limits",
-               {{"maxHeaderBytes", 16384},
-                {"maxBodyBytes", 4194304},
-                {"headerTimeoutMs", 3000},
-                {"idleTimeoutMs", 15000}}}};
+  json Config{
+      {"version", 1},
+      {"routes",
+       {makeRouteEntry("plain", RouteHost, "/plain", "idempotent", "plain"),
+        makeRouteEntry("stream", RouteHost, "/stream", "streaming", "stream")}},
+      {"services",
+       {{{"name", "plain"}, {"maxConns", 1000}},
+        {{"name", "stream"}, {"maxConns", 1000}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 4194304},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}};
   this->Store.put(std::string(wire::OperatorTopic), wire::ConfigKey,
                   Config.dump());
   for (const char *Service : {"plain", "stream"})
