Mend what a review of connection bounds, admission and cold targets found

A full port closed new callers before idle connections. A slow reader lost the end of its response when its connection was closed. The concurrency limit counted full answers of plain services against nothing, and one late answer kept it. A health request did not ask for an evacuation before it was written. A call that was sent could be refused as not run if memory ran out while its end was recorded: it is counted first now.

--- a/Libraries/LibRelay/CallAdmission.cpp
+++ b/Libraries/LibRelay/CallAdmission.cpp
@@ -193,8 +193,9 @@
 CallPlace::~CallPlace() {
   TimePoint Now = this->Owner.Tasks.Now();
   --this->Queue.Places;
-  if (this->Current == State::Waiting) {
+  if (this->Current != State::Outside)
     this->Queue.Undecided.erase(this->Ticket);
+  if (this->Current == State::Waiting) {
     (void)this->Queue.Calls.abandon(this->Ticket, Now);
   }
   if (this->Current != State::Started)
@@ -255,6 +256,12 @@
   this->Owner.trackLimit(this->Queue, Now);
 }
 
+void CallPlace::onAnswered() {
+  TimePoint Now = this->Owner.Tasks.Now();
+  this->Queue.Calls.answered(this->Ticket, Now);
+  this->Owner.trackLimit(this->Queue, Now);
+}
+
 void CallPlace::onTargetFull() {
   TimePoint Now = this->Owner.Tasks.Now();
   this->Queue.Calls.targetFull(this->Ticket, Now);
--- a/Libraries/LibRelay/CallAdmission.h
+++ b/Libraries/LibRelay/CallAdmission.h
@@ -139,6 +139,10 @@
   /// without the time for its own prompt.
   void onFirstEvent(Duration Waited);
 
+  /// Records that a target runs the call, if there is no first event to wait
+  /// for or its time says nothing.
+  void onAnswered();
+
   /// Records that a target did not run the call since it was full.
   void onTargetFull();
 
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -201,6 +201,8 @@
 }
 
 bool RelayCallHandler::awaitStart() {
+  if (this->now() + MinTimeForSend >= this->Deadline)
+    return true; // tryTargets() refuses it, since its deadline has passed.
   TargetDirectory &Targets = this->Dispatcher.targets();
   TimePoint QueuedAt = this->now();
   this->Place.emplace(this->Dispatcher.admission(), this->Service);
@@ -227,9 +229,11 @@
 }
 
 void RelayCallHandler::recordFirstEvent() {
-  // A resumed stream says nothing of the time to a first event.
-  if (!this->Place || this->HasStreamStarted || this->Versions.hasBegun())
+  if (!this->Place)
     return;
+  // A resumed stream says nothing of the time to a first event.
+  if (this->HasStreamStarted || this->Versions.hasBegun())
+    return this->Place->onAnswered();
   Duration OwnPrompt =
       PromptTokenTime * std::min(this->Call.PromptTokens, MaxTimedPromptTokens);
   this->Place->onFirstEvent(this->now() - this->SentAt - OwnPrompt);
@@ -351,8 +355,13 @@
     this->RefusedPermits.insert(this->coldKeyOf(Target));
     return false;
   }
+  auto IsGivenUp = [this, &Target] {
+    return this->isGivenUp() || !this->Dispatcher.targets().mayReceive(Target);
+  };
   auto Left = this->Hooks.AskHealth(Target, Routed->HealthPath, this->Caller,
-                                    this->Deadline - MinTimeForSend);
+                                    this->Deadline - MinTimeForSend, IsGivenUp);
+  if (!Left && IsGivenUp())
+    return false;
   this->Dispatcher.stats().count(
       Left ? "relay_health_requests_total{answer=\"read\"}"
            : "relay_health_requests_total{answer=\"none\"}");
@@ -389,7 +398,9 @@
       });
   if (Permit.IsGranted) {
     this->ColdPermit = Permit;
-    return true;
+    // It may have become too old while its home was asked.
+    if (this->maySendCold(Target))
+      return true;
   }
   this->recordRefusedPermit(Target, this->coldKeyOf(Target), Permit);
   return false;
@@ -530,7 +541,13 @@
     this->RefusedPermits.insert(this->coldKeyOf(Target));
     return AttemptEnd::Withdrawn;
   }
-  // This includes a connection that took longer than a permit can be used.
+  // A connection that took longer than a permit can be used is no proof that
+  // the target can't be reached.
+  if (this->isCold(Target) && !this->maySendCold(Target)) {
+    this->RefusedPermits.insert(this->coldKeyOf(Target));
+    this->Excluded.insert(Target.Id);
+    return AttemptEnd::Withdrawn;
+  }
   return AttemptEnd::NotSent;
 }
 
@@ -639,6 +656,8 @@
       this->recordRateLimit(Head.value(), Target);
       if (isEventStream(Head.value()))
         return this->relayStream(Exchange, std::move(Head.value()), Target);
+      if (this->Place)
+        this->Place->onAnswered();
       return this->relayBuffered(Exchange, std::move(Head.value()));
     }
   }
@@ -779,6 +798,11 @@
                                      AttemptEnd End) {
   const std::string &Id = Target.Id;
   TargetDirectory &Targets = this->Dispatcher.targets();
+  // First of all: what follows may run out of memory, and a call that was sent
+  // must not be refused as not run then.
+  if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
+      End != AttemptEnd::RunUnknown && End != AttemptEnd::NotRun)
+    ++this->TargetsThatMayHaveRun;
   switch (End) {
   case AttemptEnd::Done:
     Targets.onSuccess(Id);
@@ -817,9 +841,6 @@
   case AttemptEnd::Cold:
     break;
   }
-  if (End != AttemptEnd::NotSent && End != AttemptEnd::Withdrawn &&
-      End != AttemptEnd::RunUnknown && End != AttemptEnd::NotRun)
-    ++this->TargetsThatMayHaveRun;
 }
 
 void RelayCallHandler::recordAnswer() {
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -150,10 +150,13 @@
   /// stays cold; nothing if there is no usable response.
   std::function<std::optional<Duration>(
       const ListedTarget &Target, const std::string &Path,
-      const CallerHooks &Caller, TimePoint Deadline)>
+      const CallerHooks &Caller, TimePoint Deadline,
+      const std::function<bool()> &IsGivenUp)>
       AskHealth = [](const ListedTarget &, const std::string &,
-                     const CallerHooks &,
-                     TimePoint) { return std::optional<Duration>(); };
+                     const CallerHooks &, TimePoint,
+                     const std::function<bool()> &) {
+        return std::optional<Duration>();
+      };
 
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
--- a/Libraries/LibRelayFront/ConnectionRoster.cpp
+++ b/Libraries/LibRelayFront/ConnectionRoster.cpp
@@ -2,16 +2,20 @@
 
 #include "LibObserve/StructuredLog.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bergamothook {
 
 namespace {
 
-/// How long the end of a response may take to be sent before its connection
+/// How long the end of a response may make no progress before its connection
 /// may be closed; as long as any other write to a caller.
 constexpr Duration SendingTime = std::chrono::seconds(5);
-/// Bounds the work for each new connection.
+/// The time in which a client that is not slow sends its request. One that
+/// needs longer gives way to others while the port is full.
+constexpr Duration RequestTime = std::chrono::seconds(1);
+/// Bounds the work for each new connection, in each phase.
 constexpr int MaxExamined = 64;
 constexpr Duration EvictionLogInterval = std::chrono::seconds(1);
 
@@ -52,14 +56,25 @@
 }
 
 bool ConnectionRoster::evictOne(TimePoint Now) {
-  int Examined = 0;
-  for (auto At = this->ByRank.begin(); At != this->ByRank.end(); ++At) {
-    auto [Phase, Since, Id] = At->first;
-    if (Phase == ConnectionPhase::Answering || ++Examined > MaxExamined)
+  return this->evictFrom(ConnectionPhase::Closing, Duration::zero(), Now) ||
+         this->evictFrom(ConnectionPhase::FirstRequest, RequestTime, Now) ||
+         this->evictFrom(ConnectionPhase::NextRequest, RequestTime, Now) ||
+         this->evictFrom(ConnectionPhase::Idle, Duration::zero(), Now) ||
+         this->evictFrom(ConnectionPhase::FirstRequest, Duration::zero(),
+                         Now) ||
+         this->evictFrom(ConnectionPhase::NextRequest, Duration::zero(), Now);
+}
+
+bool ConnectionRoster::evictFrom(ConnectionPhase Phase, Duration MinAge,
+                                 TimePoint Now) {
+  auto At = this->ByRank.lower_bound({Phase, TimePoint::min(), 0});
+  for (int I = 0; I < MaxExamined && At != this->ByRank.end(); ++I, ++At) {
+    auto [FoundPhase, Since, Id] = At->first;
+    if (FoundPhase != Phase || Now - Since < MinAge)
       return false;
-    TcpConnection::Handle Connection = At->second->Connection;
-    if (Connection->unsent() > 0 && Now - Since < SendingTime)
+    if (isBusy(*At->second, Now))
       continue;
+    TcpConnection::Handle Connection = At->second->Connection;
     this->ByRank.erase(At);
     ++this->Evictions;
     Connection->evict();
@@ -69,6 +84,20 @@
   return false;
 }
 
+bool ConnectionRoster::isBusy(Entry &Candidate, TimePoint Now) {
+  const TcpConnection &Connection = *Candidate.Connection;
+  auto [Phase, Since, Id] = Candidate.Rank;
+  if (Phase == ConnectionPhase::Idle && !Connection.unread().empty())
+    return true;
+  if (Connection.unsent() == 0)
+    return false;
+  if (Connection.bytesSent() != Candidate.BytesSent) {
+    Candidate.BytesSent = Connection.bytesSent();
+    Candidate.SentAt = Now;
+  }
+  return Now - std::max(Since, Candidate.SentAt) < SendingTime;
+}
+
 void ConnectionRoster::log(ConnectionPhase Phase, TimePoint Now) {
   if (Now < this->NextLogAt)
     return;
--- a/Libraries/LibRelayFront/ConnectionRoster.h
+++ b/Libraries/LibRelayFront/ConnectionRoster.h
@@ -12,7 +12,7 @@
 
 namespace bergamothook {
 
-/// What a connection does, in the order of eviction.
+/// What a connection does.
 enum class ConnectionPhase {
   /// The last response was sent; the client has yet to close its side.
   Closing,
@@ -26,9 +26,10 @@
   Answering,
 };
 
-/// Evicts the connection that has been in the first of these phases for the
-/// longest time, so that clients which hold connections without sending
-/// complete requests give way to those that send them. Not thread-safe.
+/// Evicts connections in this order, the one that has been in its phase for the
+/// longest time first: those that are closing, those that have had the time to
+/// send a request and did not complete it, idle ones, and last those whose
+/// request has just begun to arrive. Not thread-safe.
 class ConnectionRoster {
 public:
   /// \p Address names the port in log lines.
@@ -52,6 +53,9 @@
     ConnectionRoster &Roster;
     TcpConnection::Handle Connection;
     std::tuple<ConnectionPhase, TimePoint, std::uint64_t> Rank;
+    /// When the connection was last seen to send, and its bytes sent by then.
+    TimePoint SentAt{};
+    std::uint64_t BytesSent = 0;
   };
 
   /// Closes one connection. \returns false if none may be closed: all are
@@ -61,6 +65,12 @@
   std::uint64_t evictions() const { return this->Evictions; }
 
 private:
+  /// Closes the oldest connection in \p Phase that has been in it for \p
+  /// MinAge.
+  bool evictFrom(ConnectionPhase Phase, Duration MinAge, TimePoint Now);
+  /// \returns whether a connection still sends a response, or has received a
+  /// request that its task has not read yet.
+  static bool isBusy(Entry &Candidate, TimePoint Now);
   void log(ConnectionPhase Phase, TimePoint Now);
 
   std::string Address;
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -127,14 +127,31 @@
   this->Sessions.erase(&Client.Changed);
   Client.Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
   this->Listener.resume();
+  if (!Client.MustAbort)
+    this->sendRest(*Connection);
   if (Client.MustAbort)
     Connection->abort();
   else
     Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
 }
 
+void RelayServer::sendRest(TcpConnection &Connection) {
+  TimePoint End =
+      this->Plan.hasStarted() ? this->Plan.answerDeadline() : TimePoint::max();
+  // A caller that reads slowly gets its whole response, as long as it reads.
+  for (std::uint64_t Sent = 0; Connection.unsent() > 0 &&
+                               Connection.bytesSent() != Sent &&
+                               this->Tasks.Now() < End;) {
+    Sent = Connection.bytesSent();
+    TimePoint Until = std::min(End, this->Tasks.Now() + WriteTimeout);
+    if (!Connection.flush(Until) && Connection.hasEnded())
+      return;
+  }
+}
+
 void RelayServer::serveConnection(Session &Client) {
-  while (!Client.MustClose && this->waitForRequest(Client)) {
+  while (!Client.MustClose && this->waitForRequest(Client) &&
+         !Client.Connection->isClosed()) {
     CallerLimits Limits = this->limits();
     if (!Client.OpenedAt)
       Client.Place.enter(ConnectionPhase::NextRequest, this->Tasks.Now());
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -84,6 +84,9 @@
   std::optional<Duration> refuse(const RelayCall &Call);
   bool mayExit() const;
   void wakeCalls();
+  /// Waits until the queued end of the last response is sent, or its caller no
+  /// longer reads.
+  void sendRest(TcpConnection &Connection);
 
   NetRuntime &Loop;
   Runtime Tasks;
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -232,11 +232,10 @@
   return Answer && Reader.canReuse() ? Answer.value() : RunAnswer::Unknown;
 }
 
-std::optional<HttpResponseHead> TargetDialer::ask(const ListedTarget &Target,
-                                                  const HttpRequestHead &Head,
-                                                  const CallerHooks &Caller,
-                                                  TimePoint Deadline) {
-  auto IsGivenUp = [&Caller] { return Caller.isGivenUp(); };
+std::optional<HttpResponseHead>
+TargetDialer::ask(const ListedTarget &Target, const HttpRequestHead &Head,
+                  const CallerHooks &Caller, TimePoint Deadline,
+                  const std::function<bool()> &IsGivenUp) {
   TimePoint End =
       std::min(Deadline, this->Tasks.Now() + this->Limits.HealthTimeout);
   TcpLimits Limits = this->Limits.Connection;
@@ -247,6 +246,8 @@
   if (!Connection)
     return std::nullopt;
   ExchangeState State(Connection.value(), this->Tasks, Caller, false);
+  if (IsGivenUp())
+    return std::nullopt;
   if (!State.Connection->write(formatRequestHead(Head, 0), End, IsGivenUp))
     return std::nullopt;
   auto Answer = State.Reader->readHead(End, IsGivenUp);
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -52,12 +52,14 @@
                               const CallerHooks &Caller,
                               const SendTerms &Terms);
 
-  /// Sends a request without a body on a connection of its own. \returns the
-  /// head of the response; nothing if none came within HealthTimeout.
+  /// Sends a request without a body on a connection of its own, unless \p
+  /// IsGivenUp holds once it is connected. \returns the head of the response;
+  /// nothing if none came within HealthTimeout.
   std::optional<HttpResponseHead> ask(const ListedTarget &Target,
                                       const HttpRequestHead &Head,
                                       const CallerHooks &Caller,
-                                      TimePoint Deadline);
+                                      TimePoint Deadline,
+                                      const std::function<bool()> &IsGivenUp);
 
   /// Closes idle connections that have expired. Runs as a task of its own.
   void runExpiry(const std::function<bool()> &IsStopped);
--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -78,12 +78,25 @@
   if (Found == this->Running.end())
     return;
   StartedState &Started = Found->second;
+  if (Started.Class == WorkClass::LongDraft)
+    return this->answered(Ticket, Now);
   if (Started.IsPutBack)
     this->Drain.resumed(Started.Cost);
   Started.IsPutBack = false;
-  if (Started.Class != WorkClass::LongDraft)
-    this->Limit.observe(Waited > Started.FirstTokenTarget, Started.StartedAt,
-                        this->Running.size(), Now);
+  this->Limit.observe(Waited > Started.FirstTokenTarget, Started.StartedAt,
+                      this->Running.size(), Now);
+}
+
+void Admission::answered(TicketId Ticket, TimePoint Now) {
+  auto Found = this->Running.find(Ticket);
+  if (Found == this->Running.end())
+    return;
+  StartedState &Started = Found->second;
+  if (Started.IsPutBack)
+    this->Drain.resumed(Started.Cost);
+  Started.IsPutBack = false;
+  if (this->Limit.beginsOnDemand())
+    this->Limit.observe(false, Started.StartedAt, this->Running.size(), Now);
 }
 
 void Admission::targetFull(TicketId Ticket, TimePoint Now) {
--- a/Libraries/LibRouting/Admission.h
+++ b/Libraries/LibRouting/Admission.h
@@ -119,6 +119,10 @@
   /// request remains started.
   void targetFull(TicketId Ticket, TimePoint Now);
 
+  /// Records that a target runs a started request whose time to a first token
+  /// says nothing. It counts against the requests that found their target full.
+  void answered(TicketId Ticket, TimePoint Now);
+
   /// Records the end of a started request. Errors: UnknownTicket.
   Result<void> finish(TicketId Ticket, TimePoint Now);
 
--- a/Libraries/LibRouting/ConcurrencyLimit.cpp
+++ b/Libraries/LibRouting/ConcurrencyLimit.cpp
@@ -10,6 +10,8 @@
 
 /// The most that a limit on demand grows by in one period.
 constexpr double MaxGrowth = 0.5;
+/// The signs of overload in one period that reduce a limit on demand.
+constexpr std::uint64_t MinSignsToReduce = 2;
 
 } // namespace
 
@@ -99,7 +101,8 @@
 }
 
 void ConcurrencyLimit::endPeriodOnDemand() {
-  bool IsOverloaded = this->isOverloaded();
+  // A single sign among few observations is no overload.
+  bool IsOverloaded = this->Late >= MinSignsToReduce && this->isOverloaded();
   bool IsCalm = !IsOverloaded && !this->WasLimiting;
   bool IsGrowing = !IsOverloaded && this->WasLimiting;
   this->CalmPeriods = IsCalm ? this->CalmPeriods + 1 : 0;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -102,8 +102,8 @@
           Loop, this->capacity(), {},
           [this](HostUsage &Usage) {
             // Each call in progress holds a connection to a target.
-            Usage.Descriptors =
-                this->Server.connections() + this->Server.inProgress();
+            Usage.Descriptors = this->Server.connections() +
+                                this->Server.inProgress() + this->Dialer.idle();
             Usage.MessageBytes = this->Memory->usedBytes();
             Usage.CallerConnections = this->Server.connections();
           },
@@ -229,11 +229,14 @@
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
   Hooks.ReadRateLimit = platform::readRateLimit;
-  Hooks.AskHealth = [this](const ListedTarget &Target, const std::string &Path,
-                           const CallerHooks &Caller,
-                           TimePoint Deadline) -> std::optional<Duration> {
-    auto Head = this->Dialer.ask(
-        Target, platform::makeHealthQuery(Target, Path), Caller, Deadline);
+  Hooks.AskHealth =
+      [this](
+          const ListedTarget &Target, const std::string &Path,
+          const CallerHooks &Caller, TimePoint Deadline,
+          const std::function<bool()> &IsGivenUp) -> std::optional<Duration> {
+    auto Head =
+        this->Dialer.ask(Target, platform::makeHealthQuery(Target, Path),
+                         Caller, Deadline, IsGivenUp);
     return Head ? platform::readColdLeft(*Head) : std::nullopt;
   };
   Hooks.MakeRefusal = platform::makeRefusal;
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -161,7 +161,8 @@
     return {std::stod(std::string(*Text)), std::nullopt};
   };
   Hooks.AskHealth = [this](const ListedTarget &, const std::string &Path,
-                           const CallerHooks &, TimePoint) {
+                           const CallerHooks &, TimePoint,
+                           const std::function<bool()> &) {
     if (Path == "/health")
       ++this->HealthRequests;
     this->Simulated.hooks().sleepUntil(this->Simulated.now() +
--- a/Tests/LibRelayFront/TargetDialerTest.cpp
+++ b/Tests/LibRelayFront/TargetDialerTest.cpp
@@ -345,12 +345,17 @@
       HttpRequestHead Head;
       Head.Method = "GET";
       Head.Target = "/health";
-      auto Answer = Dialer.ask(Listed, Head, Caller, TimePoint::max());
+      auto Answer = Dialer.ask(Listed, Head, Caller, TimePoint::max(),
+                               [] { return false; });
       REQUIRE(Answer);
       CHECK(Answer->Status == 200);
       CHECK(Answer->Headers.find("Cold") == "2500");
       Head.Target = "/silent";
-      CHECK_FALSE(Dialer.ask(Listed, Head, Caller, TimePoint::max()));
+      // The target was taken out of use in between.
+      CHECK_FALSE(Dialer.ask(Listed, Head, Caller, TimePoint::max(),
+                             [] { return true; }));
+      CHECK_FALSE(Dialer.ask(Listed, Head, Caller, TimePoint::max(),
+                             [] { return false; }));
       CHECK(Dialer.idle() == 0);
       CHECK(Received == std::vector<std::string>{"/health", "/silent"});
     }
--- a/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
+++ b/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
@@ -77,6 +77,8 @@
               static_cast<double>(Peak.SocketBytes) / MegaByte, RelayMemoryMb,
               Peak.Descriptors, RelayDescriptors - ReservedDescriptors);
   CHECK(Relay.isAlive());
+  REQUIRE(Peak.ProcessBytes > 0);
+  REQUIRE(Peak.Descriptors > 0);
   CHECK(Peak.Descriptors < RelayDescriptors - ReservedDescriptors);
 #ifndef __SANITIZE_ADDRESS__
   // The sanitizer keeps freed memory and adds its own to each allocation, so
--- a/Tests/MisbehavingClients/RelayProcess.cpp
+++ b/Tests/MisbehavingClients/RelayProcess.cpp
@@ -218,8 +218,11 @@
 }
 
 bool RelayProcess::isAlive() const {
-  int Status = 0;
-  return waitpid(this->Process, &Status, WNOHANG) == 0;
+  // The process is not reaped, so that its identifier stays its own.
+  siginfo_t Info{};
+  return waitid(P_PID, static_cast<id_t>(this->Process), &Info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         Info.si_pid == 0;
 }
 
 void RelayProcess::measure() {
