--- a/Libraries/LibOverload/HostUsage.cpp
+++ b/Libraries/LibOverload/HostUsage.cpp
@@ -8,8 +8,6 @@
     return "link_receive";
   case HostResource::LinkSend:
     return "link_send";
-  case HostResource::Processor:
-    return "processor";
   case HostResource::Descriptors:
     return "descriptors";
   case HostResource::Memory:
--- a/Libraries/LibOverload/HostUsage.h
+++ b/Libraries/LibOverload/HostUsage.h
@@ -4,8 +4,6 @@
 #ifndef BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
 #define BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
 
-#include "LibBase/Time.h"
-
 #include <cstddef>
 #include <cstdint>
 
@@ -14,12 +12,11 @@
 enum class HostResource {
   LinkReceive,
   LinkSend,
-  Processor,
   Descriptors,
   Memory,
 };
 
-constexpr std::size_t HostResourceCount = 5;
+constexpr std::size_t HostResourceCount = 4;
 
 const char *nameOf(HostResource Resource);
 
@@ -27,7 +24,6 @@
 struct HostCapacity {
   /// Of each direction.
   double LinkBytesPerSecond = 0;
-  double ProcessorCores = 0;
   std::size_t Descriptors = 0;
   /// The bytes of messages that may be held.
   std::size_t MessageBytes = 0;
@@ -37,7 +33,6 @@
   /// Since the start of the process, on all sockets.
   std::uint64_t BytesReceived = 0;
   std::uint64_t BytesSent = 0;
-  Duration ProcessorTime{};
   /// At the moment.
   std::size_t Descriptors = 0;
   std::size_t MessageBytes = 0;
--- a/Libraries/LibOverload/OverloadControl.h
+++ b/Libraries/LibOverload/OverloadControl.h
@@ -31,16 +31,13 @@
 struct OverloadPolicy {
   /// The link has to carry what arrives before the load balancer notices.
   ResourceThresholds Link = {0.55, 0.4};
-  ResourceThresholds Processor = {0.95, 0.7};
   ResourceThresholds Descriptors = {0.9, 0.75};
   ResourceThresholds Memory = {0.9, 0.6};
   /// Thresholds of hosts differ by up to this fraction, so that hosts with the
   /// same load do not all become unready together.
   double ThresholdJitter = 0.1;
-  /// The time constants of the moving averages. The processor is busy for short
-  /// times under a normal load.
+  /// The time constant of the moving averages.
   Duration Smoothing = std::chrono::milliseconds(600);
-  Duration ProcessorSmoothing = std::chrono::milliseconds(3000);
   /// A longer interval is not a measurement: the process was suspended, and
   /// what the kernel received meanwhile is read at once.
   Duration MaxInterval = std::chrono::milliseconds(1000);
--- a/Libraries/LibRouting/ConcurrencyLimit.h
+++ b/Libraries/LibRouting/ConcurrencyLimit.h
@@ -79,8 +79,10 @@
   /// Returns the limit; infinity if there is none at present.
   double limit() const;
 
-private:
+  /// \returns whether there is a limit only while there are signs of overload.
   bool beginsOnDemand() const { return this->Settings.SignsToBegin > 0; }
+
+private:
   bool isOverloaded() const;
   void begin(std::size_t Running);
   void observeOnDemand(TimePoint StartedAt, bool IsLate, std::size_t Running,
