--- a/Libraries/LibOverload/OverloadControl.cpp
+++ b/Libraries/LibOverload/OverloadControl.cpp
@@ -22,8 +22,7 @@
                                  std::uint64_t Seed)
     : Policy(Policy), Capacity(Capacity), Rng(Seed),
       Shedder(Policy.Shedder, Seed + 1),
-      Thresholds{Policy.Link, Policy.Link, Policy.Processor, Policy.Descriptors,
-                 Policy.Memory} {
+      Thresholds{Policy.Link, Policy.Link, Policy.Descriptors, Policy.Memory} {
   double Factor = 1 - Policy.ThresholdJitter * this->Rng.uniform();
   for (ResourceThresholds &Each : this->Thresholds) {
     Each.OverloadedAbove *= Factor;
@@ -35,16 +34,12 @@
                                                       Duration Elapsed) const {
   double Seconds = std::chrono::duration<double>(Elapsed).count();
   double LinkBytes = this->Capacity.LinkBytesPerSecond * Seconds;
-  std::chrono::duration<double> ProcessorTime =
-      Usage.ProcessorTime - this->Last.ProcessorTime;
   return {
       fractionOf(
           static_cast<double>(Usage.BytesReceived - this->Last.BytesReceived),
           LinkBytes),
       fractionOf(static_cast<double>(Usage.BytesSent - this->Last.BytesSent),
                  LinkBytes),
-      fractionOf(ProcessorTime.count(),
-                 this->Capacity.ProcessorCores * Seconds),
       fractionOf(static_cast<double>(Usage.Descriptors),
                  static_cast<double>(this->Capacity.Descriptors)),
       fractionOf(static_cast<double>(Usage.MessageBytes),
@@ -58,14 +53,10 @@
     Duration Elapsed = Now - *this->LastAt;
     PerResource Measured = this->measure(Usage, Elapsed);
     std::chrono::duration<double> Span = Elapsed;
-    for (std::size_t I = 0; I < HostResourceCount; ++I) {
-      bool IsProcessor = I == static_cast<std::size_t>(HostResource::Processor);
-      double Weight =
-          1 - std::exp(-(Span / (IsProcessor ? this->Policy.ProcessorSmoothing
-                                             : this->Policy.Smoothing)));
+    double Weight = 1 - std::exp(-(Span / this->Policy.Smoothing));
+    for (std::size_t I = 0; I < HostResourceCount; ++I)
       this->Utilization[I] +=
           Weight * (std::min(Measured[I], 1.0) - this->Utilization[I]);
-    }
     this->decide(Now);
     if (this->OverloadedBy)
       this->Shedder.update(this->linkUtilization());
--- a/Libraries/LibRelayFront/HostMonitor.cpp
+++ b/Libraries/LibRelayFront/HostMonitor.cpp
@@ -2,7 +2,6 @@
 
 #include "LibObserve/StructuredLog.h"
 
-#include <ctime>
 #include <nlohmann/json.hpp>
 
 namespace bergamothook {
@@ -12,17 +11,9 @@
 constexpr Duration MeasureInterval = std::chrono::milliseconds(200);
 
 constexpr std::array Resources{HostResource::LinkReceive,
-                               HostResource::LinkSend, HostResource::Processor,
+                               HostResource::LinkSend,
                                HostResource::Descriptors, HostResource::Memory};
 
-Duration readProcessorTime() {
-  timespec Time{};
-  if (::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time) != 0)
-    return {}; // Without a measurement, the processor counts as idle.
-  return std::chrono::seconds(Time.tv_sec) +
-         std::chrono::nanoseconds(Time.tv_nsec);
-}
-
 } // namespace
 
 HostMonitor::HostMonitor(NetRuntime &Loop, HostCapacity Capacity,
@@ -42,7 +33,6 @@
   HostUsage Usage;
   Usage.BytesReceived = this->Loop.traffic()->BytesReceived;
   Usage.BytesSent = this->Loop.traffic()->BytesSent;
-  Usage.ProcessorTime = readProcessorTime();
   this->Complete(Usage);
   std::optional<HostResource> Before = this->Control.overloadedBy();
   this->Control.update(Usage, this->Tasks.Now());
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -208,7 +208,6 @@
 HostCapacity RelayService::capacity() const {
   HostCapacity Capacity;
   Capacity.LinkBytesPerSecond = this->Settings.LinkBytesPerSecond;
-  Capacity.ProcessorCores = this->Settings.ProcessorCores;
   Capacity.Descriptors = deriveConnectionLimits(this->Settings.MemoryBytes,
                                                 this->Settings.Descriptors)
                              .ConnectionsAndCalls;
