--- a/Libraries/LibRelay/CallAdmission.cpp
+++ b/Libraries/LibRelay/CallAdmission.cpp
@@ -52,7 +52,7 @@
   case RoutingError::DeadlineUnreachable:
     return "wait_too_long";
   case RoutingError::DeadlinePassed:
-    return "waited_in_vain";
+    return "wait_expired";
   case RoutingError::Displaced:
     return "displaced";
   case RoutingError::Abandoned:
