--- a/Libraries/LibOverload/OverloadControl.h
+++ b/Libraries/LibOverload/OverloadControl.h
@@ -1,13 +1,12 @@
 /// \file
-/// Decides from a host's own measures whether it is overloaded, and what it
-/// does about it: it reports that it is not ready, so that the load balancer
-/// sends new connections elsewhere, ends open connections one after the other,
-/// and refuses calls while its link is full.
+/// Decides from a host's own measurements whether it is overloaded, and what it
+/// does then: it reports that it is not ready, so that the load balancer sends
+/// new connections elsewhere, ends open connections one after the other, and
+/// refuses calls while its link is full.
 ///
-/// This answers a crowd of callers that all enter at one small host while its
-/// siblings are idle. All that leave it may go to the same sibling, so they
-/// leave slowly: a crowd that moves as a whole would overload one host after
-/// the other.
+/// This responds to a load that enters at one small host while other hosts are
+/// idle. All callers that leave may go to the same other host, so they leave
+/// slowly: moving all of them at once would overload one host after the other.
 
 #ifndef BERGAMOTHOOK_LIBOVERLOAD_OVERLOADCONTROL_H
 #define BERGAMOTHOOK_LIBOVERLOAD_OVERLOADCONTROL_H
--- a/Libraries/LibRateLimit/TargetLimiter.cpp
+++ b/Libraries/LibRateLimit/TargetLimiter.cpp
@@ -20,7 +20,8 @@
 /// When to request again after another host turned out not to be the home.
 constexpr Duration NotHomeRetryInterval = std::chrono::milliseconds(500);
 
-/// How often a home is told again that a target is cold. Notices may be lost.
+/// How often the notice that a target is cold is repeated to its home. Notices
+/// may be lost.
 constexpr Duration NoticeInterval = std::chrono::seconds(1);
 
 const char *nameOf(SendKind Kind) {
--- a/Libraries/LibRateLimit/TargetLimiter.h
+++ b/Libraries/LibRateLimit/TargetLimiter.h
@@ -159,7 +159,7 @@
     std::size_t PendingRequests = 0;
     /// When this host last requested a permit, or leased its share.
     TimePoint LastUsed{};
-    /// The home that was told last that the target is cold, and when.
+    /// The home that was notified last that the target is cold, and when.
     std::optional<HostId> NotifiedHome;
     TimePoint NotifiedAt{};
     Use Recent;
--- a/Libraries/LibRelay/CallAdmission.cpp
+++ b/Libraries/LibRelay/CallAdmission.cpp
@@ -204,7 +204,7 @@
   try {
     this->Owner.process(this->Queue, Now);
   } catch (const std::bad_alloc &) {
-    // The place is free. The calls that wait look again by themselves.
+    // The place is free. Waiting calls also check at intervals.
   }
 }
 
--- a/Libraries/LibRelay/CallAdmission.h
+++ b/Libraries/LibRelay/CallAdmission.h
@@ -46,7 +46,7 @@
   /// Below this many calls in progress a host is not limited: its part of the
   /// load is too small to matter.
   double MinLimit = 4;
-  /// The bounds of the time after which refused callers are told to return.
+  /// The bounds of the time after which refused callers may retry.
   Duration MinRetryAfter = std::chrono::milliseconds(200);
   Duration MaxRetryAfter = std::chrono::seconds(5);
   /// How often calls that wait look for a stop, an evacuation and a caller that
