Log and count connections that end with a request unanswered

The log did not tell the hypotheses on requests that end without an answer from each other: nothing was written when a connection ended on which bytes of a request had arrived.

A line connection_cut now names the cause, the unanswered bytes, how long the connection was idle, the timeout that applied, and how late the task ran. relay_connections_cut_total{cause} counts them. What is discarded and when connections end is as before.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -345,18 +345,21 @@
   this->Traffic->BytesSent += Bytes;
 }
 
-void TcpConnection::finish(TimePoint Deadline) {
+std::size_t TcpConnection::finish(TimePoint Deadline) {
+  std::size_t Discarded = 0;
   if (!this->flush(Deadline)) {
     this->abort();
-    return;
+    return Discarded;
   }
   boost::system::error_code Ignored; // The connection is gone either way.
   this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
+  this->Tasks.waitUntil(*this->Changed, Deadline, [&] {
+    Discarded += this->unread().size();
     this->consume(this->unread().size());
     return this->HasEnded || this->IsClosed;
   });
   this->close();
+  return Discarded;
 }
 
 void TcpConnection::close() {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -129,7 +129,8 @@
   /// Flushes the send queue, shuts down the sending side, and closes once the
   /// peer has closed too, or at \p Deadline. A plain close() with unread bytes
   /// would reset the connection, and the peer could lose the last response.
-  void finish(TimePoint Deadline);
+  /// \returns how many received bytes were discarded.
+  std::size_t finish(TimePoint Deadline);
 
   /// Closes the connection once the queued bytes are sent. Bytes received from
   /// now on are dropped.
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -57,6 +57,7 @@
   std::optional<TimePoint> OpenedAt;
   bool MustClose = false;
   bool MustAbort = false;
+  ConnectionEnd End;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
           ConnectionRoster &Roster)
@@ -123,16 +124,38 @@
     logEvent(LogLevel::Error, "connection_failed",
              {{"reason", Failure.what()}});
     Client.MustAbort = true;
+    Client.End.Cause = ConnectionEndCause::TaskFailure;
   }
   this->Sessions.erase(&Client.Changed);
   Client.Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
   this->Listener.resume();
   if (!Client.MustAbort)
     this->sendRest(*Connection);
+  Client.End.UnansweredBytes = Connection->unread().size();
   if (Client.MustAbort)
     Connection->abort();
   else
-    Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
+    Client.End.UnansweredBytes =
+        Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
+  this->recordEnd(Client);
+}
+
+void RelayServer::recordEnd(const Session &Client) {
+  const ConnectionEnd &End = Client.End;
+  // After a refusal, what is left is the rest of the refused message.
+  if (End.UnansweredBytes == 0 || End.Cause == ConnectionEndCause::Refusal)
+    return;
+  auto Milliseconds = [](Duration Value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  };
+  this->Dispatcher.stats().count("relay_connections_cut_total{cause=\"" +
+                                 std::string(nameOf(End.Cause)) + "\"}");
+  logEvent(LogLevel::Warning, "connection_cut",
+           {{"cause", nameOf(End.Cause)},
+            {"unanswered_bytes", End.UnansweredBytes},
+            {"idle_ms", Milliseconds(End.Idle)},
+            {"idle_timeout_ms", Milliseconds(End.IdleTimeout)},
+            {"late_ms", Milliseconds(End.Late)}});
 }
 
 void RelayServer::sendRest(TcpConnection &Connection) {
@@ -162,6 +185,7 @@
                                          this->Tasks.Now() + WriteTimeout);
         });
     if (!Message) {
+      Client.End.Cause = ConnectionEndCause::Refusal;
       this->refuseMessage(Client, Message.error());
       break;
     }
@@ -170,8 +194,11 @@
     detail::ScopedCount Counted(this->InProgress);
     bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
     Client.Connection->keep(0);
-    if (!KeepsOpen)
+    if (!KeepsOpen) {
+      Client.End.Cause = Client.MustAbort ? ConnectionEndCause::Call
+                                          : ConnectionEndCause::Announced;
       break;
+    }
     Client.Connection->setOwners({UnreadRequests});
     Client.Place.enter(ConnectionPhase::Idle, this->Tasks.Now());
     this->Listener.resume();
@@ -179,7 +206,9 @@
 }
 
 bool RelayServer::waitForRequest(Session &Client) {
-  TimePoint IdleEnd = this->Tasks.Now() + this->limits().IdleTimeout;
+  TimePoint Begin = this->Tasks.Now();
+  Client.End.IdleTimeout = this->limits().IdleTimeout;
+  TimePoint IdleEnd = Begin + Client.End.IdleTimeout;
   for (;;) {
     TimePoint End = IdleEnd;
     bool WasStopping = this->Plan.hasStarted();
@@ -188,8 +217,20 @@
     if (Client.Reader.waitForFirstByte(
             End, [&] { return this->Plan.hasStarted() != WasStopping; }))
       return true;
-    if (Client.Connection->hasEnded() || this->Tasks.Now() >= End)
+    TimePoint Now = this->Tasks.Now();
+    if (Client.Connection->hasEnded()) {
+      Client.End.Cause = Client.Connection->isClosed()
+                             ? ConnectionEndCause::Eviction
+                             : ConnectionEndCause::Caller;
+      return false;
+    }
+    if (Now >= End) {
+      Client.End.Cause = WasStopping ? ConnectionEndCause::Stop
+                                     : ConnectionEndCause::IdleTimeout;
+      Client.End.Idle = Now - Begin;
+      Client.End.Late = Now - End;
       return false;
+    }
   }
 }
 
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -7,6 +7,7 @@
 #include "LibNet/HttpReader.h"
 #include "LibNet/TcpListener.h"
 #include "LibRelay/RelayDispatcher.h"
+#include "LibRelayFront/ConnectionEnd.h"
 #include "LibRelayFront/ConnectionRoster.h"
 #include "LibRelayFront/StopPlan.h"
 
@@ -78,6 +79,9 @@
   bool serveRequest(Session &Client, HttpRequestMessage Message);
   bool waitForRequest(Session &Client);
   void refuseMessage(Session &Client, std::error_code Failure);
+  /// Counts and logs the end of a connection on which a request, or a part of
+  /// one, was not answered.
+  void recordEnd(const Session &Client);
   CallerHooks makeCallerHooks(Session &Client) const;
   CallerLimits limits() const;
   TcpListenerSettings listenerSettings();
