Test that no connection ends with a request unanswered

Callers' requests ended without an answer or a refusal beside a change of the configuration. Nine tests show ends of connections at which a request, or a part of one, goes unanswered: the end of the idle time, of a stop's wait, an eviction, an overload, a failure in the connection's task, and schedules of all of them drawn at random.

--- /dev/null
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -0,0 +1,289 @@
+#include "CallerConnectionFixture.h"
+
+#include <cstdlib>
+#include <list>
+#include <rapidcheck.h>
+
+using namespace bergamothook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration IdleTimeout = 300ms;
+constexpr int Cases = 40;
+
+void sleepFor(const RefusingHost &Host, Duration Time) {
+  Host.Tasks.sleepUntil(Host.Tasks.Now() + Time);
+}
+
+} // namespace
+
+TEST_CASE("a request that arrived within the idle timeout of its connection is "
+          "answered by a host that is late to read it") {
+  RefusingHost Host({.IdleTimeout = IdleTimeout});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request("/first") == 404);
+    TimePoint IdleSince = Host.Tasks.Now();
+    Host.Tasks.sleepUntil(IdleSince + IdleTimeout - 50ms);
+    Client.sendRequest("/second");
+    Host.blockUntil(IdleSince + IdleTimeout + 50ms);
+    CHECK(Client.readStatus() == 404);
+  });
+  CHECK(Host.Decoded.count("/second") == 1);
+}
+
+TEST_CASE("a request within the idle timeout of the newest configuration is "
+          "answered, also if an older one ended its connection earlier") {
+  RefusingHost Host({.IdleTimeout = 100ms});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    Host.setIdleTimeout(2s);
+    sleepFor(Host, 400ms);
+    CHECK(Client.request() == 404);
+  });
+}
+
+TEST_CASE("a request within the idle timeout of the configuration of its last "
+          "response is answered, also if a newer one is shorter") {
+  RefusingHost Host({.IdleTimeout = 2s});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    Host.setIdleTimeout(100ms);
+    sleepFor(Host, 400ms);
+    CHECK(Client.request() == 404);
+  });
+}
+
+TEST_CASE("a request that arrives after its host has ended the connection is "
+          "not read, so that its caller may send it again") {
+  RefusingHost Host({.IdleTimeout = 100ms});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    Client.awaitEnd();
+    CHECK_FALSE(Client.wasReset());
+    Client.sendRequest("/late");
+    sleepFor(Host, 50ms);
+    Client.sendRequest("/later");
+    CHECK(Client.wasReset());
+  });
+  CHECK(Host.Decoded.count("/late") == 0);
+}
+
+TEST_CASE("a full port closes no connection whose request has arrived and was "
+          "not read yet") {
+  RefusingHost Host({.MaxConnections = 2});
+  Host.run([&] {
+    ClientConnection First(Host);
+    CHECK(First.request() == 404);
+    ClientConnection Second(Host);
+    CHECK(Second.request() == 404);
+    // The host sees the third connection before the request.
+    ClientConnection Third(Host);
+    First.sendRequest("/first");
+    CHECK(First.readStatus() == 404);
+    Second.awaitEnd();
+    CHECK(Third.request() == 404);
+  });
+}
+
+TEST_CASE("a full port refuses the request that it closes a connection for") {
+  RefusingHost Host({.MaxConnections = 1});
+  Host.run([&] {
+    ClientConnection First(Host);
+    First.send("GET / HTTP/1.1\r\nHo");
+    sleepFor(Host, 1100ms);
+    ClientConnection Second(Host);
+    CHECK(First.readStatus() == 503);
+    CHECK(Second.request() == 404);
+  });
+}
+
+TEST_CASE("a host that sends callers away answers requests that have arrived") {
+  RefusingHostSettings Settings;
+  Settings.Load.EndsConnection = [] { return true; };
+  RefusingHost Host(Settings);
+  Host.run([&] {
+    ClientConnection Client(Host);
+    Client.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+                "GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(Client.readStatus() == 404);
+    CHECK(Client.readStatus() == 404);
+    Client.awaitEnd();
+  });
+}
+
+TEST_CASE("a stopping host answers a request that has arrived on an idle "
+          "connection, also if it is late to read it") {
+  StopPolicy Stop;
+  Stop.IdleGrace = 200ms;
+  RefusingHost Host({.Stop = Stop});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    Host.stop();
+    TimePoint StoppedAt = Host.Tasks.Now();
+    Host.Tasks.sleepUntil(StoppedAt + 150ms);
+    Client.sendRequest();
+    Host.blockUntil(StoppedAt + 300ms);
+    CHECK(Client.readStatus() == 404);
+    Client.awaitEnd();
+  });
+}
+
+TEST_CASE("a request whose handling fails is answered") {
+  RefusingHost Host;
+  Host.FailsToDecode = true;
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 500);
+  });
+}
+
+namespace {
+
+/// What happens at one moment of a schedule.
+enum class Step {
+  Request,
+  PipelinedRequests,
+  /// A request whose rest is sent with the next step of its client.
+  PartialRequest,
+  Pause,
+  Block,
+  LongerTimeout,
+  ShorterTimeout,
+  OtherConnections,
+  SendAway,
+  Stop,
+};
+
+/// A client that requests in every state of its connection.
+class ScheduledClient {
+public:
+  explicit ScheduledClient(RefusingHost &Host) : Host(Host) {}
+
+  void request(std::size_t Count, bool IsPartial) {
+    if (!this->Client || this->Client->hasEnded())
+      this->reconnect();
+    std::string Bytes;
+    for (std::size_t I = 0; I < Count; ++I)
+      Bytes += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::size_t First = IsPartial ? Bytes.size() / 2 : Bytes.size();
+    this->Client->send(Bytes.substr(0, First));
+    this->Unsent = Bytes.substr(First);
+    this->Unanswered = Count;
+  }
+
+  /// Completes what was sent. \returns the statuses of the responses that are
+  /// due; the last one also answers for requests after a refusal.
+  std::vector<unsigned> readResponses() {
+    std::vector<unsigned> Statuses;
+    if (!this->Client)
+      return Statuses;
+    if (!this->Unsent.empty())
+      this->Client->send(this->Unsent);
+    this->Unsent.clear();
+    for (; this->Unanswered > 0; --this->Unanswered)
+      Statuses.push_back(this->Client->readStatus());
+    return Statuses;
+  }
+
+private:
+  void reconnect() {
+    this->Client.reset();
+    this->Client.emplace(this->Host);
+  }
+
+  RefusingHost &Host;
+  std::optional<ClientConnection> Client;
+  std::string Unsent;
+  std::size_t Unanswered = 0;
+};
+
+struct ScheduledStep {
+  Step Kind;
+  Duration Time;
+};
+
+} // namespace
+
+TEST_CASE("a request that has begun to arrive is answered or refused, whatever "
+          "else happens to its host") {
+  auto Holds = [] {
+    auto Steps = *rc::gen::container<std::vector<ScheduledStep>>(
+        12, rc::gen::construct<ScheduledStep>(
+                rc::gen::weightedElement<Step>({{5, Step::Request},
+                                                {2, Step::PipelinedRequests},
+                                                {2, Step::PartialRequest},
+                                                {5, Step::Pause},
+                                                {4, Step::Block},
+                                                {1, Step::LongerTimeout},
+                                                {1, Step::ShorterTimeout},
+                                                {2, Step::OtherConnections},
+                                                {1, Step::SendAway},
+                                                {1, Step::Stop}}),
+                rc::gen::map(rc::gen::inRange(0, 40), [](int Milliseconds) {
+                  return Duration(std::chrono::milliseconds(Milliseconds));
+                })));
+    bool SendsAway = false;
+    RefusingHostSettings Settings{.IdleTimeout = 25ms, .MaxConnections = 4};
+    Settings.Load.EndsConnection = [&] {
+      return std::exchange(SendsAway, false);
+    };
+    Settings.Stop.IdleGrace = 20ms;
+    Settings.Stop.FirstRequestGrace = 20ms;
+    // Longer than all steps of a schedule.
+    Settings.Stop.BalancerDelay = 600ms;
+    RefusingHost Host(Settings);
+    std::vector<unsigned> Statuses;
+    Host.run([&] {
+      ScheduledClient Client(Host);
+      std::list<ClientConnection> Others;
+      for (const ScheduledStep &Each : Steps) {
+        switch (Each.Kind) {
+        case Step::Request:
+        case Step::PipelinedRequests:
+        case Step::PartialRequest: {
+          for (unsigned Status : Client.readResponses())
+            Statuses.push_back(Status);
+          std::size_t Count = Each.Kind == Step::PipelinedRequests ? 3 : 1;
+          Client.request(Count, Each.Kind == Step::PartialRequest);
+          break;
+        }
+        case Step::Pause:
+          sleepFor(Host, Each.Time);
+          break;
+        case Step::Block:
+          Host.blockUntil(Host.Tasks.Now() + Each.Time);
+          break;
+        case Step::LongerTimeout:
+          Host.setIdleTimeout(40ms);
+          break;
+        case Step::ShorterTimeout:
+          Host.setIdleTimeout(10ms);
+          break;
+        case Step::OtherConnections:
+          for (int I = 0; I < 4; ++I)
+            Others.emplace_back(Host);
+          break;
+        case Step::SendAway:
+          SendsAway = true;
+          break;
+        case Step::Stop:
+          Host.stop();
+          break;
+        }
+      }
+      for (unsigned Status : Client.readResponses())
+        Statuses.push_back(Status);
+    });
+    for (unsigned Status : Statuses)
+      RC_ASSERT(Status != 0U);
+  };
+  setenv("RC_PARAMS", ("seed=1 max_success=" + std::to_string(Cases)).c_str(),
+         1);
+  CHECK(rc::check(Holds));
+}
