--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -291,6 +291,10 @@
            {{"version", Config.value()->Version},
             {"routes", Config.value()->routes()},
             {"teams", Config.value()->teams().size()},
+            {"idle_timeout_ms",
+             std::chrono::duration_cast<std::chrono::milliseconds>(
+                 Config.value()->Limits.IdleTimeout)
+                 .count()},
             {"offset", Record.Offset}});
 }
 
