Answer requests that arrive before an idle connection is ended

Callers saw a kept connection end with a whole request unanswered, beside a change of the configuration and in a planned stop.

Cause: the end of the idle time was decided by a timer alone. Timers that are due are handled before the arrival of bytes, so that a process that was late (it was parsing a configuration, say) ended connections whose requests lay in the socket. The time itself was fixed as the wait began, from the configuration of that moment, while callers go by the newest one. Class: a decision on the state of a connection that does not look at the connection.

Before a connection ends for being idle, or for a stop, what the kernel has received is read; bytes mean that a request has begun. The timeout is the longer one of the configuration at the last response and of the one in force.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -183,6 +183,10 @@
     return;
   if (WaitFailure)
     return this->end(true);
+  this->receive();
+}
+
+void TcpConnection::receive() {
   // Shared by all connections of the thread, so that idle connections hold no
   // buffer.
   static thread_local std::array<char, ReadBufferBytes> ReadBuffer;
@@ -218,6 +222,22 @@
   this->notify();
 }
 
+bool TcpConnection::readArrived() {
+  if (!this->IsClosed && !this->IsClosing && !this->HasEnded &&
+      !this->isFull() && this->available() > 0)
+    this->receive();
+  return !this->unread().empty();
+}
+
+bool TcpConnection::hasArrived() const {
+  return !this->IsClosed && this->available() > 0;
+}
+
+std::size_t TcpConnection::available() const {
+  boost::system::error_code Ignored; // No bytes can be read then.
+  return this->Socket.available(Ignored);
+}
+
 void TcpConnection::end(bool IsLoss) {
   this->HasEnded = true;
   this->WasLost = this->WasLost || IsLoss;
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -78,6 +78,13 @@
 
   void consume(std::size_t Bytes);
 
+  /// Reads what the kernel has received, which the event loop may not have
+  /// handled yet. \returns whether bytes are unread.
+  bool readArrived();
+
+  /// \returns whether the kernel has received bytes that were not read yet.
+  bool hasArrived() const;
+
   /// Counts \p Bytes of messages that the user of the connection keeps.
   /// \returns false if there is no memory for them.
   bool keep(std::size_t Bytes);
@@ -171,6 +178,8 @@
                             const std::function<bool()> &IsSent);
   void readAhead();
   void onReadable(const boost::system::error_code &WaitFailure);
+  void receive();
+  std::size_t available() const;
   void sendQueued();
   void countSent(std::size_t Bytes);
   void onWritable(const boost::system::error_code &WaitFailure);
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -207,30 +207,34 @@
 
 bool RelayServer::waitForRequest(Session &Client) {
   TimePoint Begin = this->Tasks.Now();
-  Client.End.IdleTimeout = this->limits().IdleTimeout;
-  TimePoint IdleEnd = Begin + Client.End.IdleTimeout;
+  Duration FirstTimeout = this->limits().IdleTimeout;
   for (;;) {
-    TimePoint End = IdleEnd;
-    bool WasStopping = this->Plan.hasStarted();
-    if (WasStopping)
+    bool IsStopping = this->Plan.hasStarted();
+    // Callers may know the configuration of then, or the newest one.
+    Client.End.IdleTimeout = std::max(FirstTimeout, this->limits().IdleTimeout);
+    TimePoint End = Begin + Client.End.IdleTimeout;
+    if (IsStopping)
       End = std::min(End, this->Plan.idleDeadline(Client.OpenedAt));
+    TimePoint Now = this->Tasks.Now();
+    if (Now >= End) {
+      // A timeout is handled before the arrival of bytes if both are due.
+      if (Client.Connection->readArrived())
+        return true;
+      Client.End.Cause = IsStopping ? ConnectionEndCause::Stop
+                                    : ConnectionEndCause::IdleTimeout;
+      Client.End.Idle = Now - Begin;
+      Client.End.Late = Now - End;
+      return false;
+    }
     if (Client.Reader.waitForFirstByte(
-            End, [&] { return this->Plan.hasStarted() != WasStopping; }))
+            End, [&] { return this->Plan.hasStarted() != IsStopping; }))
       return true;
-    TimePoint Now = this->Tasks.Now();
     if (Client.Connection->hasEnded()) {
       Client.End.Cause = Client.Connection->isClosed()
                              ? ConnectionEndCause::Eviction
                              : ConnectionEndCause::Caller;
       return false;
     }
-    if (Now >= End) {
-      Client.End.Cause = WasStopping ? ConnectionEndCause::Stop
-                                     : ConnectionEndCause::IdleTimeout;
-      Client.End.Idle = Now - Begin;
-      Client.End.Late = Now - End;
-      return false;
-    }
   }
 }
 
