Leave requests unread that cross the end of an idle connection

Callers saw a connection end after a host had read a whole request on it and said nothing: they could not know whether the request ran, and did not send orders again.

Class: a measure for one case applied to all.

Connections that end while they are idle no longer read after the end. Bytes that arrive then reset the connection, which says that they were not processed.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -183,6 +183,9 @@
     return;
   if (WaitFailure)
     return this->end(true);
+  // Without bytes, the peer has closed its side.
+  if (this->IsLeftUnread && this->available() > 0)
+    return this->notify();
   this->receive();
 }
 
@@ -382,6 +385,25 @@
   return Discarded;
 }
 
+std::size_t TcpConnection::finishUnread(TimePoint Deadline) {
+  if (!this->flush(Deadline)) {
+    this->abort();
+    return 0;
+  }
+  boost::system::error_code Ignored; // The connection is gone either way.
+  this->IsLeftUnread = true;
+  this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  this->Tasks.waitUntil(*this->Changed, Deadline, [this] {
+    return this->HasEnded || this->IsClosed || this->available() > 0;
+  });
+  std::size_t Arrived = this->IsClosed ? 0 : this->available();
+  if (Arrived > 0)
+    this->abort();
+  else
+    this->close();
+  return Arrived;
+}
+
 void TcpConnection::close() {
   if (this->IsClosed || this->IsClosing)
     return;
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -139,6 +139,12 @@
   /// \returns how many received bytes were discarded.
   std::size_t finish(TimePoint Deadline);
 
+  /// As finish(), but reads nothing any more, for a connection without an
+  /// unacknowledged response. Bytes that arrive meanwhile reset the connection,
+  /// which tells the peer that they were not processed. \returns how many
+  /// arrived.
+  std::size_t finishUnread(TimePoint Deadline);
+
   /// Closes the connection once the queued bytes are sent. Bytes received from
   /// now on are dropped.
   void close();
@@ -205,6 +211,8 @@
   std::string Peer;
   bool LacksMemory = false;
   bool IsReading = false;
+  /// Bytes that arrive are left unread.
+  bool IsLeftUnread = false;
   bool IsSending = false;
   bool HasEnded = false;
   bool WasLost = false;
--- a/Libraries/LibRelayFront/ConnectionEnd.h
+++ b/Libraries/LibRelayFront/ConnectionEnd.h
@@ -42,6 +42,13 @@
   Duration Idle{};
   Duration IdleTimeout{};
   Duration Late{};
+
+  /// \returns whether the host ended a connection on which it had answered all
+  /// requests.
+  bool wasIdle() const {
+    return this->Cause == ConnectionEndCause::IdleTimeout ||
+           this->Cause == ConnectionEndCause::Stop;
+  }
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -132,11 +132,13 @@
   if (!Client.MustAbort)
     this->sendRest(*Connection);
   Client.End.UnansweredBytes = Connection->unread().size();
+  TimePoint CloseDeadline = this->Tasks.Now() + this->Settings.CloseTimeout;
   if (Client.MustAbort)
     Connection->abort();
+  else if (Client.End.wasIdle())
+    Client.End.UnansweredBytes = Connection->finishUnread(CloseDeadline);
   else
-    Client.End.UnansweredBytes =
-        Connection->finish(this->Tasks.Now() + this->Settings.CloseTimeout);
+    Client.End.UnansweredBytes = Connection->finish(CloseDeadline);
   this->recordEnd(Client);
 }
 
