Evict no connection with an unread request, and refuse a begun one

Callers of a host with all the connections that it may have saw theirs end without an answer while a request was arriving.

Cause: only bytes that the process had read counted as a request on an idle connection, and a connection whose request was incomplete was closed without a word. Class: as for the end of the idle time, a decision that does not look at the socket.

A connection on which nothing was read of its request yet is not evicted once bytes have arrived. One whose request is incomplete is refused with 503, as not run, before it is closed.

Two tests of TestLibRelayFront failed before and pass.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -209,6 +209,7 @@
   if (Failure)
     return this->end(Failure != boost::asio::error::eof);
   this->Traffic->BytesReceived += Bytes;
+  this->TotalReceived += Bytes;
   if (!this->IsClosing) {
     if (this->Consumed > 0) {
       this->Received.erase(0, this->Consumed);
@@ -425,7 +426,14 @@
   this->Socket.close(Ignored);
 }
 
-void TcpConnection::evict() {
+void TcpConnection::evict(std::string_view LastBytes) {
+  if (!this->IsClosed && !LastBytes.empty() && this->unsent() == 0) {
+    boost::system::error_code Ignored; // The connection is gone either way.
+    this->countSent(this->Socket.write_some(
+        boost::asio::buffer(LastBytes.data(), LastBytes.size()), Ignored));
+    // Unread bytes would reset the connection, and the peer could lose these.
+    this->readArrived();
+  }
   this->finishClose();
   this->end(true);
 }
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -153,8 +153,9 @@
   void abort();
 
   /// Closes the connection and ends the waits of its user. The kernel still
-  /// sends what it has accepted; queued bytes are dropped.
-  void evict();
+  /// sends what it has accepted; queued bytes are dropped. \p LastBytes are
+  /// sent before, as far as the kernel accepts them.
+  void evict(std::string_view LastBytes = {});
 
   bool isClosed() const { return this->IsClosed; }
 
@@ -166,6 +167,7 @@
   void setPeer(std::string Name) { this->Peer = std::move(Name); }
 
   std::uint64_t bytesSent() const { return this->TotalSent; }
+  std::uint64_t bytesReceived() const { return this->TotalReceived; }
 
 private:
   TcpConnection(NetRuntime &Loop, boost::asio::ip::tcp::socket Socket,
@@ -205,6 +207,7 @@
   std::string Unsent;
   std::size_t Sent = 0;
   std::uint64_t TotalSent = 0;
+  std::uint64_t TotalReceived = 0;
   MemoryHold Memory;
   std::size_t Kept = 0;
   TimePoint CreatedAt;
--- a/Libraries/LibRelayFront/ConnectionRoster.cpp
+++ b/Libraries/LibRelayFront/ConnectionRoster.cpp
@@ -75,19 +75,38 @@
     if (isBusy(*At->second, Now))
       continue;
     TcpConnection::Handle Connection = At->second->Connection;
+    bool IsRefused = this->Refusal && hasBegun(*At->second);
     this->ByRank.erase(At);
     ++this->Evictions;
-    Connection->evict();
+    Connection->evict(IsRefused ? this->Refusal() : "");
     this->log(Phase, Now);
     return true;
   }
   return false;
 }
 
+bool ConnectionRoster::hasBegun(const Entry &Candidate) {
+  switch (std::get<0>(Candidate.Rank)) {
+  case ConnectionPhase::FirstRequest:
+    return Candidate.Connection->bytesReceived() > 0;
+  case ConnectionPhase::NextRequest:
+  case ConnectionPhase::Answering:
+    return true;
+  case ConnectionPhase::Closing:
+  case ConnectionPhase::Idle:
+    break;
+  }
+  return false;
+}
+
 bool ConnectionRoster::isBusy(Entry &Candidate, TimePoint Now) {
   const TcpConnection &Connection = *Candidate.Connection;
   auto [Phase, Since, Id] = Candidate.Rank;
-  if (Phase == ConnectionPhase::Idle && !Connection.unread().empty())
+  bool HasReadNothing =
+      Phase == ConnectionPhase::Idle ||
+      (Phase == ConnectionPhase::FirstRequest && !hasBegun(Candidate));
+  if (HasReadNothing &&
+      (!Connection.unread().empty() || Connection.hasArrived()))
     return true;
   if (Connection.unsent() == 0)
     return false;
--- a/Libraries/LibRelayFront/ConnectionRoster.h
+++ b/Libraries/LibRelayFront/ConnectionRoster.h
@@ -7,6 +7,7 @@
 
 #include "LibNet/TcpConnection.h"
 
+#include <functional>
 #include <map>
 #include <tuple>
 
@@ -32,9 +33,13 @@
 /// request has just begun to arrive. Not thread-safe.
 class ConnectionRoster {
 public:
+  /// Formats the response to a request that has begun to arrive on a connection
+  /// that is closed. Nothing is sent if it is empty.
+  using FormatRefusal = std::function<std::string()>;
+
   /// \p Address names the port in log lines.
-  explicit ConnectionRoster(std::string Address)
-      : Address(std::move(Address)) {}
+  explicit ConnectionRoster(std::string Address, FormatRefusal Refusal = {})
+      : Address(std::move(Address)), Refusal(std::move(Refusal)) {}
 
   /// The entry of one connection, for the duration of a scope.
   class Entry {
@@ -68,12 +73,15 @@
   /// Closes the oldest connection in \p Phase that has been in it for \p
   /// MinAge.
   bool evictFrom(ConnectionPhase Phase, Duration MinAge, TimePoint Now);
-  /// \returns whether a connection still sends a response, or has received a
-  /// request that its task has not read yet.
+  /// \returns whether a connection still sends a response, or has received
+  /// bytes of a request that its task has not read yet.
   static bool isBusy(Entry &Candidate, TimePoint Now);
+  /// \returns whether a part of an unanswered request was read.
+  static bool hasBegun(const Entry &Candidate);
   void log(ConnectionPhase Phase, TimePoint Now);
 
   std::string Address;
+  FormatRefusal Refusal;
   std::map<std::tuple<ConnectionPhase, TimePoint, std::uint64_t>, Entry *>
       ByRank;
   std::uint64_t LastEntry = 0;
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -32,6 +32,8 @@
 constexpr Duration DescriptorRetryAfter = std::chrono::milliseconds(500);
 /// Requests that have not been read whole are of no team yet.
 const MemoryOwner UnreadRequests = hash64("unread requests");
+constexpr const char *TooManyConnections =
+    "the connection is closed to accept others";
 
 unsigned statusOf(std::error_code Failure) {
   if (Failure == NetError::HeadTooLarge)
@@ -69,6 +71,11 @@
                          RelayDispatcher &Dispatcher, Decode Decoder)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
+      Roster("callers",
+             [this] {
+               return this->formatRefusal(503, TooManyConnections,
+                                          RelayEnd::NotRun);
+             }),
       Listener(Loop, this->listenerSettings(),
                [this](const TcpConnection::Handle &Connection) {
                  this->handleConnection(Connection);
@@ -240,23 +247,29 @@
   }
 }
 
+std::string RelayServer::formatRefusal(unsigned Status,
+                                       const std::string &Reason,
+                                       RelayEnd Outcome) const {
+  RelayCall Call;
+  Call.ArrivedAt = this->Tasks.Now();
+  HttpResponseHead Head =
+      this->Dispatcher.hooks().MakeRefusal(Status, Call, std::nullopt);
+  Head.KeepAlive = false;
+  std::string Body =
+      nlohmann::json{
+          {"error", {{"message", Reason}, {"outcome", nameOf(Outcome)}}}}
+          .dump();
+  return formatResponseHead(Head, BodyFraming::Length, Body.size()) + Body;
+}
+
 void RelayServer::refuseMessage(Session &Client, std::error_code Failure) {
   if (Failure == NetError::Closed || Failure == NetError::Reset)
     return; // The caller disconnected before its request was complete.
   unsigned Status = statusOf(Failure);
   logEvent(LogLevel::Warning, "request_refused",
            {{"status", Status}, {"reason", Failure.message()}});
-  RelayCall Call;
-  Call.ArrivedAt = this->Tasks.Now();
-  HttpResponseHead Head =
-      this->Dispatcher.hooks().MakeRefusal(Status, Call, std::nullopt);
-  Head.KeepAlive = false;
-  std::string Body = nlohmann::json{{"error",
-                                     {{"message", Failure.message()},
-                                      {"outcome", nameOf(RelayEnd::NotRun)}}}}
-                         .dump();
   (void)Client.Connection->write(
-      formatResponseHead(Head, BodyFraming::Length, Body.size()) + Body,
+      this->formatRefusal(Status, Failure.message(), RelayEnd::NotRun),
       this->Tasks.Now() + WriteTimeout);
 }
 
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -79,6 +79,9 @@
   bool serveRequest(Session &Client, HttpRequestMessage Message);
   bool waitForRequest(Session &Client);
   void refuseMessage(Session &Client, std::error_code Failure);
+  /// Formats the response to a request that was not decoded.
+  std::string formatRefusal(unsigned Status, const std::string &Reason,
+                            RelayEnd Outcome) const;
   /// Counts and logs the end of a connection on which a request, or a part of
   /// one, was not answered.
   void recordEnd(const Session &Client);
@@ -97,7 +100,7 @@
   RelayServerSettings Settings;
   RelayDispatcher &Dispatcher;
   Decode Decoder;
-  ConnectionRoster Roster{"callers"};
+  ConnectionRoster Roster;
   TcpListener Listener;
   std::set<Event *> Sessions;
   std::size_t InProgress = 0;
