Answer pipelined requests before a connection is closed

Callers that had sent a further request saw their connection end with the response to an earlier one.

Cause: an overloaded or stopping host decided to close a connection as it wrote the head of a response, whatever else had arrived. The rest was discarded.

The response to the last request that has arrived announces the end of the connection.

The test of TestLibRelayFront of a host that sends callers away failed before and passes, and so does that of random schedules.

--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -289,8 +289,10 @@
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
   auto PrepareHead = [&Client, this](HttpResponseHead Head) {
-    Client.MustClose = Client.MustClose || this->Plan.hasStarted() ||
-                       this->Settings.Load.EndsConnection();
+    // The response to the last request that has arrived announces the end.
+    if (!Client.MustClose && !Client.Connection->readArrived())
+      Client.MustClose =
+          this->Plan.hasStarted() || this->Settings.Load.EndsConnection();
     Head.KeepAlive = !Client.MustClose;
     return Head;
   };
