Answer a request whose handling fails with 500

A caller whose request made its task fail saw its connection reset, without an answer.

Cause: an exception that reached the connection's task ended the connection, whatever was unanswered on it.

If no byte of a response was sent, the request is answered with 500, with an unknown outcome.

The test of TestLibRelayFront of a request whose handling fails failed before and passes.

--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -34,6 +34,7 @@
 const MemoryOwner UnreadRequests = hash64("unread requests");
 constexpr const char *TooManyConnections =
     "the connection is closed to accept others";
+constexpr const char *HandlingFailed = "the request could not be handled";
 
 unsigned statusOf(std::error_code Failure) {
   if (Failure == NetError::HeadTooLarge)
@@ -60,6 +61,9 @@
   bool MustClose = false;
   bool MustAbort = false;
   ConnectionEnd End;
+  /// The bytes sent before the response to the request in progress; unset if
+  /// there is none.
+  std::optional<std::uint64_t> SentBeforeResponse;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
           ConnectionRoster &Roster)
@@ -130,9 +134,12 @@
     // One connection must not end the process, and with it all others.
     logEvent(LogLevel::Error, "connection_failed",
              {{"reason", Failure.what()}});
-    Client.MustAbort = true;
     Client.End.Cause = ConnectionEndCause::TaskFailure;
   }
+  // Not inside of the handler above: tasks that wait while they handle an
+  // exception would mix it up with those of other tasks.
+  if (Client.End.Cause == ConnectionEndCause::TaskFailure)
+    this->answerFailure(Client);
   this->Sessions.erase(&Client.Changed);
   Client.Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
   this->Listener.resume();
@@ -149,6 +156,19 @@
   this->recordEnd(Client);
 }
 
+void RelayServer::answerFailure(Session &Client) {
+  TcpConnection &Connection = *Client.Connection;
+  if (!Client.SentBeforeResponse ||
+      Connection.bytesSent() != *Client.SentBeforeResponse ||
+      Connection.unsent() > 0) {
+    Client.MustAbort = true;
+    return;
+  }
+  (void)Connection.write(
+      this->formatRefusal(500, HandlingFailed, RelayEnd::Unknown),
+      this->Tasks.Now() + WriteTimeout);
+}
+
 void RelayServer::recordEnd(const Session &Client) {
   const ConnectionEnd &End = Client.End;
   // After a refusal, what is left is the rest of the refused message.
@@ -200,8 +220,10 @@
     }
     Client.OpenedAt.reset();
     Client.Place.enter(ConnectionPhase::Answering, this->Tasks.Now());
+    Client.SentBeforeResponse = Client.Connection->bytesSent();
     detail::ScopedCount Counted(this->InProgress);
     bool KeepsOpen = this->serveRequest(Client, std::move(Message.value()));
+    Client.SentBeforeResponse.reset();
     Client.Connection->keep(0);
     if (!KeepsOpen) {
       Client.End.Cause = Client.MustAbort ? ConnectionEndCause::Call
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -82,6 +82,8 @@
   /// Formats the response to a request that was not decoded.
   std::string formatRefusal(unsigned Status, const std::string &Reason,
                             RelayEnd Outcome) const;
+  /// Answers a request whose handling failed, if no response has begun.
+  void answerFailure(Session &Client);
   /// Counts and logs the end of a connection on which a request, or a part of
   /// one, was not answered.
   void recordEnd(const Session &Client);
