Tell a host's own reading apart from its callers' load

Cause: the overload decision took the bytes of all sockets for load of callers. A host of 10 Mbit/s that reads a configuration of the size of its link's second is full for a second, reported itself overloaded and not ready, and ended its callers' connections; all hosts read at the same time.

The use of the link that decides is that of callers, targets and other hosts, of what own bytes leave over on average over 30 s, at least half of the link. Callers' bytes that own bytes displace at a full link count when they were due, not as they arrive together afterwards. Own reading has metrics of its own and a field in the log lines. Refusals and ends of connections follow the same figure.

Callers that fill the link are found as before, also beside reading; the earlier tests are unchanged.

--- a/Libraries/LibNet/DatagramSocket.cpp
+++ b/Libraries/LibNet/DatagramSocket.cpp
@@ -29,7 +29,7 @@
 
 DatagramSocket::DatagramSocket(NetRuntime &Loop, std::string Address,
                                ReceiveHandler Handler)
-    : Traffic(Loop.traffic()), Address(std::move(Address)),
+    : Traffic(Loop.traffic(TrafficClass::Service)), Address(std::move(Address)),
       Handler(std::move(Handler)), Socket(Loop.context()),
       Buffer(MaxDatagramBytes) {}
 
--- a/Libraries/LibNet/NetRuntime.h
+++ b/Libraries/LibNet/NetRuntime.h
@@ -7,11 +7,23 @@
 
 #include "LibTask/Runtime.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <memory>
 
 namespace bergamothook {
 
-/// The bytes of all sockets of a runtime, without what the kernel adds.
+/// For whom a socket's bytes cross the link.
+enum class TrafficClass {
+  /// Callers, targets and other hosts.
+  Service,
+  /// The host itself: what it requests from the store.
+  Own,
+};
+
+constexpr std::size_t TrafficClassCount = 2;
+
+/// The bytes of a runtime's sockets of one class, without what the kernel adds.
 struct NetTraffic {
   std::uint64_t BytesReceived = 0;
   std::uint64_t BytesSent = 0;
@@ -35,12 +47,15 @@
   boost::asio::io_context &context() { return *this->Context; }
 
   /// Shared with the sockets, which may outlive this object.
-  const std::shared_ptr<NetTraffic> &traffic() const { return this->Traffic; }
+  const std::shared_ptr<NetTraffic> &traffic(TrafficClass Class) const {
+    return this->Traffic[static_cast<std::size_t>(Class)];
+  }
 
 private:
   /// Shared with the thread's fiber scheduler, which outlives this object.
   std::shared_ptr<boost::asio::io_context> Context;
-  std::shared_ptr<NetTraffic> Traffic = std::make_shared<NetTraffic>();
+  std::array<std::shared_ptr<NetTraffic>, TrafficClassCount> Traffic{
+      std::make_shared<NetTraffic>(), std::make_shared<NetTraffic>()};
   Event Stopped;
   bool IsStopping = false;
 };
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -37,7 +37,7 @@
 
 TcpConnection::TcpConnection(NetRuntime &Loop, tcp::socket Socket,
                              TcpLimits Limits)
-    : Loop(Loop), Traffic(Loop.traffic()), Tasks(Loop.hooks()),
+    : Loop(Loop), Traffic(Loop.traffic(Limits.Traffic)), Tasks(Loop.hooks()),
       Socket(std::move(Socket)), Limits(std::move(Limits)),
       Memory(this->Limits.Memory, this->Limits.Owners),
       CreatedAt(this->Tasks.Now()) {}
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -36,6 +36,7 @@
   /// not bounded in sum.
   MemoryBudgetHandle Memory;
   std::vector<MemoryOwner> Owners;
+  TrafficClass Traffic = TrafficClass::Service;
 };
 
 /// For waits that only their deadline ends.
--- a/Libraries/LibOverload/HostUsage.h
+++ b/Libraries/LibOverload/HostUsage.h
@@ -4,6 +4,7 @@
 #ifndef BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
 #define BERGAMOTHOOK_LIBOVERLOAD_HOSTUSAGE_H
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
@@ -18,6 +19,9 @@
 
 constexpr std::size_t HostResourceCount = 4;
 
+inline constexpr std::array LinkDirections{HostResource::LinkReceive,
+                                           HostResource::LinkSend};
+
 const char *nameOf(HostResource Resource);
 
 /// The limits of a host; 0 for what is not limited or not known.
@@ -33,6 +37,9 @@
   /// Since the start of the process, on all sockets.
   std::uint64_t BytesReceived = 0;
   std::uint64_t BytesSent = 0;
+  /// The part of these bytes that the host itself exchanged with the store.
+  std::uint64_t OwnBytesReceived = 0;
+  std::uint64_t OwnBytesSent = 0;
   /// At the moment.
   std::size_t Descriptors = 0;
   std::size_t MessageBytes = 0;
--- a/Libraries/LibOverload/OverloadControl.cpp
+++ b/Libraries/LibOverload/OverloadControl.cpp
@@ -16,6 +16,16 @@
   return Limit > 0 ? Used / Limit : 0;
 }
 
+/// \returns the weight of a measurement over \p Elapsed in a moving average.
+double weightOf(Duration Elapsed, Duration TimeConstant) {
+  std::chrono::duration<double> Span = Elapsed;
+  return 1 - std::exp(-(Span / TimeConstant));
+}
+
+constexpr std::size_t indexOf(HostResource Resource) {
+  return static_cast<std::size_t>(Resource);
+}
+
 } // namespace
 
 OverloadControl::OverloadControl(OverloadPolicy Policy, HostCapacity Capacity,
@@ -46,17 +56,72 @@
                  static_cast<double>(this->Capacity.MessageBytes))};
 }
 
+OverloadControl::PerResource
+OverloadControl::measureOwn(const HostUsage &Usage, Duration Elapsed) const {
+  double LinkBytes = this->Capacity.LinkBytesPerSecond *
+                     std::chrono::duration<double>(Elapsed).count();
+  PerResource Own{};
+  Own[indexOf(HostResource::LinkReceive)] = fractionOf(
+      static_cast<double>(Usage.OwnBytesReceived - this->Last.OwnBytesReceived),
+      LinkBytes);
+  Own[indexOf(HostResource::LinkSend)] = fractionOf(
+      static_cast<double>(Usage.OwnBytesSent - this->Last.OwnBytesSent),
+      LinkBytes);
+  return Own;
+}
+
+void OverloadControl::excludeOwn(PerResource &Measured, const PerResource &Own,
+                                 Duration Elapsed) {
+  // A full direction holds back both: a request that waits has no answer.
+  bool IsFull = false;
+  double HoldsBack = 0;
+  for (HostResource Direction : LinkDirections) {
+    std::size_t I = indexOf(Direction);
+    if (Measured[I] <= this->Policy.LinkFullAbove)
+      continue;
+    IsFull = true;
+    HoldsBack = std::max(HoldsBack, Own[I]);
+  }
+  for (HostResource Direction : LinkDirections) {
+    std::size_t I = indexOf(Direction);
+    if (!IsFull)
+      this->HeldBack[I] *= 1 - weightOf(Elapsed, this->Policy.Smoothing);
+    double Left = 1 - std::min(this->OwnShare[I], this->Policy.MaxOwnShare);
+    double Callers = std::min((Measured[I] - Own[I]) / Left, 1.0);
+    Measured[I] = this->withoutWaits(I, Callers, HoldsBack, Elapsed);
+  }
+}
+
+double OverloadControl::withoutWaits(std::size_t I, double Callers,
+                                     double HoldsBack, Duration Elapsed) {
+  double Seconds = std::chrono::duration<double>(Elapsed).count();
+  double MaxHeldBack =
+      std::chrono::duration<double>(this->Policy.MaxHeldBack).count();
+  double &Held = this->HeldBack[I];
+  double Usual = this->Utilization[I];
+  double Waiting = std::max(0.0, std::min({Usual - Callers, HoldsBack,
+                                           (MaxHeldBack - Held) / Seconds}));
+  double Late = std::max(0.0, std::min(Callers - Usual, Held / Seconds));
+  Held += (Waiting - Late) * Seconds;
+  return Callers + Waiting - Late;
+}
+
 void OverloadControl::update(const HostUsage &Usage, TimePoint Now) {
   bool IsMeasured = this->LastAt && Now > *this->LastAt &&
                     Now - *this->LastAt <= this->Policy.MaxInterval;
   if (IsMeasured) {
     Duration Elapsed = Now - *this->LastAt;
     PerResource Measured = this->measure(Usage, Elapsed);
-    std::chrono::duration<double> Span = Elapsed;
-    double Weight = 1 - std::exp(-(Span / this->Policy.Smoothing));
-    for (std::size_t I = 0; I < HostResourceCount; ++I)
+    PerResource Own = this->measureOwn(Usage, Elapsed);
+    this->excludeOwn(Measured, Own, Elapsed);
+    double Weight = weightOf(Elapsed, this->Policy.Smoothing);
+    double OwnWeight = weightOf(Elapsed, this->Policy.OwnSmoothing);
+    for (std::size_t I = 0; I < HostResourceCount; ++I) {
       this->Utilization[I] +=
           Weight * (std::min(Measured[I], 1.0) - this->Utilization[I]);
+      this->OwnShare[I] +=
+          OwnWeight * (std::min(Own[I], 1.0) - this->OwnShare[I]);
+    }
     this->decide(Now);
     if (this->OverloadedBy)
       this->Shedder.update(this->linkUtilization());
--- a/Libraries/LibOverload/OverloadControl.h
+++ b/Libraries/LibOverload/OverloadControl.h
@@ -1,12 +1,14 @@
 /// \file
-/// Decides from a host's own measurements whether it is overloaded, and what it
-/// does then: it reports that it is not ready, so that the load balancer sends
-/// new connections elsewhere, ends open connections one after the other, and
-/// refuses calls while its link is full.
+/// Decides from a host's own measurements whether its callers overload it, and
+/// what it does then: it reports that it is not ready, so that the load
+/// balancer sends new connections elsewhere, ends open connections one after
+/// the other, and refuses calls while its link is full.
 ///
 /// This responds to a load that enters at one small host while other hosts are
 /// idle. All callers that leave may go to the same other host, so they leave
 /// slowly: moving all of them at once would overload one host after the other.
+/// What the host itself reads from the store does not make it overloaded: all
+/// hosts read the same at the same time, and would all leave together.
 
 #ifndef BERGAMOTHOOK_LIBOVERLOAD_OVERLOADCONTROL_H
 #define BERGAMOTHOOK_LIBOVERLOAD_OVERLOADCONTROL_H
@@ -54,6 +56,17 @@
   /// as a fraction of the capacity. A host that gets all of it is out of the
   /// load balancer's rotation before its link is full.
   double MovedPerSecond = 0.15;
+  /// The time constant of the average of what the host itself exchanges with
+  /// the store. Slow, since all hosts read the same at the same time: a
+  /// configuration that fills the link for a second is no reason to leave.
+  Duration OwnSmoothing = std::chrono::seconds(30);
+  /// What of the link this average takes from the callers' capacity at most, so
+  /// that a host that reads much is not overloaded by few callers.
+  double MaxOwnShare = 0.5;
+  /// A direction of the link in use above this fraction makes bytes wait.
+  double LinkFullAbove = 0.8;
+  /// How long callers' bytes may wait behind own ones, at a full link.
+  Duration MaxHeldBack = std::chrono::milliseconds(1000);
   ShedderPolicy Shedder;
 };
 
@@ -82,16 +95,33 @@
   std::optional<Duration> refuse(const CallDemand &Call, TimePoint Now);
 
   /// \returns the fraction of a resource that is in use; 0 if it is not
-  /// limited.
+  /// limited. Of the link, the part that the host's own exchanges with the
+  /// store leave over on average.
   double utilization(HostResource Resource) const {
     return this->Utilization[static_cast<std::size_t>(Resource)];
   }
+  /// \returns the average fraction of a direction of the link that the host's
+  /// own exchanges with the store use; 0 for other resources.
+  double ownShare(HostResource Resource) const {
+    return this->OwnShare[static_cast<std::size_t>(Resource)];
+  }
   double refusedFraction() const { return this->Shedder.refusedFraction(); }
 
 private:
   using PerResource = std::array<double, HostResourceCount>;
 
   PerResource measure(const HostUsage &Usage, Duration Elapsed) const;
+  /// \returns what the host's own bytes use of each direction of the link.
+  PerResource measureOwn(const HostUsage &Usage, Duration Elapsed) const;
+  /// Leaves in \p Measured what callers use of the link.
+  void excludeOwn(PerResource &Measured, const PerResource &Own,
+                  Duration Elapsed);
+  /// \returns \p Callers, the fraction that callers use of the direction \p I,
+  /// as if no byte had waited behind own ones: such bytes count when they were
+  /// due, and not as they arrive together. \p HoldsBack is the fraction that
+  /// the own bytes use of a full link.
+  double withoutWaits(std::size_t I, double Callers, double HoldsBack,
+                      Duration Elapsed);
   double linkUtilization() const;
   /// \returns whether all resources are below the threshold that ends an
   /// overload: the lower one for those that caused it.
@@ -108,6 +138,10 @@
   LoadShedder Shedder;
   std::array<ResourceThresholds, HostResourceCount> Thresholds;
   PerResource Utilization{};
+  PerResource OwnShare{};
+  /// Callers' bytes that were counted and have yet to arrive, in seconds of the
+  /// link.
+  PerResource HeldBack{};
   HostUsage Last;
   std::optional<TimePoint> LastAt;
   /// The first resource that caused the overload, and all that did since.
--- a/Libraries/LibRelayFront/HostMonitor.cpp
+++ b/Libraries/LibRelayFront/HostMonitor.cpp
@@ -29,10 +29,19 @@
   }
 }
 
-void HostMonitor::measure() {
+HostUsage HostMonitor::linkUsage() const {
+  const NetTraffic &Service = *this->Loop.traffic(TrafficClass::Service);
+  const NetTraffic &Own = *this->Loop.traffic(TrafficClass::Own);
   HostUsage Usage;
-  Usage.BytesReceived = this->Loop.traffic()->BytesReceived;
-  Usage.BytesSent = this->Loop.traffic()->BytesSent;
+  Usage.BytesReceived = Service.BytesReceived + Own.BytesReceived;
+  Usage.BytesSent = Service.BytesSent + Own.BytesSent;
+  Usage.OwnBytesReceived = Own.BytesReceived;
+  Usage.OwnBytesSent = Own.BytesSent;
+  return Usage;
+}
+
+void HostMonitor::measure() {
+  HostUsage Usage = this->linkUsage();
   this->Complete(Usage);
   std::optional<HostResource> Before = this->Control.overloadedBy();
   this->Control.update(Usage, this->Tasks.Now());
@@ -44,6 +53,7 @@
            After ? "host_overloaded" : "host_no_longer_overloaded",
            {{"resource", nameOf(Resource)},
             {"utilization", this->Control.utilization(Resource)},
+            {"own_share", this->Control.ownShare(Resource)},
             {"refused_fraction", this->Control.refusedFraction()}});
 }
 
@@ -54,10 +64,18 @@
               this->Control.utilization(Resource));
   Stats.set("relay_host_overloaded", this->Control.isOverloaded() ? 1 : 0);
   Stats.set("relay_host_refused_fraction", this->Control.refusedFraction());
+  for (HostResource Resource : LinkDirections)
+    Stats.set(std::string("relay_host_own_share{resource=\"") +
+                  nameOf(Resource) + "\"}",
+              this->Control.ownShare(Resource));
+  HostUsage Link = this->linkUsage();
   Stats.set("relay_link_bytes_received",
-            static_cast<double>(this->Loop.traffic()->BytesReceived));
-  Stats.set("relay_link_bytes_sent",
-            static_cast<double>(this->Loop.traffic()->BytesSent));
+            static_cast<double>(Link.BytesReceived));
+  Stats.set("relay_link_bytes_sent", static_cast<double>(Link.BytesSent));
+  Stats.set("relay_link_own_bytes_received",
+            static_cast<double>(Link.OwnBytesReceived));
+  Stats.set("relay_link_own_bytes_sent",
+            static_cast<double>(Link.OwnBytesSent));
 }
 
 } // namespace bergamothook
--- a/Libraries/LibRelayFront/HostMonitor.h
+++ b/Libraries/LibRelayFront/HostMonitor.h
@@ -28,6 +28,8 @@
   void exportMetrics(Metrics &Stats) const;
 
 private:
+  /// \returns the usage with only the bytes filled in.
+  HostUsage linkUsage() const;
   void measure();
 
   NetRuntime &Loop;
--- a/Tests/LibOverload/OverloadControlTest.cpp
+++ b/Tests/LibOverload/OverloadControlTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <functional>
 #include <numeric>
 #include <vector>
 
@@ -140,6 +141,159 @@
 
 namespace {
 
+/// What of a full link goes first.
+enum class FirstOnLink { Callers, Store };
+
+/// A host whose callers and store share its link. What does not fit waits and
+/// arrives as soon as there is room.
+struct ReadingHost {
+  ReadingHost(std::uint64_t Seed, FirstOnLink First)
+      : Host(Seed), First(First) {}
+
+  /// The host requests \p Bytes from the store.
+  void read(double Bytes) { this->StoreQueue += Bytes; }
+
+  void carry(double CallerBytesPerSecond, Duration For) {
+    for (Duration Span{}; Span < For; Span += Interval) {
+      double Seconds = std::chrono::duration<double>(Interval).count();
+      this->CallerQueue += CallerBytesPerSecond * Seconds;
+      double Room = LinkBytesPerSecond * Seconds;
+      double OfStore = std::min(this->StoreQueue,
+                                this->First == FirstOnLink::Store
+                                    ? Room
+                                    : std::max(0.0, Room - this->CallerQueue));
+      double OfCallers = std::min(this->CallerQueue, Room - OfStore);
+      this->StoreQueue -= OfStore;
+      this->CallerQueue -= OfCallers;
+      this->Host.Usage.OwnBytesReceived += static_cast<std::uint64_t>(OfStore);
+      // Each request of a caller has an answer of half its size.
+      this->Host.Usage.BytesSent += static_cast<std::uint64_t>(OfCallers / 2);
+      this->Host.carry((OfStore + OfCallers) / Seconds, Interval);
+      OverloadControl &Control = this->Host.Control;
+      this->WasOverloaded = this->WasOverloaded || Control.isOverloaded();
+      this->HasActed = this->HasActed || Control.endsConnection() ||
+                       Control.refuse({9, 100'000}, this->Host.Now);
+    }
+  }
+
+  LoadedHost Host;
+  FirstOnLink First;
+  double CallerQueue = 0;
+  double StoreQueue = 0;
+  bool WasOverloaded = false;
+  bool HasActed = false;
+};
+
+/// Tries \p Scenario with thresholds of several seeds and both orders on the
+/// link.
+void forEachReadingHost(const std::function<void(ReadingHost &)> &Scenario) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed)
+    for (FirstOnLink First : {FirstOnLink::Callers, FirstOnLink::Store}) {
+      CAPTURE(Seed);
+      bool IsStoreFirst = First == FirstOnLink::Store;
+      CAPTURE(IsStoreFirst);
+      ReadingHost Host(Seed, First);
+      Host.Host.Usage.CallerConnections = 200;
+      Scenario(Host);
+    }
+}
+
+constexpr double ModerateLoad = 0.35 * LinkBytesPerSecond;
+
+} // namespace
+
+// Half of a fleet left rotation within two seconds as each host read a
+// configuration that filled its link.
+TEST_CASE("a host that reads from the store is not overloaded by it, nor by "
+          "the callers' bytes that waited meanwhile") {
+  std::function<void(ReadingHost &)> Scenario;
+  SUBCASE("one configuration, for a second") {
+    Scenario = [](ReadingHost &Host) {
+      Host.read(LinkBytesPerSecond);
+      Host.carry(ModerateLoad, 10s);
+    };
+  }
+  SUBCASE("six in a row") {
+    Scenario = [](ReadingHost &Host) {
+      for (int I = 0; I < 6; ++I) {
+        Host.read(LinkBytesPerSecond);
+        Host.carry(ModerateLoad, 5s);
+      }
+    };
+  }
+  SUBCASE("a storm of small ones, for 3 s") {
+    Scenario = [](ReadingHost &Host) {
+      for (int I = 0; I < 15; ++I) {
+        Host.read(0.15 * LinkBytesPerSecond);
+        Host.carry(ModerateLoad, Interval);
+      }
+      Host.carry(ModerateLoad, 10s);
+    };
+  }
+  SUBCASE("more than it can read beside few callers, without end") {
+    Scenario = [](ReadingHost &Host) {
+      Host.read(1000 * LinkBytesPerSecond);
+      Host.carry(0.1 * LinkBytesPerSecond, 300s);
+    };
+  }
+  forEachReadingHost([&](ReadingHost &Host) {
+    Host.carry(ModerateLoad, 10s);
+    Scenario(Host);
+    CHECK_FALSE(Host.WasOverloaded);
+    CHECK_FALSE(Host.HasActed);
+  });
+}
+
+TEST_CASE("callers that fill the link make the host overloaded within a second "
+          "while it reads from the store, and after that") {
+  std::function<void(ReadingHost &)> Scenario;
+  SUBCASE("beside small reads") {
+    Scenario = [](ReadingHost &Host) {
+      for (int I = 0; I < 5; ++I) {
+        Host.read(0.05 * LinkBytesPerSecond);
+        Host.carry(LinkBytesPerSecond, Interval);
+      }
+    };
+  }
+  SUBCASE("after a configuration") {
+    Scenario = [](ReadingHost &Host) {
+      Host.read(LinkBytesPerSecond);
+      Host.carry(ModerateLoad, 4s);
+      Host.carry(LinkBytesPerSecond, 1s);
+    };
+  }
+  SUBCASE("as a configuration arrives, which may be first on the link") {
+    Scenario = [](ReadingHost &Host) {
+      Host.read(LinkBytesPerSecond / 2);
+      Host.carry(LinkBytesPerSecond, 500ms + 1s);
+    };
+  }
+  forEachReadingHost([&](ReadingHost &Host) {
+    Host.carry(ModerateLoad, 10s);
+    Scenario(Host);
+    CHECK(Host.WasOverloaded);
+    CHECK(Host.Host.Control.overloadedBy() == HostResource::LinkReceive);
+  });
+}
+
+TEST_CASE("a host that reads half of its link's bytes for long carries fewer "
+          "callers, without being overloaded by few") {
+  forEachReadingHost([](ReadingHost &Host) {
+    auto ReadAndCarry = [&](double CallerLoad, Duration For) {
+      for (Duration Span{}; Span < For; Span += Interval) {
+        Host.read(0.5 * LinkBytesPerSecond / 5);
+        Host.carry(CallerLoad, Interval);
+      }
+    };
+    ReadAndCarry(0.15 * LinkBytesPerSecond, 180s);
+    CHECK_FALSE(Host.WasOverloaded);
+    ReadAndCarry(0.4 * LinkBytesPerSecond, 5s);
+    CHECK(Host.WasOverloaded);
+  });
+}
+
+namespace {
+
 /// The callers of one team at 23 hosts behind a load balancer. A caller's new
 /// connection goes to the first host in its order that is in rotation.
 class TeamLoadSimulation {
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -25,6 +25,21 @@
   });
 }
 
+TEST_CASE("what a host exchanges with the store counts as its own traffic") {
+  PlatformFixture Fixture;
+  Fixture.run([&] {
+    const NetTraffic &Own = *Fixture.Loop.traffic(TrafficClass::Own);
+    const NetTraffic &Service = *Fixture.Loop.traffic(TrafficClass::Service);
+    const std::string Content(20'000, 'x');
+    REQUIRE(Fixture.Client->append("work", 0, {Content}, std::nullopt));
+    REQUIRE(Fixture.Client->read("work", 0, 0, {}));
+    CHECK(Own.BytesSent > Content.size());
+    CHECK(Own.BytesReceived > Content.size());
+    // The other end runs in this process and counts as what callers need.
+    CHECK(Service.BytesReceived == Own.BytesSent);
+  });
+}
+
 TEST_CASE("errors state whether the store executed the call") {
   PlatformFixture Fixture;
   Fixture.run([&] {
