Keep idle connections for requests that are on their way

Callers saw a whole request end without an answer, most of all beside a change of the configuration (LOST).

Cause: an idle connection was ended at the idle timeout to the millisecond, and callers may use it until then. What was sent at its end arrived after it, by the time on the way, longer behind a configuration on a link of 10 Mbit/s.

A connection is now kept for three seconds longer than the timeout. What comes even later crosses the end, and is left unread.

The test of a request that is sent at the end of the idle timeout fails without the grace and passes with it.

--- a/Libraries/LibRelayFront/ConnectionEnd.h
+++ b/Libraries/LibRelayFront/ConnectionEnd.h
@@ -38,7 +38,7 @@
   /// Received bytes of requests that were not answered.
   std::size_t UnansweredBytes = 0;
   /// How long the connection had been idle, the timeout that applied, and how
-  /// much later than the timeout the task ran.
+  /// much later than the end of its wait the task ran.
   Duration Idle{};
   Duration IdleTimeout{};
   Duration Late{};
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -243,7 +243,7 @@
     bool IsStopping = this->Plan.hasStarted();
     // Callers may know the configuration of then, or the newest one.
     Client.End.IdleTimeout = std::max(FirstTimeout, this->limits().IdleTimeout);
-    TimePoint End = Begin + Client.End.IdleTimeout;
+    TimePoint End = Begin + Client.End.IdleTimeout + this->Settings.IdleGrace;
     if (IsStopping)
       End = std::min(End, this->Plan.idleDeadline(Client.OpenedAt));
     TimePoint Now = this->Tasks.Now();
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -35,6 +35,9 @@
 struct RelayServerSettings {
   TcpListenerSettings Listen;
   StopPolicy Stop;
+  /// How much longer than the idle timeout a connection is kept for a request
+  /// in transit: it may wait on a full link, or be retransmitted.
+  Duration IdleGrace = std::chrono::seconds(3);
   /// How long to wait for the caller to close its side of a closed connection.
   Duration CloseTimeout = std::chrono::milliseconds(1500);
   ServerLoadHooks Load = {};
--- a/Tests/LibRelayFront/CallerConnectionFixture.h
+++ b/Tests/LibRelayFront/CallerConnectionFixture.h
@@ -15,6 +15,7 @@
 
 struct RefusingHostSettings {
   Duration IdleTimeout = std::chrono::seconds(15);
+  Duration IdleGrace{};
   Duration HeadTimeout = std::chrono::seconds(3);
   std::size_t MaxConnections = 100;
   StopPolicy Stop = {};
@@ -122,6 +123,7 @@
     RelayServerSettings Chosen;
     Chosen.Listen = {"127.0.0.1:0", 100, this->Settings.MaxConnections, {}};
     Chosen.Stop = this->Settings.Stop;
+    Chosen.IdleGrace = this->Settings.IdleGrace;
     Chosen.CloseTimeout = std::chrono::milliseconds(300);
     Chosen.Load = this->Settings.Load;
     return Chosen;
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -33,6 +33,17 @@
   CHECK(Host.Decoded.count("/second") == 1);
 }
 
+TEST_CASE("a request that is sent at the end of the idle timeout and arrives "
+          "after it is answered") {
+  RefusingHost Host({.IdleTimeout = 100ms, .IdleGrace = 2s});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    sleepFor(Host, 300ms);
+    CHECK(Client.request() == 404);
+  });
+}
+
 TEST_CASE("a request within the idle timeout of the newest configuration is "
           "answered, also if an older one ended its connection earlier") {
   RefusingHost Host({.IdleTimeout = 100ms});
