Tell callers for how long a connection may be idle

Callers saw a whole request end without an answer at the end of the idle time of their connection, also where that was three seconds longer.

Cause: a part of the callers knows no timeout but the end itself, so that the gap between their last request and the host's end moves with the end. Class: a promise between two sides that one of them never said.

Each response that keeps the connection states the idle timeout in Keep-Alive (RFC 2068), and the host keeps to what it said, also if a newer configuration is shorter. The three seconds are for what is on its way.

The test of what a response tells fails without the field.

--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -61,6 +61,9 @@
   bool MustClose = false;
   bool MustAbort = false;
   ConnectionEnd End;
+  /// The idle timeout in force as the connection was opened, or as its last
+  /// response was sent.
+  Duration IdleTimeout{};
   /// The bytes sent before the response to the request in progress; unset if
   /// there is none.
   std::optional<std::uint64_t> SentBeforeResponse;
@@ -126,6 +129,7 @@
 void RelayServer::handleConnection(const TcpConnection::Handle &Connection) {
   Connection->setOwners({UnreadRequests});
   Session Client(Connection, this->Tasks, this->Roster);
+  Client.IdleTimeout = this->limits().IdleTimeout;
   ScopedEventAttachment Attached(Connection, Client.Changed);
   try {
     this->Sessions.insert(&Client.Changed);
@@ -238,11 +242,11 @@
 
 bool RelayServer::waitForRequest(Session &Client) {
   TimePoint Begin = this->Tasks.Now();
-  Duration FirstTimeout = this->limits().IdleTimeout;
   for (;;) {
     bool IsStopping = this->Plan.hasStarted();
     // Callers may know the configuration of then, or the newest one.
-    Client.End.IdleTimeout = std::max(FirstTimeout, this->limits().IdleTimeout);
+    Client.End.IdleTimeout =
+        std::max(Client.IdleTimeout, this->limits().IdleTimeout);
     TimePoint End = Begin + Client.End.IdleTimeout + this->Settings.IdleGrace;
     if (IsStopping)
       End = std::min(End, this->Plan.idleDeadline(Client.OpenedAt));
@@ -316,6 +320,11 @@
       Client.MustClose =
           this->Plan.hasStarted() || this->Settings.Load.EndsConnection();
     Head.KeepAlive = !Client.MustClose;
+    Client.IdleTimeout = this->limits().IdleTimeout;
+    auto Seconds =
+        std::chrono::floor<std::chrono::seconds>(Client.IdleTimeout).count();
+    if (Head.KeepAlive && Seconds > 0)
+      Head.Headers.add("Keep-Alive", "timeout=" + std::to_string(Seconds));
     return Head;
   };
   Caller.SendResponse = [=, &Client, this](const HttpResponseHead &Head,
--- a/Tests/LibRelayFront/CallerConnectionFixture.cpp
+++ b/Tests/LibRelayFront/CallerConnectionFixture.cpp
@@ -96,6 +96,7 @@
     return std::nullopt;
   auto Status = static_cast<unsigned>(
       std::stoul(this->Received.substr(StatusLineBegin.size(), 3)));
+  this->LastHead = this->Received.substr(0, HeadEnd);
   this->Received.erase(0, Size);
   return Status;
 }
--- a/Tests/LibRelayFront/CallerConnectionFixture.h
+++ b/Tests/LibRelayFront/CallerConnectionFixture.h
@@ -165,6 +165,12 @@
   /// \returns the status of the response to a request that is sent now.
   unsigned request(const std::string &Path = "/");
 
+  /// \returns whether the head of the last response has \p Line, or a line that
+  /// begins so.
+  bool hasField(const std::string &Line) const {
+    return this->LastHead.find("\r\n" + Line) != std::string::npos;
+  }
+
   /// \returns whether the host has ended the connection, after all responses.
   bool hasEnded();
   void awaitEnd();
@@ -178,6 +184,7 @@
   RefusingHost &Host;
   int Socket;
   std::string Received;
+  std::string LastHead;
   bool HasEnded = false;
   bool WasReset = false;
 };
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -44,6 +44,29 @@
   });
 }
 
+TEST_CASE(
+    "a response tells its caller for how long the connection may be idle, "
+    "or that it ends") {
+  RefusingHostSettings Settings{.IdleTimeout = 15900ms};
+  bool EndsConnection = false;
+  Settings.Load.EndsConnection = [&] { return EndsConnection; };
+  RefusingHost Host(Settings);
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    CHECK(Client.hasField("Keep-Alive: timeout=15"));
+    CHECK_FALSE(Client.hasField("Connection: close"));
+    Host.setIdleTimeout(900ms);
+    CHECK(Client.request() == 404);
+    CHECK_FALSE(Client.hasField("Keep-Alive: "));
+    EndsConnection = true;
+    Host.setIdleTimeout(15s);
+    CHECK(Client.request() == 404);
+    CHECK(Client.hasField("Connection: close"));
+    CHECK_FALSE(Client.hasField("Keep-Alive: "));
+  });
+}
+
 TEST_CASE("a request within the idle timeout of the newest configuration is "
           "answered, also if an older one ended its connection earlier") {
   RefusingHost Host({.IdleTimeout = 100ms});
