Do not wait for bytes that were not read for want of memory

Found in review: a host whose memory was used up as it answered a request with a pipelined one behind it spun for ever, and lost all its callers.

Cause: what the kernel has received is now read before an answer is sent. Without memory that read set the mark that reading has stopped, while a wait for the socket was in progress; reading on, which clears the mark, does nothing then, and the reader of the next request took the mark for news each time.

Only the wait in progress reports that memory lacks. Bytes in the kernel count as arrived whether they could be read or not.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -227,10 +227,11 @@
 }
 
 bool TcpConnection::readArrived() {
+  // Without memory, the wait in progress reports it.
   if (!this->IsClosed && !this->IsClosing && !this->HasEnded &&
-      !this->isFull() && this->available() > 0)
+      !this->isFull() && this->available() > 0 && this->roomToRead() > 0)
     this->receive();
-  return !this->unread().empty();
+  return !this->unread().empty() || this->hasArrived();
 }
 
 bool TcpConnection::hasArrived() const {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -80,7 +80,7 @@
   void consume(std::size_t Bytes);
 
   /// Reads what the kernel has received, which the event loop may not have
-  /// handled yet. \returns whether bytes are unread.
+  /// handled yet, as far as there is memory. \returns whether bytes are unread.
   bool readArrived();
 
   /// \returns whether the kernel has received bytes that were not read yet.
--- a/Tests/LibRelayFront/CallerConnectionFixture.h
+++ b/Tests/LibRelayFront/CallerConnectionFixture.h
@@ -20,6 +20,7 @@
   std::size_t MaxConnections = 100;
   StopPolicy Stop = {};
   ServerLoadHooks Load = {};
+  MemoryBudgetHandle Memory = nullptr;
 };
 
 /// Responds 404 to every request.
@@ -122,6 +123,7 @@
   RelayServerSettings serverSettings() {
     RelayServerSettings Chosen;
     Chosen.Listen = {"127.0.0.1:0", 100, this->Settings.MaxConnections, {}};
+    Chosen.Listen.Limits.Memory = this->Settings.Memory;
     Chosen.Stop = this->Settings.Stop;
     Chosen.IdleGrace = this->Settings.IdleGrace;
     Chosen.CloseTimeout = std::chrono::milliseconds(300);
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <list>
 #include <rapidcheck.h>
+#include <unistd.h>
 
 using namespace bergamothook;
 using namespace std::chrono_literals;
@@ -150,6 +151,43 @@
   });
 }
 
+// The bytes that were left for want of memory were waited for without a wait.
+TEST_CASE("a host without memory as it answers reads the next request, whose "
+          "bytes arrived meanwhile, and does not hang") {
+  constexpr std::size_t MaxBytes = 256 * 1024;
+  constexpr std::size_t FreeBytes = 8 * 1024;
+  constexpr std::size_t BodyBytes = 24'000;
+  auto Budget =
+      std::make_shared<MemoryBudget>(MemoryPolicy{MaxBytes, FreeBytes});
+  RefusingHost Host({.Memory = Budget});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    std::list<MemoryHold> Others;
+    bool IsFirst = true;
+    Host.OnDecode = [&] {
+      if (!std::exchange(IsFirst, false))
+        return;
+      // Other connections take what is left.
+      for (int I = 0; I < 16; ++I) {
+        MemoryHold &Other =
+            Others.emplace_back(Budget, std::vector<MemoryOwner>{});
+        for (std::size_t Bytes = MaxBytes;
+             Bytes > FreeBytes && !Other.resize(Bytes); Bytes -= 1024) {
+        }
+      }
+      Client.send("Host: a\r\n\r\n");
+    };
+    Client.send("POST /first HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                std::to_string(BodyBytes) + "\r\n\r\n" +
+                std::string(BodyBytes, 'x') + "GET /second HTTP/1.1\r\n");
+    // Ends the process if it hangs.
+    ::alarm(60);
+    CHECK(Client.readStatus() == 404);
+    CHECK(Client.readStatus() == 404);
+    ::alarm(0);
+  });
+}
+
 TEST_CASE("a stopping host answers a request that has arrived on an idle "
           "connection, also if it is late to read it") {
   StopPolicy Stop;
