Look at the socket before a kept connection is used again

Found in review, the same class as the end of idle connections: a host that was late sent calls, orders too, on connections that their targets had ended. An order that was sent so has an unknown outcome and is not sent again.

Cause: the pool decided by what the event loop had handled. The end of a connection that lay in the socket was not seen.

The socket is asked, without a wait, whether it has received bytes or the end of the connection.

--- a/Libraries/LibNet/HttpConnectionPool.cpp
+++ b/Libraries/LibNet/HttpConnectionPool.cpp
@@ -19,8 +19,7 @@
     if (Now - Newest.IdleSince > MaxIdle)
       return nullptr;
     TcpConnection::Handle Connection = Newest.Connection;
-    bool IsUsable = Now < Newest.ExpiresAt && !Connection->hasEnded() &&
-                    Connection->unread().empty();
+    bool IsUsable = Now < Newest.ExpiresAt && Connection->isQuiet();
     IdleConnections.pop_back();
     if (IsUsable)
       return Connection;
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <cerrno>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <new>
@@ -238,6 +239,15 @@
   return !this->IsClosed && this->available() > 0;
 }
 
+bool TcpConnection::isQuiet() {
+  if (this->HasEnded || this->IsClosed || !this->unread().empty())
+    return false;
+  char Byte = 0;
+  return ::recv(this->Socket.native_handle(), &Byte, sizeof(Byte),
+                MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 std::size_t TcpConnection::available() const {
   boost::system::error_code Ignored; // No bytes can be read then.
   return this->Socket.available(Ignored);
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -86,6 +86,10 @@
   /// \returns whether the kernel has received bytes that were not read yet.
   bool hasArrived() const;
 
+  /// \returns whether nothing is unread and the peer has not ended the
+  /// connection, as far as the kernel knows.
+  bool isQuiet();
+
   /// Counts \p Bytes of messages that the user of the connection keeps.
   /// \returns false if there is no memory for them.
   bool keep(std::size_t Bytes);
