Answer readiness probes that arrive as their connection ends

The same class as the end of callers' idle connections, in the server for status requests: a late process ended a connection whose probe had arrived. The load balancer takes two such misses for a host that is not ready.

Not covered by a test in the tree: the idle time there is ten seconds.

--- a/Libraries/LibRelayFront/StatusServer.cpp
+++ b/Libraries/LibRelayFront/StatusServer.cpp
@@ -48,8 +48,10 @@
   ScopedEventAttachment Attached(Connection, Changed);
   HttpRequestReader Reader(Connection, this->Tasks, Changed);
   ConnectionRoster::Entry Place(this->Roster, Connection, this->Tasks.Now());
+  // A timeout is handled before the arrival of bytes if both are due.
   while (Reader.waitForFirstByte(this->Tasks.Now() + IdleTimeout,
-                                 [] { return false; })) {
+                                 neverCancelled) ||
+         Connection->readArrived()) {
     auto Message =
         Reader.read(SmallRequests, this->Tasks.Now() + ReadTimeout, [] {});
     if (!Message)
