Refuse what has begun to arrive before a stopping host exits

Cause: the exit was decided by a timer and by the calls in progress. Reading a request ended at its own timeout only, and the accept queue was not looked at.

A request that is incomplete when calls in progress are answered is refused with 503, as not run. The host does not exit while a connection waits to be accepted, up to the end of the grace.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -154,8 +154,9 @@
 
 Result<HttpRequestMessage>
 HttpRequestReader::read(const HttpReadLimits &Limits, TimePoint Deadline,
-                        const std::function<void()> &OnContinue) {
-  auto Message = this->readMessage(Limits, Deadline, OnContinue);
+                        const std::function<void()> &OnContinue,
+                        const std::function<bool()> &IsCancelled) {
+  auto Message = this->readMessage(Limits, Deadline, OnContinue, IsCancelled);
   if (!Message)
     this->Connection->keep(0);
   return Message;
@@ -163,7 +164,8 @@
 
 Result<HttpRequestMessage>
 HttpRequestReader::readMessage(const HttpReadLimits &Limits, TimePoint Deadline,
-                               const std::function<void()> &OnContinue) {
+                               const std::function<void()> &OnContinue,
+                               const std::function<bool()> &IsCancelled) {
   http::request_parser<detail::GrowingBody> Parser;
   // Stops at the end of the head, whose fields the trailer's are added to.
   Parser.eager(false);
@@ -214,7 +216,8 @@
       return NetError::Malformed;
     bool ConditionMet = this->Tasks.waitUntil(this->Changed, Deadline, [&] {
       return this->Connection->unread().size() > UnconsumedBytes ||
-             this->Connection->hasEnded() || this->Connection->lacksMemory();
+             this->Connection->hasEnded() || this->Connection->lacksMemory() ||
+             IsCancelled();
     });
     if (this->Connection->unread().size() > UnconsumedBytes)
       continue;
@@ -222,6 +225,8 @@
       continue;
     if (this->Connection->lacksMemory())
       return NetError::OutOfMemory;
+    if (ConditionMet && !this->Connection->hasEnded())
+      return NetError::Cancelled;
     return ConditionMet ? this->Connection->endReason()
                         : make_error_code(NetError::TimedOut);
   }
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -37,15 +37,19 @@
   /// Reads one request. \p OnContinue is called when the client sent
   /// "Expect: 100-continue" and waits for the interim response. The connection
   /// keeps the size of the body, and of fields where there are very many, until
-  /// TcpConnection::keep() is called again.
-  Result<HttpRequestMessage> read(const HttpReadLimits &Limits,
-                                  TimePoint Deadline,
-                                  const std::function<void()> &OnContinue);
+  /// TcpConnection::keep() is called again. Fails with NetError::Cancelled if
+  /// the rest of a request has to be waited for and \p IsCancelled returns
+  /// true.
+  Result<HttpRequestMessage>
+  read(const HttpReadLimits &Limits, TimePoint Deadline,
+       const std::function<void()> &OnContinue,
+       const std::function<bool()> &IsCancelled = neverCancelled);
 
 private:
   Result<HttpRequestMessage>
   readMessage(const HttpReadLimits &Limits, TimePoint Deadline,
-              const std::function<void()> &OnContinue);
+              const std::function<void()> &OnContinue,
+              const std::function<bool()> &IsCancelled);
 
   TcpConnection::Handle Connection;
   Runtime Tasks;
--- a/Libraries/LibNet/TcpListener.cpp
+++ b/Libraries/LibNet/TcpListener.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/TcpListener.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <poll.h>
 #include <utility>
 
 namespace bergamothook {
@@ -116,6 +117,13 @@
   });
 }
 
+bool TcpListener::hasWaiting() {
+  if (!this->Acceptor.is_open())
+    return false;
+  pollfd Queue{this->Acceptor.native_handle(), POLLIN, 0};
+  return ::poll(&Queue, 1, 0) > 0;
+}
+
 void TcpListener::resume() {
   if (std::exchange(this->IsPaused, false))
     this->acceptNext();
--- a/Libraries/LibNet/TcpListener.h
+++ b/Libraries/LibNet/TcpListener.h
@@ -43,6 +43,9 @@
   /// connection may be closed now.
   void resume();
 
+  /// \returns whether a connection waits in the accept queue.
+  bool hasWaiting();
+
   std::uint16_t port() const { return this->Port; }
   std::size_t connections() const { return this->OpenConnections; }
 
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -43,7 +43,7 @@
     return 413;
   if (Failure == NetError::TimedOut)
     return 408;
-  if (Failure == NetError::OutOfMemory)
+  if (Failure == NetError::OutOfMemory || Failure == NetError::Cancelled)
     return 503;
   return 400;
 }
@@ -95,8 +95,9 @@
   return Listen;
 }
 
-bool RelayServer::mayExit() const {
-  return this->Plan.mayExit(this->InProgress, this->connections(),
+bool RelayServer::mayExit() {
+  std::size_t Waiting = this->Listener.hasWaiting() ? 1 : 0;
+  return this->Plan.mayExit(this->InProgress, this->connections() + Waiting,
                             this->Tasks.Now());
 }
 
@@ -213,10 +214,12 @@
       Client.Place.enter(ConnectionPhase::NextRequest, this->Tasks.Now());
     auto Message = Client.Reader.read(
         {Limits.MaxHeadBytes, Limits.MaxBodyBytes},
-        this->Tasks.Now() + Limits.HeadTimeout, [&Client, this] {
+        this->Tasks.Now() + Limits.HeadTimeout,
+        [&Client, this] {
           (void)Client.Connection->write("HTTP/1.1 100 Continue\r\n\r\n",
                                          this->Tasks.Now() + WriteTimeout);
-        });
+        },
+        [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
     if (!Message) {
       Client.End.Cause = ConnectionEndCause::Refusal;
       this->refuseMessage(Client, Message.error());
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -94,7 +94,7 @@
   CallerLimits limits() const;
   TcpListenerSettings listenerSettings();
   std::optional<Duration> refuse(const RelayCall &Call);
-  bool mayExit() const;
+  bool mayExit();
   void wakeCalls();
   /// Waits until the queued end of the last response is sent, or its caller no
   /// longer reads.
--- a/Tests/LibRelayFront/CallerConnectionFixture.cpp
+++ b/Tests/LibRelayFront/CallerConnectionFixture.cpp
@@ -49,6 +49,11 @@
   return 0;
 }
 
+bool ClientConnection::hasResponse() {
+  this->receive();
+  return !this->Received.empty();
+}
+
 unsigned ClientConnection::request(const std::string &Path) {
   this->sendRequest(Path);
   return this->readStatus();
--- a/Tests/LibRelayFront/CallerConnectionFixture.h
+++ b/Tests/LibRelayFront/CallerConnectionFixture.h
@@ -164,6 +164,9 @@
   /// \returns the status of the next response; 0 if there is no complete one.
   unsigned readStatus();
 
+  /// \returns whether bytes of a response have arrived.
+  bool hasResponse();
+
   /// \returns the status of the response to a request that is sent now.
   unsigned request(const std::string &Path = "/");
 
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -206,6 +206,35 @@
   });
 }
 
+TEST_CASE("a host that exits has refused a request that has begun to arrive") {
+  RefusingHost Host({.HeadTimeout = 10s});
+  Host.run([&] {
+    ClientConnection Client(Host);
+    CHECK(Client.request() == 404);
+    Client.send("GET / HTTP/1.1\r\nHo");
+    sleepFor(Host, 50ms);
+    // Returns when the process exits.
+    Host.Server.stop(2s);
+    sleepFor(Host, 20ms);
+    CHECK(Client.hasResponse());
+    CHECK(Client.readStatus() == 503);
+  });
+}
+
+TEST_CASE("a stopping host that is late accepts a connection whose request "
+          "has arrived") {
+  RefusingHost Host({.Stop = {.BalancerDelay = 300ms}});
+  Host.run([&] {
+    Host.stop();
+    TimePoint StoppedAt = Host.Tasks.Now();
+    Host.Tasks.sleepUntil(StoppedAt + 250ms);
+    ClientConnection Client(Host);
+    Client.sendRequest();
+    Host.blockUntil(StoppedAt + 400ms);
+    CHECK(Client.readStatus() == 404);
+  });
+}
+
 TEST_CASE("a request whose handling fails is answered") {
   RefusingHost Host;
   Host.FailsToDecode = true;
