Send a response for as long as its caller reads

Found in review: a caller on a slow link that read all the time lost the rest of a large response.

Cause: the time of a write bounded the whole response, not the time without progress. The connection was reset, and the call logged as left by its caller.

A response is written in parts of 32 KB; a caller that does not read one in five seconds has stalled.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// Up to this size, one write with a copy is cheaper than two writes.
 constexpr std::size_t MaxCopiedBytes = 16 * 1024;
+/// A peer that reads less than this within the timeout has stalled.
+constexpr std::size_t MaxStalledBytes = 32 * 1024;
 /// Less is not worth a system call.
 constexpr std::size_t MinReadBytes = 2 * 1024;
 } // namespace
@@ -303,6 +305,27 @@
   return this->write(Body, Deadline, IsCancelled);
 }
 
+Result<void>
+TcpConnection::writeAsRead(std::string_view Bytes, Duration StallTimeout,
+                           const std::function<bool()> &IsCancelled) {
+  while (!Bytes.empty()) {
+    std::string_view Part = Bytes.substr(0, MaxStalledBytes);
+    BOOST_OUTCOME_TRYV(
+        this->write(Part, this->Tasks.Now() + StallTimeout, IsCancelled));
+    Bytes.remove_prefix(Part.size());
+  }
+  return success();
+}
+
+Result<void> TcpConnection::writeMessageAsRead(std::string Head,
+                                               std::string_view Body,
+                                               Duration StallTimeout) {
+  if (Body.size() <= MaxCopiedBytes)
+    return this->writeAsRead(Head.append(Body), StallTimeout);
+  BOOST_OUTCOME_TRYV(this->writeAsRead(Head, StallTimeout));
+  return this->writeAsRead(Body, StallTimeout);
+}
+
 Result<void>
 TcpConnection::writeInParts(std::string_view Bytes, TimePoint Deadline,
                             const std::function<bool()> &IsCancelled) {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -132,6 +132,16 @@
   writeMessage(std::string Head, std::string_view Body, TimePoint Deadline,
                const std::function<bool()> &IsCancelled = neverCancelled);
 
+  /// As write(), but allows \p StallTimeout for each part, so that a peer that
+  /// reads slowly gets all bytes.
+  Result<void>
+  writeAsRead(std::string_view Bytes, Duration StallTimeout,
+              const std::function<bool()> &IsCancelled = neverCancelled);
+
+  /// As writeMessage(), for a peer that may read slowly. See writeAsRead().
+  Result<void> writeMessageAsRead(std::string Head, std::string_view Body,
+                                  Duration StallTimeout);
+
   /// Waits until the kernel has accepted all queued bytes.
   Result<void> flush(TimePoint Deadline,
                      const std::function<bool()> &IsCancelled = neverCancelled);
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -24,8 +24,6 @@
 
 namespace {
 
-/// How long a write may block on a caller that does not read.
-constexpr Duration WriteTimeout = std::chrono::seconds(5);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 /// Retry-After of a call that is refused for want of descriptors: by then, the
 /// load balancer chooses another host for the caller's next connection.
@@ -171,7 +169,7 @@
   }
   (void)Connection.write(
       this->formatRefusal(500, HandlingFailed, RelayEnd::Unknown),
-      this->Tasks.Now() + WriteTimeout);
+      this->Tasks.Now() + this->Settings.WriteTimeout);
 }
 
 void RelayServer::recordEnd(const Session &Client) {
@@ -200,7 +198,8 @@
                                Connection.bytesSent() != Sent &&
                                this->Tasks.Now() < End;) {
     Sent = Connection.bytesSent();
-    TimePoint Until = std::min(End, this->Tasks.Now() + WriteTimeout);
+    TimePoint Until =
+        std::min(End, this->Tasks.Now() + this->Settings.WriteTimeout);
     if (!Connection.flush(Until) && Connection.hasEnded())
       return;
   }
@@ -217,7 +216,8 @@
         this->Tasks.Now() + Limits.HeadTimeout,
         [&Client, this] {
           (void)Client.Connection->write("HTTP/1.1 100 Continue\r\n\r\n",
-                                         this->Tasks.Now() + WriteTimeout);
+                                         this->Tasks.Now() +
+                                             this->Settings.WriteTimeout);
         },
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
     if (!Message) {
@@ -299,7 +299,7 @@
            {{"status", Status}, {"reason", Failure.message()}});
   (void)Client.Connection->write(
       this->formatRefusal(Status, Failure.message(), RelayEnd::NotRun),
-      this->Tasks.Now() + WriteTimeout);
+      this->Tasks.Now() + this->Settings.WriteTimeout);
 }
 
 CallerHooks RelayServer::makeCallerHooks(Session &Client) const {
@@ -313,8 +313,8 @@
     return this->Plan.maySend(Deadline, MayRepeat);
   };
   auto Write = [&Client, this](std::string_view Bytes) {
-    return Client.Connection->write(
-        Bytes, this->Tasks.Now() + WriteTimeout,
+    return Client.Connection->writeAsRead(
+        Bytes, this->Settings.WriteTimeout,
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
   auto PrepareHead = [&Client, this](HttpResponseHead Head) {
@@ -332,9 +332,9 @@
   };
   Caller.SendResponse = [=, &Client, this](const HttpResponseHead &Head,
                                            std::string_view Body) {
-    return Client.Connection->writeMessage(
+    return Client.Connection->writeMessageAsRead(
         formatResponseHead(PrepareHead(Head), BodyFraming::Length, Body.size()),
-        Body, this->Tasks.Now() + WriteTimeout);
+        Body, this->Settings.WriteTimeout);
   };
   Caller.BeginStream = [=](const HttpResponseHead &Head) {
     return Write(
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -35,6 +35,8 @@
 struct RelayServerSettings {
   TcpListenerSettings Listen;
   StopPolicy Stop;
+  /// How long a write may block on a caller that does not read.
+  Duration WriteTimeout = std::chrono::seconds(5);
   /// How much longer than the idle timeout a connection is kept for a request
   /// in transit: it may wait on a full link, or be retransmitted.
   Duration IdleGrace = std::chrono::seconds(3);
--- a/Tests/LibRelayFront/CallerConnectionFixture.cpp
+++ b/Tests/LibRelayFront/CallerConnectionFixture.cpp
@@ -1,9 +1,11 @@
 #include "CallerConnectionFixture.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace bergamothook {
 
@@ -15,8 +17,11 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(RefusingHost &Host)
+ClientConnection::ClientConnection(RefusingHost &Host, int ReceiveBufferBytes)
     : Host(Host), Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+  if (ReceiveBufferBytes > 0)
+    ::setsockopt(this->Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+                 sizeof(ReceiveBufferBytes));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Host.Server.port());
@@ -49,6 +54,21 @@
   return 0;
 }
 
+std::size_t ClientConnection::readSlowly(std::size_t MaxBytes, Duration Pause) {
+  std::vector<char> Bytes(MaxBytes);
+  std::size_t Read = 0;
+  TimePoint End = this->Host.Tasks.Now() + StepTimeout;
+  while (this->Host.Tasks.Now() < End) {
+    ssize_t Count =
+        ::recv(this->Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT);
+    if (Count == 0 || (Count < 0 && errno != EAGAIN))
+      break;
+    Read += static_cast<std::size_t>(std::max<ssize_t>(Count, 0));
+    this->Host.Tasks.sleepUntil(this->Host.Tasks.Now() + Pause);
+  }
+  return Read;
+}
+
 bool ClientConnection::hasResponse() {
   this->receive();
   return !this->Received.empty();
--- a/Tests/LibRelayFront/CallerConnectionFixture.h
+++ b/Tests/LibRelayFront/CallerConnectionFixture.h
@@ -21,6 +21,10 @@
   StopPolicy Stop = {};
   ServerLoadHooks Load = {};
   MemoryBudgetHandle Memory = nullptr;
+  Duration WriteTimeout = std::chrono::seconds(5);
+  int SendBufferBytes = 0;
+  /// The size of a field in each response.
+  std::size_t FillerBytes = 0;
 };
 
 /// Responds 404 to every request.
@@ -111,10 +115,13 @@
     RelayHooks Hooks;
     Hooks.Tasks = this->Tasks;
     Hooks.LeaseClock = Hooks.Tasks.Now;
-    Hooks.MakeRefusal = [](unsigned Status, const RelayCall &,
-                           std::optional<Duration>) {
+    Hooks.MakeRefusal = [this](unsigned Status, const RelayCall &,
+                               std::optional<Duration>) {
       HttpResponseHead Head;
       Head.Status = Status;
+      if (this->Settings.FillerBytes > 0)
+        Head.Headers.add("Filler",
+                         std::string(this->Settings.FillerBytes, 'f'));
       return Head;
     };
     return Hooks;
@@ -124,6 +131,8 @@
     RelayServerSettings Chosen;
     Chosen.Listen = {"127.0.0.1:0", 100, this->Settings.MaxConnections, {}};
     Chosen.Listen.Limits.Memory = this->Settings.Memory;
+    Chosen.Listen.Limits.SendBufferBytes = this->Settings.SendBufferBytes;
+    Chosen.WriteTimeout = this->Settings.WriteTimeout;
     Chosen.Stop = this->Settings.Stop;
     Chosen.IdleGrace = this->Settings.IdleGrace;
     Chosen.CloseTimeout = std::chrono::milliseconds(300);
@@ -153,7 +162,9 @@
 /// task run.
 class ClientConnection {
 public:
-  explicit ClientConnection(RefusingHost &Host);
+  /// With \p ReceiveBufferBytes, the kernel receives no more ahead of the
+  /// client.
+  explicit ClientConnection(RefusingHost &Host, int ReceiveBufferBytes = 0);
   ~ClientConnection();
   ClientConnection(const ClientConnection &) = delete;
   ClientConnection &operator=(const ClientConnection &) = delete;
@@ -164,6 +175,10 @@
   /// \returns the status of the next response; 0 if there is no complete one.
   unsigned readStatus();
 
+  /// Reads up to \p MaxBytes at a time, each \p Pause, to the end of the
+  /// connection. \returns how many bytes it read.
+  std::size_t readSlowly(std::size_t MaxBytes, Duration Pause);
+
   /// \returns whether bytes of a response have arrived.
   bool hasResponse();
 
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -235,6 +235,20 @@
   });
 }
 
+TEST_CASE("a caller that reads its response slowly, and all the time, gets all "
+          "of it") {
+  constexpr std::size_t ResponseBytes = 1'000'000;
+  constexpr int BufferBytes = 16 * 1024;
+  RefusingHost Host({.WriteTimeout = 500ms,
+                     .SendBufferBytes = BufferBytes,
+                     .FillerBytes = ResponseBytes});
+  Host.run([&] {
+    ClientConnection Client(Host, BufferBytes);
+    Client.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(Client.readSlowly(6000, 10ms) > ResponseBytes);
+  });
+}
+
 TEST_CASE("a request whose handling fails is answered") {
   RefusingHost Host;
   Host.FailsToDecode = true;
