Answer a request that arrives behind an unsent response

At the end of its idle time, or in a stop, a connection waited for the queued end of its last response to be sent, and read on meanwhile. A whole request that arrived then was read and discarded, and not counted.

The rest is sent first; the decision that nothing is unanswered comes after it.

--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -255,6 +255,8 @@
       End = std::min(End, this->Plan.idleDeadline(Client.OpenedAt));
     TimePoint Now = this->Tasks.Now();
     if (Now >= End) {
+      // The next request may arrive while the last response is being sent.
+      this->sendRest(*Client.Connection);
       // A timeout is handled before the arrival of bytes if both are due.
       if (Client.Connection->readArrived())
         return true;
--- a/Tests/LibRelayFront/UnansweredRequestTest.cpp
+++ b/Tests/LibRelayFront/UnansweredRequestTest.cpp
@@ -249,6 +249,26 @@
   });
 }
 
+TEST_CASE("a request that arrives while a stopping host still sends the last "
+          "response is answered") {
+  constexpr std::size_t ResponseBytes = 200'000;
+  constexpr int BufferBytes = 16 * 1024;
+  RefusingHost Host({.Stop = {.IdleGrace = 100ms},
+                     .SendBufferBytes = BufferBytes,
+                     .FillerBytes = ResponseBytes});
+  Host.run([&] {
+    ClientConnection Client(Host, BufferBytes);
+    Client.sendRequest();
+    sleepFor(Host, 50ms);
+    Host.stop();
+    // By now, the host no longer waits for a request.
+    sleepFor(Host, 250ms);
+    Client.sendRequest();
+    CHECK(Client.readStatus() == 404);
+    CHECK(Client.readStatus() == 404);
+  });
+}
+
 TEST_CASE("a request whose handling fails is answered") {
   RefusingHost Host;
   Host.FailsToDecode = true;
