Keep the fields of a trailer out of a response's head

Cause: the reader of responses let its parser go on to the body with the head, and copied the fields afterwards. A response that arrived whole had the fields of its trailer in its head, one that arrived in parts had not; a trailer could add a content type that made a plain answer an event stream.

Change: the parser stops at the end of the head, as that of requests does, until the fields are copied.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -247,7 +247,8 @@
 
   void resetParser() {
     this->Parser.emplace();
-    this->Parser->eager(true);
+    // Stops at the end of the head, whose fields the trailer's are added to.
+    this->Parser->eager(false);
     this->Parser->header_limit(MaxResponseHeadBytes);
     this->Parser->body_limit(std::uint64_t{1} << 40);
     this->Parser->skip(this->HasNoBody);
@@ -287,6 +288,7 @@
         return NetError::Malformed;
       }
     }
+    Parser.eager(Parser.is_header_done());
     if (Parser.is_done() || (!HadCompleteHead && Parser.is_header_done()) ||
         !Parser.get().body().empty())
       return success();
--- a/Tests/LibNet/HttpReaderTest.cpp
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -131,6 +131,17 @@
   CHECK(Answer.Failure == NetError::Malformed);
 }
 
+TEST_CASE("a field of the trailer does not become one of the head, however the "
+          "response arrives") {
+  ConnectionPair Connections;
+  auto Answer = Connections.readAnswer(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nContent-Type: text/event-stream\r\n\r\n");
+  CHECK_FALSE(Answer.Failure);
+  CHECK(Answer.Body == "abc");
+  CHECK_FALSE(Answer.Head.Headers.find("Content-Type"));
+}
+
 TEST_CASE("a connection with bytes after the response is not reused") {
   ConnectionPair Extra;
   auto Answer = Extra.readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
