Test answers that break off at any byte, on connections of their own

Cause: other operators saw a 200 with a short body, framed as whole, after a target had stopped in the middle of its head, and the error of a next target in the middle of a stream. Nothing showed that this can't happen here.

All that a caller receives, up to the end of its connection and with a second request behind the first, must be one whole answer of a target, a whole refusal, or an answer that is visibly broken off, with whole events of consecutive ids. Each answer (a length, chunks with and without a trailer, the end of the connection, HTTP/1.0, an interim response; eight statuses, four content types) breaks off at each of its bytes.

--- /dev/null
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -0,0 +1,104 @@
+#include "ReceivedAnswer.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+
+namespace {
+
+constexpr const char *EventStream = "text/event-stream";
+constexpr const char *Json = "application/json";
+
+const CallerRequest Order{.Kind = CallKind::NonIdempotent};
+const CallerRequest Read{.Kind = CallKind::Idempotent};
+const CallerRequest Stream{.Kind = CallKind::Stream};
+const CallerRequest ResumableStream{.Kind = CallKind::Stream,
+                                    .IsResumable = true};
+
+TargetAnswer makeStream(AnswerFraming Framing, unsigned Events = 3) {
+  TargetAnswer Answer;
+  Answer.Type = EventStream;
+  Answer.Framing = Framing;
+  Answer.Events = Events;
+  return Answer;
+}
+
+TargetAnswer makePlain(unsigned Status, const std::string &Type = Json,
+                       AnswerFraming Framing = AnswerFraming::Length) {
+  TargetAnswer Answer;
+  Answer.Status = Status;
+  Answer.Type = Type;
+  Answer.Framing = Framing;
+  if (Status != 204)
+    Answer.Body =
+        "{\"text\": \"id: 3\\ndata: of " + std::to_string(Status) + "\\n\\n\"}";
+  return Answer;
+}
+
+/// Answers that may break off.
+std::vector<TargetAnswer> brokenAnswers() {
+  std::vector<TargetAnswer> All;
+  for (AnswerFraming Framing : {AnswerFraming::Length, AnswerFraming::Chunked,
+                                AnswerFraming::Connection}) {
+    All.push_back(makeStream(Framing));
+    All.push_back(makePlain(200, Json, Framing));
+  }
+  for (unsigned Status : {204, 206, 302, 404, 500, 503})
+    for (const char *Type : {Json, EventStream})
+      All.push_back(makePlain(Status, Type));
+  All.push_back(makePlain(200, "", AnswerFraming::Connection));
+  All.push_back(makePlain(206, EventStream, AnswerFraming::Connection));
+  TargetAnswer Odd = makeStream(AnswerFraming::Chunked);
+  Odd.Type = "text/event-stream; charset=utf-8";
+  Odd.Trailer = "Trailing: 1\r\n";
+  Odd.Interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  All.push_back(Odd);
+  Odd = makeStream(AnswerFraming::Connection);
+  Odd.LineEnd = "\r\n";
+  Odd.Version = "1.0";
+  All.push_back(Odd);
+  Odd = makePlain(200);
+  Odd.Version = "1.0";
+  All.push_back(Odd);
+  Odd = makePlain(200, Json, AnswerFraming::Chunked);
+  Odd.Trailer = "Trailing: 1\r\n";
+  All.push_back(Odd);
+  return All;
+}
+
+/// Plays an answer that breaks off at each of its bytes, up to the first fault.
+void playEachCut(AnswerHost &Host, const CallerRequest &Request,
+                 TargetAnswer Broken, const TargetAnswer &Next) {
+  std::size_t Bytes = render(Broken, "t0", "call-1000", false, 0).Bytes.size();
+  for (bool Resets : {false, true})
+    for (std::size_t Cut = 0; Cut <= Bytes + 1; ++Cut) {
+      Broken.Resets = Resets;
+      Broken.Cut = Cut;
+      PlayedExchange Played = Host.play(Request, {Broken, Next});
+      std::string Fault = findFault(Played);
+      if (!Fault.empty()) {
+        CHECK_MESSAGE(Fault.empty(), Fault << " at byte " << Cut << "\n"
+                                           << describe(Played));
+        return;
+      }
+    }
+}
+
+} // namespace
+
+TEST_CASE("an answer that breaks off at any byte does not pass for complete, "
+          "and an error that follows stays out of it") {
+  AnswerHost Host;
+  for (const TargetAnswer &Broken : brokenAnswers())
+    for (const CallerRequest &Request : {Order, Read, ResumableStream})
+      playEachCut(Host, Request, Broken, makePlain(500));
+}
+
+TEST_CASE("a stream that breaks off at any byte goes on without a gap and "
+          "without bytes of the event that was cut") {
+  AnswerHost Host;
+  for (const TargetAnswer &Broken : brokenAnswers())
+    if (Broken.isEventStream())
+      playEachCut(Host, ResumableStream, Broken,
+                  makeStream(AnswerFraming::Chunked));
+}
--- a/Tests/LibRelayFront/Depends.cmake
+++ b/Tests/LibRelayFront/Depends.cmake
@@ -1,1 +1,2 @@
-list(APPEND DEPENDS LibRelayFront)
+find_package(rapidcheck REQUIRED)
+list(APPEND DEPENDS LibRelayFront rapidcheck)
