Keep the text of an error out of a stream that broke off

What callers saw: a stream had begun and broke off, and the next target answered the resumption with an error under 200 and the content type of a stream.

Cause: bytes behind the last event belong to the complete answer of one target, which ends as that target ended it. The same was done with the answer of a target that goes on with the stream of another one.

Change: what a target appends to the stream of another one must be whole events; anything else counts as malformed and is not passed on.

Result: the new test failed before, with a length and with chunks, from the first cut behind a whole event on (byte 129); with the end of the connection it held. TestLibRelayFront passes.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -713,6 +713,7 @@
                                          const ListedTarget &Target) {
   this->Events.discardPartial();
   bool IsResumption = this->Versions.hasBegun();
+  bool IsContinuation = this->HasStreamStarted;
   for (;;) {
     auto Piece = Exchange.ReadBody(this->Deadline);
     if (!Piece) {
@@ -731,8 +732,10 @@
       Exchange.Abort();
       return AttemptEnd::OutOfMemory;
     }
-    bool IsBrokenOff =
-        Piece.value().EndsWithConnection && this->Events.isInsideEvent();
+    // What a target appends to the stream of another one must be events.
+    bool IsBrokenOff = (Piece.value().EndsWithConnection ||
+                        (IsContinuation && Piece.value().IsLast)) &&
+                       this->Events.isInsideEvent();
     if (Piece.value().IsLast && !IsBrokenOff) {
       // Bytes after the last event belong to the complete answer.
       Batch.Bytes += this->Events.partialEvent();
@@ -775,7 +778,8 @@
     }
     if (IsBrokenOff) {
       Exchange.Abort();
-      return AttemptEnd::Lost;
+      return Piece.value().EndsWithConnection ? AttemptEnd::Lost
+                                              : AttemptEnd::Malformed;
     }
     if (Piece.value().IsLast) {
       Exchange.Finish();
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -102,3 +102,12 @@
       playEachCut(Host, ResumableStream, Broken,
                   makeStream(AnswerFraming::Chunked));
 }
+
+TEST_CASE("the text of an error under the type of a stream stays out of the "
+          "stream that broke off") {
+  AnswerHost Host;
+  for (AnswerFraming Framing : {AnswerFraming::Length, AnswerFraming::Chunked,
+                                AnswerFraming::Connection})
+    playEachCut(Host, ResumableStream, makeStream(AnswerFraming::Chunked),
+                makePlain(200, EventStream, Framing));
+}
--- a/Tests/LibRelayFront/ReceivedAnswer.cpp
+++ b/Tests/LibRelayFront/ReceivedAnswer.cpp
@@ -172,14 +172,15 @@
           fieldOf(Answer.Head, "Set-By").size() >
       0)
     return "a field of the trailer in the head";
+  if (Answer.IsWhole && Sent->IsWhole && Answer.Body == Sent->Payload)
+    return {};
   bool IsHead = Played.Request.Method == "HEAD";
   if (Sent->Script.isEventStream() && !IsHead)
     return findStreamFault(Played, Answer);
   if (!Answer.IsWhole)
     return "an answer that is cut";
-  if (!Sent->IsWhole)
-    return "a broken answer passes for complete";
-  return Answer.Body == Sent->Payload ? "" : "another body than the target's";
+  return Sent->IsWhole ? "another body than the target's"
+                       : "a broken answer passes for complete";
 }
 
 } // namespace
