Do not continue the stream of a route without resumption

What callers saw: on a route of idempotent calls, a target answered with an event stream that broke off.

Cause: whether a call may be repeated was decided by its route alone, also once a part of the answer was with the caller.

Change: a stream that has begun is continued only on routes that have resumable streams. On others it ends visibly broken.

Result: the new test failed before, for events with ids that go on and for events without ids, from the first cut behind a whole event on; TestLibRelayFront passes, and the tests of LibRelay on streams and on repeated calls.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -872,8 +872,9 @@
   const RelayRoute &Route = *this->Call.Route;
   if (this->TargetsThatMayHaveRun >= Route.MaxTargets)
     return false;
-  if (Route.Kind == CallKind::Stream)
-    return Route.IsResumable;
+  // A repeated call begins anew, which the stream of a caller can't.
+  if (this->HasStreamStarted || Route.Kind == CallKind::Stream)
+    return Route.hasResumableStreams();
   return Route.Kind == CallKind::Idempotent;
 }
 
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -111,3 +111,16 @@
     playEachCut(Host, ResumableStream, makeStream(AnswerFraming::Chunked),
                 makePlain(200, EventStream, Framing));
 }
+
+TEST_CASE("a stream on a route without resumption is not continued by another "
+          "target, though its calls may be repeated") {
+  AnswerHost Host;
+  for (EventNumbering Numbering :
+       {EventNumbering::GoesOn, EventNumbering::FromOne,
+        EventNumbering::None}) {
+    TargetAnswer Next = makeStream(AnswerFraming::Chunked);
+    Next.Numbering = Numbering;
+    TargetAnswer Broken = Next;
+    playEachCut(Host, Read, Broken, Next);
+  }
+}
