Resume a stream after the last event sent, not the last one read

Cause: the id after which a stream is resumed was that of the last event that was read. Events that were read and not sent, since there was no memory for them or their target had been listed anew with another version meanwhile, were left out by the target that went on; if no event had been sent, the stream began behind them. Besides, a target whose events did not go on made every later continuation count as malformed.

Change: the handler keeps the id of the last event that it sent, and the splitter begins behind that one for each target.

--- a/Libraries/LibRelay/EventSplitter.h
+++ b/Libraries/LibRelay/EventSplitter.h
@@ -26,6 +26,14 @@
 /// target left incomplete is never forwarded to a caller.
 class EventSplitter {
 public:
+  /// Begins with the bytes of another target, whose events are to follow the
+  /// one with the id \p Last, if any.
+  void beginAfter(std::optional<std::uint64_t> Last) {
+    this->Partial.clear();
+    this->LastId = Last;
+    this->HasGap = false;
+  }
+
   /// Appends bytes of the stream. \returns the events that they complete.
   EventBatch feed(std::string_view Bytes);
 
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -482,7 +482,7 @@
   this->SentAt = this->now();
   Duration TimeLeft = this->Deadline - this->SentAt;
   HttpRequestHead Head =
-      this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
+      this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->LastSentId);
   this->logResumption(Target);
   this->Memory.setOwners({this->Call.memoryOwner(), Target.memoryOwner()});
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
@@ -596,18 +596,18 @@
   auto Shorten = [](const std::optional<std::string> &Text) {
     return Text.value_or("").substr(0, MaxLoggedBytes);
   };
-  auto Last = this->Events.lastId();
-  logEvent(LogLevel::Warning, "stream_resumed",
-           {{"request", this->Call.Id},
-            {"by", this->HasStreamStarted ? "host" : "caller"},
-            {"first_request", Shorten(this->Call.ResumedAttempt)},
-            {"after_event",
-             Last ? std::to_string(*Last) : Shorten(this->Call.ResumedAfter)},
-            {"first_target", this->FirstTarget.Id},
-            {"first_version", this->FirstTarget.Version},
-            {"target", Target.Id},
-            {"version", Target.Version},
-            {"send", this->Outcome.Sends + 1}});
+  logEvent(
+      LogLevel::Warning, "stream_resumed",
+      {{"request", this->Call.Id},
+       {"by", this->HasStreamStarted ? "host" : "caller"},
+       {"first_request", Shorten(this->Call.ResumedAttempt)},
+       {"after_event", this->LastSentId ? std::to_string(*this->LastSentId)
+                                        : Shorten(this->Call.ResumedAfter)},
+       {"first_target", this->FirstTarget.Id},
+       {"first_version", this->FirstTarget.Version},
+       {"target", Target.Id},
+       {"version", Target.Version},
+       {"send", this->Outcome.Sends + 1}});
 }
 
 void RelayCallHandler::recordRateLimit(const HttpResponseHead &Head,
@@ -711,7 +711,7 @@
 AttemptEnd RelayCallHandler::relayStream(TargetExchange &Exchange,
                                          HttpResponseHead Head,
                                          const ListedTarget &Target) {
-  this->Events.discardPartial();
+  this->Events.beginAfter(this->LastSentId);
   bool IsResumption = this->Versions.hasBegun();
   bool IsContinuation = this->HasStreamStarted;
   for (;;) {
@@ -795,6 +795,7 @@
   // Counted before they are sent: the caller is charged for events that it may
   // have received.
   this->Outcome.Events += Batch.Events;
+  this->LastSentId = this->Events.lastId();
   return static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
 }
 
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -173,6 +173,9 @@
   /// When the call was sent to the current target.
   TimePoint SentAt{};
   EventSplitter Events;
+  /// The id of the last event that was sent to the caller. Events that were
+  /// read after it are read again from the next target.
+  std::optional<std::uint64_t> LastSentId;
   /// A response other than a stream was written.
   bool IsAnswered = false;
   bool HasStreamStarted = false;
