Continue a stream only where the ids of its events tell how

Cause: an event without an id neither moved the point after which a stream is resumed nor counted as a gap. A stream whose events have none was sent again from its beginning, and a target that went on with events without ids was taken at its word.

Change: a stream whose last event sent has data and no id is not continued, and the first event of a target that goes on must have the next id. Comments and empty events may still lack one.

--- a/Libraries/LibRelay/EventSplitter.cpp
+++ b/Libraries/LibRelay/EventSplitter.cpp
@@ -42,7 +42,7 @@
   constexpr std::string_view Field = "id:";
   std::size_t At = Event.starts_with(Field) ? 0 : Event.find("\nid:");
   if (At == std::string_view::npos)
-    return;
+    return this->onEventWithoutId(Event);
   At = Event.find(':', At) + 1;
   while (At < Event.size() && Event[At] == ' ')
     ++At;
@@ -50,10 +50,22 @@
   auto Parsed =
       std::from_chars(Event.data() + At, Event.data() + Event.size(), Id);
   if (Parsed.ec != std::errc())
-    return;
+    return this->onEventWithoutId(Event);
   if (this->LastId && Id != *this->LastId + 1)
     this->HasGap = true;
   this->LastId = Id;
+  this->MustGoOn = false;
+  this->EndsWithoutId = false;
+}
+
+void EventSplitter::onEventWithoutId(std::string_view Event) {
+  constexpr std::string_view Field = "data";
+  // Comments and empty events may be lost or repeated.
+  if (!Event.starts_with(Field) &&
+      Event.find("\ndata") == std::string_view::npos)
+    return;
+  this->HasGap = this->HasGap || this->MustGoOn;
+  this->EndsWithoutId = true;
 }
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/EventSplitter.h
+++ b/Libraries/LibRelay/EventSplitter.h
@@ -32,6 +32,8 @@
     this->Partial.clear();
     this->LastId = Last;
     this->HasGap = false;
+    this->MustGoOn = Last.has_value();
+    this->EndsWithoutId = false;
   }
 
   /// Appends bytes of the stream. \returns the events that they complete.
@@ -53,16 +55,23 @@
   /// Tells whether the incomplete event exceeds MaxEventBytes.
   bool isOverlong() const { return this->Partial.size() > MaxEventBytes; }
 
+  /// Tells whether the last complete event has data and no id, so that nothing
+  /// can follow it but the bytes of the same target.
+  bool endsWithoutId() const { return this->EndsWithoutId; }
+
   /// Tells whether the id of an event was not the successor of the previous
-  /// one.
+  /// one, or the first event after beginAfter() has none.
   bool hasGap() const { return this->HasGap; }
 
 private:
   void readId(std::string_view Event);
+  void onEventWithoutId(std::string_view Event);
 
   std::string Partial;
   std::optional<std::uint64_t> LastId;
   bool HasGap = false;
+  bool MustGoOn = false;
+  bool EndsWithoutId = false;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -796,6 +796,7 @@
   // have received.
   this->Outcome.Events += Batch.Events;
   this->LastSentId = this->Events.lastId();
+  this->EndsWithoutId = this->Events.endsWithoutId();
   return static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
 }
 
@@ -875,7 +876,7 @@
     return false;
   // A repeated call begins anew, which the stream of a caller can't.
   if (this->HasStreamStarted || Route.Kind == CallKind::Stream)
-    return Route.hasResumableStreams();
+    return Route.hasResumableStreams() && !this->EndsWithoutId;
   return Route.Kind == CallKind::Idempotent;
 }
 
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -176,6 +176,8 @@
   /// The id of the last event that was sent to the caller. Events that were
   /// read after it are read again from the next target.
   std::optional<std::uint64_t> LastSentId;
+  /// The last event that was sent has none, so that no other target can go on.
+  bool EndsWithoutId = false;
   /// A response other than a stream was written.
   bool IsAnswered = false;
   bool HasStreamStarted = false;
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -235,3 +235,23 @@
   Resumed.feed("id: 9\ndata: i\n\n");
   CHECK_FALSE(Resumed.hasGap());
 }
+
+TEST_CASE("an event with data and without an id can't be told from a repeated "
+          "one") {
+  EventSplitter Events;
+  Events.feed(": comment\n\n");
+  CHECK_FALSE(Events.endsWithoutId());
+  Events.feed("data: a\n\n");
+  CHECK(Events.endsWithoutId());
+  Events.feed("id: 1\ndata: b\n\n");
+  CHECK_FALSE(Events.endsWithoutId());
+  Events.beginAfter(1);
+  Events.feed(": comment\n\n");
+  CHECK_FALSE(Events.hasGap());
+  Events.feed("event: x\ndata: c\n\n");
+  CHECK(Events.hasGap());
+  Events.beginAfter(1);
+  Events.feed("id: 2\ndata: c\n\ndata: d\n\n");
+  CHECK_FALSE(Events.hasGap());
+  CHECK(Events.endsWithoutId());
+}
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -124,3 +124,18 @@
     playEachCut(Host, Read, Broken, Next);
   }
 }
+
+TEST_CASE("a stream that broke off is continued only by events whose ids go "
+          "on, and only if its last event has an id") {
+  AnswerHost Host;
+  for (EventNumbering First : {EventNumbering::FromOne, EventNumbering::None})
+    for (EventNumbering Second :
+         {EventNumbering::FromOne, EventNumbering::Skips,
+          EventNumbering::None}) {
+      TargetAnswer Broken = makeStream(AnswerFraming::Chunked);
+      Broken.Numbering = First;
+      TargetAnswer Next = Broken;
+      Next.Numbering = Second;
+      playEachCut(Host, ResumableStream, Broken, Next);
+    }
+}
