Answer HEAD requests without a body

What callers saw: bytes that are no answer on a kept connection, in front of the next answer (MIXED): the last chunk behind the response to a HEAD request whose type is an event stream, and the body of a refusal. Besides, each such response stated a length of 0.

Cause: neither the relay of streams nor the server knew the method.

Change: the response to a HEAD request is never relayed as a stream. The server leaves out the body and states the length that the target gave, that of the refusal's body, or none.

--- a/Libraries/LibNet/HttpMessage.cpp
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -114,7 +114,8 @@
   appendFields(Out, Head.Headers);
   if (Framing == BodyFraming::Chunked)
     Out += "Transfer-Encoding: chunked\r\n";
-  else if (Head.Status != 204 && Head.Status != 304)
+  else if (Framing == BodyFraming::Length && Head.Status != 204 &&
+           Head.Status != 304)
     Out += "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
   if (!Head.KeepAlive)
     Out += "Connection: close\r\n";
--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -86,7 +86,12 @@
                               std::size_t BodyBytes);
 
 /// How the body of a response is delimited.
-enum class BodyFraming { Length, Chunked };
+enum class BodyFraming {
+  Length,
+  Chunked,
+  /// No field tells.
+  None,
+};
 
 std::string formatResponseHead(const HttpResponseHead &Head,
                                BodyFraming Framing, std::size_t BodyBytes);
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -654,7 +654,8 @@
       continue;
     case ResponseVerdict::Ran:
       this->recordRateLimit(Head.value(), Target);
-      if (isEventStream(Head.value()))
+      // The response to a HEAD request has no body whatever its type.
+      if (isEventStream(Head.value()) && this->Call.Head.Method != "HEAD")
         return this->relayStream(Exchange, std::move(Head.value()), Target);
       if (this->Place)
         this->Place->onAnswered();
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -45,6 +45,16 @@
   return 400;
 }
 
+/// Formats the response to a HEAD request, which states the length of the body
+/// that it lacks: that of the target, or of the refusal of \p BodyBytes.
+std::string formatHeadResponse(const HttpResponseHead &Head,
+                               std::size_t BodyBytes) {
+  if (BodyBytes == 0 && !Head.Length)
+    return formatResponseHead(Head, BodyFraming::None, 0);
+  return formatResponseHead(Head, BodyFraming::Length,
+                            Head.Length.value_or(BodyBytes));
+}
+
 } // namespace
 
 /// The state of one connection.
@@ -57,6 +67,8 @@
   std::optional<TimePoint> OpenedAt;
   bool MustClose = false;
   bool MustAbort = false;
+  /// The request in progress is a HEAD request.
+  bool IsHeadRequest = false;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
           ConnectionRoster &Roster)
@@ -236,9 +248,14 @@
   };
   Caller.SendResponse = [=, &Client, this](const HttpResponseHead &Head,
                                            std::string_view Body) {
-    return Client.Connection->writeMessage(
-        formatResponseHead(PrepareHead(Head), BodyFraming::Length, Body.size()),
-        Body, this->Tasks.Now() + WriteTimeout);
+    std::string Formatted =
+        Client.IsHeadRequest
+            ? formatHeadResponse(PrepareHead(Head), Body.size())
+            : formatResponseHead(PrepareHead(Head), BodyFraming::Length,
+                                 Body.size());
+    return Client.Connection->writeMessage(std::move(Formatted),
+                                           Client.IsHeadRequest ? "" : Body,
+                                           this->Tasks.Now() + WriteTimeout);
   };
   Caller.BeginStream = [=](const HttpResponseHead &Head) {
     return Write(
@@ -263,6 +280,7 @@
 
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
+  Client.IsHeadRequest = Message.Head.Method == "HEAD";
   std::optional<DecodedCall> Read;
   try {
     Read = this->Decoder(std::move(Message), this->Tasks.Now());
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -66,10 +66,17 @@
   return All;
 }
 
+void checkPlayed(const PlayedExchange &Played) {
+  std::string Fault = findFault(Played);
+  CHECK_MESSAGE(Fault.empty(), Fault << "\n" << describe(Played));
+}
+
 /// Plays an answer that breaks off at each of its bytes, up to the first fault.
 void playEachCut(AnswerHost &Host, const CallerRequest &Request,
                  TargetAnswer Broken, const TargetAnswer &Next) {
-  std::size_t Bytes = render(Broken, "t0", "call-1000", false, 0).Bytes.size();
+  std::size_t Bytes =
+      render(Broken, "t0", "call-1000", Request.Method == "HEAD", 0)
+          .Bytes.size();
   for (bool Resets : {false, true})
     for (std::size_t Cut = 0; Cut <= Bytes + 1; ++Cut) {
       Broken.Resets = Resets;
@@ -139,3 +146,23 @@
       playEachCut(Host, ResumableStream, Broken, Next);
     }
 }
+
+TEST_CASE("the answer to a HEAD request has no body, and the next answer on "
+          "the connection is read where it begins") {
+  AnswerHost Host;
+  CallerRequest Request = Read;
+  Request.Method = "HEAD";
+  for (const TargetAnswer &Broken : brokenAnswers())
+    playEachCut(Host, Request, Broken, makePlain(500));
+  // No target answers, so that the host refuses the call.
+  Request.Kind = CallKind::NonIdempotent;
+  TargetAnswer Closes;
+  Closes.Cut = 0;
+  checkPlayed(Host.play(Request, {Closes}));
+  PlayedExchange Played = Host.play(Request, {makePlain(200)});
+  CHECK(Played.Received.find("Content-Length: 35") != std::string::npos);
+  checkPlayed(Played);
+  Played = Host.play(Request, {makePlain(200, Json, AnswerFraming::Chunked)});
+  CHECK(Played.Received.find("Content-Length: 0") == std::string::npos);
+  checkPlayed(Played);
+}
