Reset a connection that is evicted with a part of its response unsent

Cause: an evicted connection was closed like one whose response is sent. A caller whose response has neither a length nor chunks would take it for complete.

Change: with queued bytes left, which are dropped, it is reset.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -381,7 +381,11 @@
 }
 
 void TcpConnection::evict() {
-  this->finishClose();
+  // The end of the connection may be all that marks the end of a response.
+  if (this->unsent() > 0)
+    this->abort();
+  else
+    this->finishClose();
   this->end(true);
 }
 
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -139,7 +139,8 @@
   void abort();
 
   /// Closes the connection and ends the waits of its user. The kernel still
-  /// sends what it has accepted; queued bytes are dropped.
+  /// sends what it has accepted. If there are queued bytes, these are dropped
+  /// and the connection is reset.
   void evict();
 
   bool isClosed() const { return this->IsClosed; }
--- a/Tests/LibNet/HttpReaderTest.cpp
+++ b/Tests/LibNet/HttpReaderTest.cpp
@@ -200,3 +200,34 @@
   REQUIRE(Read);
   CHECK(Read.value().Head.Headers.fields().size() > 3'000);
 }
+
+TEST_CASE("a response that the end of its connection delimits is not complete "
+          "if its connection is evicted before the last byte is sent") {
+  for (bool IsSent : {true, false}) {
+    CAPTURE(IsSent);
+    ConnectionPair Connections;
+    bool IsEvicted = false;
+    bool WasLost = false;
+    Connections.run(
+        [&](const TcpConnection::Handle &Connection, Event &) {
+          Runtime Tasks = Connections.Loop.hooks();
+          const std::string Bytes(100'000, 'x');
+          (void)Connection->write("x", Connections.deadline());
+          while (!IsSent && Connection->unsent() == 0)
+            (void)Connection->write(Bytes, Tasks.Now() + 10ms);
+          Connection->evict();
+          IsEvicted = true;
+        },
+        [&](const TcpConnection::Handle &Connection, Event &Changed) {
+          Runtime Tasks = Connections.Loop.hooks();
+          while (!IsEvicted)
+            Tasks.sleepUntil(Tasks.Now() + 1ms);
+          Tasks.waitUntil(Changed, Connections.deadline(), [&] {
+            Connection->consume(Connection->unread().size());
+            return Connection->hasEnded();
+          });
+          WasLost = Connection->wasLost();
+        });
+    CHECK(WasLost != IsSent);
+  }
+}
