Send streams to callers of HTTP/1.0 without chunks

Cause: a stream was framed in chunks whatever the version of the request.

Change: such a caller gets the bytes of the events, and the end of its connection is the end of the stream. A stream that breaks off ends with a reset, as before.

--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -58,6 +58,8 @@
   std::string Target;
   HeaderList Headers;
   bool KeepAlive = true;
+  /// False for HTTP/1.0, whose clients can't read chunks.
+  bool ReadsChunks = true;
   bool ExpectsContinue = false;
 };
 
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -137,6 +137,8 @@
   Head.Target.assign(Target.data(), Target.size());
   Head.Headers = toHeaderList(Message.base());
   Head.KeepAlive = Message.keep_alive();
+  constexpr unsigned Http11 = 11; // As Beast numbers the versions.
+  Head.ReadsChunks = Message.version() >= Http11;
   Head.ExpectsContinue = Head.Headers.hasToken("Expect", "100-continue");
   return Head;
 }
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -69,6 +69,9 @@
   bool MustAbort = false;
   /// The request in progress is a HEAD request.
   bool IsHeadRequest = false;
+  /// Whether a stream is sent in chunks; otherwise the end of the connection
+  /// is its end.
+  bool ReadsChunks = true;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
           ConnectionRoster &Roster)
@@ -257,14 +260,20 @@
                                            Client.IsHeadRequest ? "" : Body,
                                            this->Tasks.Now() + WriteTimeout);
   };
-  Caller.BeginStream = [=](const HttpResponseHead &Head) {
-    return Write(
-        formatResponseHead(PrepareHead(Head), BodyFraming::Chunked, 0));
+  Caller.BeginStream = [=, &Client](const HttpResponseHead &Head) {
+    Client.MustClose = Client.MustClose || !Client.ReadsChunks;
+    return Write(formatResponseHead(
+        PrepareHead(Head),
+        Client.ReadsChunks ? BodyFraming::Chunked : BodyFraming::None, 0));
   };
-  Caller.SendChunk = [=](std::string_view Bytes) {
-    return Write(formatChunk(Bytes));
+  Caller.SendChunk = [=, &Client](std::string_view Bytes) {
+    return Client.ReadsChunks ? Write(formatChunk(Bytes)) : Write(Bytes);
+  };
+  Caller.EndStream = [=, &Client]() -> Result<void> {
+    if (!Client.ReadsChunks)
+      return success();
+    return Write(LastChunk);
   };
-  Caller.EndStream = [=] { return Write(LastChunk); };
   Caller.AbortStream = [&Client] { Client.MustAbort = true; };
   return Caller;
 }
@@ -281,6 +290,7 @@
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
   Client.IsHeadRequest = Message.Head.Method == "HEAD";
+  Client.ReadsChunks = Message.Head.ReadsChunks;
   std::optional<DecodedCall> Read;
   try {
     Read = this->Decoder(std::move(Message), this->Tasks.Now());
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -166,3 +166,13 @@
   CHECK(Played.Received.find("Content-Length: 0") == std::string::npos);
   checkPlayed(Played);
 }
+
+TEST_CASE("a caller of HTTP/1.0 gets its stream without chunks, and one that "
+          "breaks off ends with a reset") {
+  AnswerHost Host;
+  for (CallerRequest Request : {Order, ResumableStream}) {
+    Request.Version = "1.0";
+    for (const TargetAnswer &Broken : brokenAnswers())
+      playEachCut(Host, Request, Broken, makePlain(500));
+  }
+}
