Test any answer that follows a stream that broke off

Change: each of some 150 next answers (ten statuses, six content types, two framings; streams of each framing whose ids go on, begin anew, skip or lack; a refusal, an answer to another call, one without a stamp, an interim response and an end) follows a stream that was cut at every 23rd byte, and 5,000 generated sequences of three answers play with any method, version, cut, reset and pause (fixed seed).

--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -1,11 +1,16 @@
 #include "ReceivedAnswer.h"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 using namespace bergamothook;
 
 namespace {
 
+constexpr unsigned GeneratedCases = 5000;
+/// Ends the connection after the whole answer.
+constexpr std::size_t AfterAll = 100'000;
 constexpr const char *EventStream = "text/event-stream";
 constexpr const char *Json = "application/json";
 
@@ -66,6 +71,55 @@
   return All;
 }
 
+/// Streams with each framing and each kind of ids.
+std::vector<TargetAnswer> numberedStreams() {
+  std::vector<TargetAnswer> All;
+  for (AnswerFraming Framing : {AnswerFraming::Length, AnswerFraming::Chunked,
+                                AnswerFraming::Connection})
+    for (EventNumbering Numbering :
+         {EventNumbering::GoesOn, EventNumbering::FromOne,
+          EventNumbering::Skips, EventNumbering::None}) {
+      All.push_back(makeStream(Framing));
+      All.back().Numbering = Numbering;
+    }
+  return All;
+}
+
+/// Answers of the target that is asked next.
+std::vector<TargetAnswer> nextAnswers() {
+  std::vector<TargetAnswer> All;
+  TargetAnswer Closes;
+  Closes.Cut = 0;
+  All.push_back(Closes);
+  Closes.Interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  Closes.Cut = Closes.Interim.size();
+  All.push_back(Closes);
+  for (unsigned Status : {200, 204, 206, 302, 404, 421, 500, 502, 503, 504})
+    for (const char *Type :
+         {"", Json, EventStream, "text/event-stream; charset=utf-8",
+          "Text/Event-Stream", "text/event-streams"}) {
+      All.push_back(makePlain(Status, Type));
+      All.push_back(makePlain(Status, Type, AnswerFraming::Chunked));
+    }
+  for (TargetAnswer Answer : numberedStreams()) {
+    All.push_back(Answer);
+    Answer.Type = "Text/Event-Stream;charset=utf-8";
+    All.push_back(Answer);
+  }
+  All.push_back(makeStream(AnswerFraming::Chunked, 0));
+  TargetAnswer Refusal = makePlain(503);
+  Refusal.ExtraFields = "Not-Executed: full\r\n";
+  All.push_back(Refusal);
+  TargetAnswer Odd = makeStream(AnswerFraming::Chunked);
+  Odd.HasStamp = false;
+  All.push_back(Odd);
+  Odd = makeStream(AnswerFraming::Chunked);
+  Odd.NamesOtherCall = true;
+  Odd.Cut = AfterAll;
+  All.push_back(Odd);
+  return All;
+}
+
 void checkPlayed(const PlayedExchange &Played) {
   std::string Fault = findFault(Played);
   CHECK_MESSAGE(Fault.empty(), Fault << "\n" << describe(Played));
@@ -97,7 +151,8 @@
           "and an error that follows stays out of it") {
   AnswerHost Host;
   for (const TargetAnswer &Broken : brokenAnswers())
-    for (const CallerRequest &Request : {Order, Read, ResumableStream})
+    for (const CallerRequest &Request :
+         {Order, Broken.isEventStream() ? ResumableStream : Read})
       playEachCut(Host, Request, Broken, makePlain(500));
 }
 
@@ -170,9 +225,61 @@
 TEST_CASE("a caller of HTTP/1.0 gets its stream without chunks, and one that "
           "breaks off ends with a reset") {
   AnswerHost Host;
-  for (CallerRequest Request : {Order, ResumableStream}) {
+  for (const TargetAnswer &Broken : brokenAnswers()) {
+    CallerRequest Request = Broken.isEventStream() ? ResumableStream : Order;
     Request.Version = "1.0";
-    for (const TargetAnswer &Broken : brokenAnswers())
-      playEachCut(Host, Request, Broken, makePlain(500));
+    playEachCut(Host, Request, Broken, makePlain(500));
   }
 }
+
+TEST_CASE("whatever the next target answers stays out of a stream that broke "
+          "off, unless it goes on with it") {
+  constexpr std::size_t CutStep = 23;
+  AnswerHost Host;
+  TargetAnswer Broken = makeStream(AnswerFraming::Chunked);
+  std::size_t Bytes = render(Broken, "t0", "call-100", false, 0).Bytes.size();
+  for (const TargetAnswer &Next : nextAnswers())
+    for (const CallerRequest &Request : {Read, ResumableStream})
+      for (bool Resets : {false, true})
+        for (Broken.Cut = 0; Broken.Cut < Bytes; Broken.Cut += CutStep) {
+          Broken.Resets = Resets;
+          checkPlayed(Host.play(Request, {Broken, Next}));
+        }
+}
+
+TEST_CASE("generated answers that break off, one after the other") {
+  AnswerHost Host;
+  const std::vector<TargetAnswer> First = brokenAnswers();
+  std::vector<TargetAnswer> Any = nextAnswers();
+  Any.insert(Any.end(), First.begin(), First.end());
+  const std::vector<TargetAnswer> Streams = numberedStreams();
+  setenv(
+      "RC_PARAMS",
+      ("seed=1 max_success=" + std::to_string(GeneratedCases) + " noshrink=1")
+          .c_str(),
+      1);
+  CHECK(rc::check([&] {
+    CallerRequest Request = *rc::gen::element(Order, Read, Read, Stream,
+                                              ResumableStream, ResumableStream);
+    Request.Method = *rc::gen::element<std::string>("POST", "GET", "HEAD");
+    Request.Version = *rc::gen::element<std::string>("1.1", "1.1", "1.0");
+    std::vector<TargetAnswer> Answers;
+    for (const auto &From : {First, Any, Any}) {
+      TargetAnswer Answer = *rc::gen::oneOf(rc::gen::elementOf(From),
+                                            rc::gen::elementOf(Streams));
+      std::size_t Bytes =
+          render(Answer, "t0", "call-1000", false, 0).Bytes.size();
+      auto Position = rc::gen::inRange<std::size_t>(0, Bytes + 1);
+      if (*rc::gen::weightedElement<bool>({{4, true}, {1, false}}))
+        Answer.Cut = *Position;
+      Answer.Resets = *rc::gen::arbitrary<bool>();
+      if (*rc::gen::arbitrary<bool>())
+        Answer.PauseAt = *Position;
+      Answers.push_back(Answer);
+    }
+    PlayedExchange Played = Host.play(Request, Answers);
+    std::string Fault = findFault(Played);
+    if (!Fault.empty())
+      RC_FAIL(Fault + "\n" + describe(Played));
+  }));
+}
--- a/Tests/LibRelayFront/ReceivedAnswer.cpp
+++ b/Tests/LibRelayFront/ReceivedAnswer.cpp
@@ -105,7 +105,7 @@
                             const ReceivedAnswer &Answer) {
   std::vector<EventRun> Runs;
   std::string Rest = Answer.Body;
-  std::uint64_t NextId = 1;
+  std::uint64_t NextId = findSent(Played, Answer.Stamp)->FirstId;
   for (const SentAnswer &Each : Played.Sent) {
     bool HasIds = Each.Script.Numbering != EventNumbering::None;
     EventRun Run{&Each};
