Compare the media type of a stream as a whole and in any case

Cause: a stream was told by the first characters of its content type. One in another case was held back until its end, and one that goes on in a stream was thrown away; a longer type that begins alike was relayed as a stream.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -53,7 +53,10 @@
 
 bool isEventStream(const HttpResponseHead &Head) {
   auto Type = Head.Headers.find("Content-Type");
-  return Head.Status == 200 && Type && Type->starts_with("text/event-stream");
+  if (Head.Status != 200 || !Type)
+    return false;
+  std::string_view MediaType = Type->substr(0, Type->find_first_of("; \t"));
+  return isSameHeader(MediaType, "text/event-stream");
 }
 
 } // namespace
--- a/Tests/LibRelayFront/BrokenAnswerTest.cpp
+++ b/Tests/LibRelayFront/BrokenAnswerTest.cpp
@@ -283,3 +283,17 @@
       RC_FAIL(Fault + "\n" + describe(Played));
   }));
 }
+
+TEST_CASE("the media type of a stream is compared as a whole and in any case") {
+  AnswerHost Host;
+  for (const char *Type :
+       {"Text/Event-Stream", "text/event-stream ; charset=utf-8"}) {
+    TargetAnswer Answer = makeStream(AnswerFraming::Length);
+    Answer.Type = Type;
+    PlayedExchange Played = Host.play(Stream, {Answer});
+    CHECK(Played.Received.find("chunked") != std::string::npos);
+  }
+  PlayedExchange Played =
+      Host.play(Stream, {makePlain(200, "text/event-streams")});
+  CHECK(Played.Received.find("chunked") == std::string::npos);
+}
