Break a stream off if memory runs out in the middle of a write

What callers saw, short of memory: bytes of chunks without a head, or events twice (MIXED, ORDER).

Cause: memory that ran out while the head or an event was written ended the attempt, and the stream was continued at the next target. Its head counted as sent, and nothing told how much of the event was.

Change: a stream in the middle of whose write memory runs out is not continued, and ends visibly broken.

Result: the new test failed before (head: events of the next target without a head; event: a second send); the tests of LibRelay on streams and events pass, 658 checks.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -763,10 +763,12 @@
       this->FirstTarget = Target;
       this->Versions.onFirstEvent(Target);
       this->Outcome.FirstEvent = this->now() - this->Call.ArrivedAt;
+      this->IsWriting = true;
       if (!this->Caller.BeginStream(Head)) {
         Exchange.Abort();
         return AttemptEnd::CallerLeft;
       }
+      this->IsWriting = false;
     }
     if (this->Versions.hasBegun() && this->Versions.isOtherVersion(Target)) {
       // Events still arrive, so they are of the run that was listed since.
@@ -801,7 +803,10 @@
   this->Outcome.Events += Batch.Events;
   this->LastSentId = this->Events.lastId();
   this->EndsWithoutId = this->Events.endsWithoutId();
-  return static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
+  this->IsWriting = true;
+  bool IsSent = static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
+  this->IsWriting = false;
+  return IsSent;
 }
 
 void RelayCallHandler::recordAttempt(const ListedTarget &Target,
@@ -876,6 +881,8 @@
 
 bool RelayCallHandler::isRepeatAllowed() const {
   const RelayRoute &Route = *this->Call.Route;
+  if (this->IsWriting)
+    return false;
   if (this->TargetsThatMayHaveRun >= Route.MaxTargets)
     return false;
   // A repeated call begins anew, which the stream of a caller can't.
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -181,6 +181,8 @@
   /// A response other than a stream was written.
   bool IsAnswered = false;
   bool HasStreamStarted = false;
+  /// A write of the stream has begun, and may have failed in the middle.
+  bool IsWriting = false;
   /// A target was left out since it may be another run than the listed one.
   bool IsRunUnknown = false;
   /// The target that sent the first event.
--- a/Tests/LibRelay/StreamContinuationTest.cpp
+++ b/Tests/LibRelay/StreamContinuationTest.cpp
@@ -96,3 +96,37 @@
   CHECK(Relay.SentCalls[2].ResumeAfter == 1);
   CHECK(Relay.Body == event(1) + event(2) + event(3));
 }
+
+TEST_CASE(
+    "a stream whose head or event may be written in part is not continued "
+    "if memory runs out in between") {
+  for (bool IsHead : {true, false}) {
+    CAPTURE(IsHead);
+    ContinuedStream Relay;
+    Relay.Responses = {streamOf({event(1)}, false),
+                       streamOf({event(1), event(2)}, false)};
+    CallerHooks Caller = Relay.makeCaller();
+    auto Fail = [] { throw std::bad_alloc(); };
+    if (IsHead)
+      Caller.BeginStream = [&](const HttpResponseHead &) -> Result<void> {
+        Fail();
+        return success();
+      };
+    else
+      Caller.SendChunk = [&](std::string_view) -> Result<void> {
+        Fail();
+        return success();
+      };
+    RelayOutcome Outcome;
+    bool IsDone = false;
+    Relay.Simulated.hooks().Spawn([&] {
+      Outcome = Relay.Dispatcher.serve(Relay.makeCall(), Caller);
+      IsDone = true;
+    });
+    Relay.Simulated.runUntil([&] { return IsDone; }, 1min);
+    CHECK(Outcome.End == RelayEnd::Broken);
+    CHECK(Relay.IsBroken);
+    CHECK(Relay.Body.empty());
+    CHECK(Relay.SentCalls.size() == 1);
+  }
+}
