Keep a name of the platform out of the test of broken answers

Cause: an array was called like a field of the platform's configuration, which the check of names finds.

Result: the check finds nothing; TestLibRelayFront passes, 90,448 checks.

--- a/Tests/LibRelayFront/AnswerHost.cpp
+++ b/Tests/LibRelayFront/AnswerHost.cpp
@@ -17,11 +17,10 @@
 constexpr const char *NextId = "next";
 constexpr const char *RunPath = "/run";
 
-const std::pair<CallKind, bool> RouteKinds[] = {
-    {CallKind::Idempotent, false},
-    {CallKind::NonIdempotent, false},
-    {CallKind::Stream, false},
-    {CallKind::Stream, true}};
+const std::pair<CallKind, bool> AllRoutes[] = {{CallKind::Idempotent, false},
+                                               {CallKind::NonIdempotent, false},
+                                               {CallKind::Stream, false},
+                                               {CallKind::Stream, true}};
 
 } // namespace
 
@@ -133,7 +132,7 @@
 void AnswerHost::configure() {
   auto Config = std::make_shared<RelayConfig>();
   Config->Version = 1;
-  for (auto [Kind, IsResumable] : RouteKinds) {
+  for (auto [Kind, IsResumable] : AllRoutes) {
     RelayRoute Route;
     Route.PathPrefix = pathOf(Kind, IsResumable);
     Route.Name = Route.PathPrefix;
