--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -58,6 +58,8 @@
   std::string Target;
   HeaderList Headers;
   bool KeepAlive = true;
+  /// False for HTTP/1.0, whose clients can't read chunks.
+  bool ReadsChunks = true;
   bool ExpectsContinue = false;
 };
 
@@ -86,7 +88,12 @@
                               std::size_t BodyBytes);
 
 /// How the body of a response is delimited.
-enum class BodyFraming { Length, Chunked };
+enum class BodyFraming {
+  Length,
+  Chunked,
+  /// No field tells.
+  None,
+};
 
 std::string formatResponseHead(const HttpResponseHead &Head,
                                BodyFraming Framing, std::size_t BodyBytes);
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -137,6 +137,8 @@
   Head.Target.assign(Target.data(), Target.size());
   Head.Headers = toHeaderList(Message.base());
   Head.KeepAlive = Message.keep_alive();
+  constexpr unsigned Http11 = 11; // As Beast numbers the versions.
+  Head.ReadsChunks = Message.version() >= Http11;
   Head.ExpectsContinue = Head.Headers.hasToken("Expect", "100-continue");
   return Head;
 }
@@ -252,7 +254,8 @@
 
   void resetParser() {
     this->Parser.emplace();
-    this->Parser->eager(true);
+    // Stops at the end of the head, whose fields the trailer's are added to.
+    this->Parser->eager(false);
     this->Parser->header_limit(MaxResponseHeadBytes);
     this->Parser->body_limit(std::uint64_t{1} << 40);
     this->Parser->skip(this->HasNoBody);
@@ -292,6 +295,7 @@
         return NetError::Malformed;
       }
     }
+    Parser.eager(Parser.is_header_done());
     if (Parser.is_done() || (!HadCompleteHead && Parser.is_header_done()) ||
         !Parser.get().body().empty())
       return success();
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -468,7 +468,11 @@
     // Unread bytes would reset the connection, and the peer could lose these.
     this->readArrived();
   }
-  this->finishClose();
+  // The end of the connection may be all that marks the end of a response.
+  if (this->unsent() > 0)
+    this->abort();
+  else
+    this->finishClose();
   this->end(true);
 }
 
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -168,8 +168,9 @@
   void abort();
 
   /// Closes the connection and ends the waits of its user. The kernel still
-  /// sends what it has accepted; queued bytes are dropped. \p LastBytes are
-  /// sent before, as far as the kernel accepts them.
+  /// sends what it has accepted. If there are queued bytes, these are dropped
+  /// and the connection is reset; otherwise, \p LastBytes are sent before, as
+  /// far as the kernel accepts them.
   void evict(std::string_view LastBytes = {});
 
   bool isClosed() const { return this->IsClosed; }
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -53,7 +53,10 @@
 
 bool isEventStream(const HttpResponseHead &Head) {
   auto Type = Head.Headers.find("Content-Type");
-  return Head.Status == 200 && Type && Type->starts_with("text/event-stream");
+  if (Head.Status != 200 || !Type)
+    return false;
+  std::string_view MediaType = Type->substr(0, Type->find_first_of("; \t"));
+  return isSameHeader(MediaType, "text/event-stream");
 }
 
 } // namespace
@@ -482,7 +485,7 @@
   this->SentAt = this->now();
   Duration TimeLeft = this->Deadline - this->SentAt;
   HttpRequestHead Head =
-      this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->Events.lastId());
+      this->Hooks.MakeHead(this->Call, Target, TimeLeft, this->LastSentId);
   this->logResumption(Target);
   this->Memory.setOwners({this->Call.memoryOwner(), Target.memoryOwner()});
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
@@ -596,18 +599,18 @@
   auto Shorten = [](const std::optional<std::string> &Text) {
     return Text.value_or("").substr(0, MaxLoggedBytes);
   };
-  auto Last = this->Events.lastId();
-  logEvent(LogLevel::Warning, "stream_resumed",
-           {{"request", this->Call.Id},
-            {"by", this->HasStreamStarted ? "host" : "caller"},
-            {"first_request", Shorten(this->Call.ResumedAttempt)},
-            {"after_event",
-             Last ? std::to_string(*Last) : Shorten(this->Call.ResumedAfter)},
-            {"first_target", this->FirstTarget.Id},
-            {"first_version", this->FirstTarget.Version},
-            {"target", Target.Id},
-            {"version", Target.Version},
-            {"send", this->Outcome.Sends + 1}});
+  logEvent(
+      LogLevel::Warning, "stream_resumed",
+      {{"request", this->Call.Id},
+       {"by", this->HasStreamStarted ? "host" : "caller"},
+       {"first_request", Shorten(this->Call.ResumedAttempt)},
+       {"after_event", this->LastSentId ? std::to_string(*this->LastSentId)
+                                        : Shorten(this->Call.ResumedAfter)},
+       {"first_target", this->FirstTarget.Id},
+       {"first_version", this->FirstTarget.Version},
+       {"target", Target.Id},
+       {"version", Target.Version},
+       {"send", this->Outcome.Sends + 1}});
 }
 
 void RelayCallHandler::recordRateLimit(const HttpResponseHead &Head,
@@ -654,7 +657,8 @@
       continue;
     case ResponseVerdict::Ran:
       this->recordRateLimit(Head.value(), Target);
-      if (isEventStream(Head.value()))
+      // The response to a HEAD request has no body whatever its type.
+      if (isEventStream(Head.value()) && this->Call.Head.Method != "HEAD")
         return this->relayStream(Exchange, std::move(Head.value()), Target);
       if (this->Place)
         this->Place->onAnswered();
@@ -711,8 +715,9 @@
 AttemptEnd RelayCallHandler::relayStream(TargetExchange &Exchange,
                                          HttpResponseHead Head,
                                          const ListedTarget &Target) {
-  this->Events.discardPartial();
+  this->Events.beginAfter(this->LastSentId);
   bool IsResumption = this->Versions.hasBegun();
+  bool IsContinuation = this->HasStreamStarted;
   for (;;) {
     auto Piece = Exchange.ReadBody(this->Deadline);
     if (!Piece) {
@@ -731,8 +736,10 @@
       Exchange.Abort();
       return AttemptEnd::OutOfMemory;
     }
-    bool IsBrokenOff =
-        Piece.value().EndsWithConnection && this->Events.isInsideEvent();
+    // What a target appends to the stream of another one must be events.
+    bool IsBrokenOff = (Piece.value().EndsWithConnection ||
+                        (IsContinuation && Piece.value().IsLast)) &&
+                       this->Events.isInsideEvent();
     if (Piece.value().IsLast && !IsBrokenOff) {
       // Bytes after the last event belong to the complete answer.
       Batch.Bytes += this->Events.partialEvent();
@@ -756,10 +763,12 @@
       this->FirstTarget = Target;
       this->Versions.onFirstEvent(Target);
       this->Outcome.FirstEvent = this->now() - this->Call.ArrivedAt;
+      this->IsWriting = true;
       if (!this->Caller.BeginStream(Head)) {
         Exchange.Abort();
         return AttemptEnd::CallerLeft;
       }
+      this->IsWriting = false;
     }
     if (this->Versions.hasBegun() && this->Versions.isOtherVersion(Target)) {
       // Events still arrive, so they are of the run that was listed since.
@@ -775,7 +784,8 @@
     }
     if (IsBrokenOff) {
       Exchange.Abort();
-      return AttemptEnd::Lost;
+      return Piece.value().EndsWithConnection ? AttemptEnd::Lost
+                                              : AttemptEnd::Malformed;
     }
     if (Piece.value().IsLast) {
       Exchange.Finish();
@@ -791,7 +801,12 @@
   // Counted before they are sent: the caller is charged for events that it may
   // have received.
   this->Outcome.Events += Batch.Events;
-  return static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
+  this->LastSentId = this->Events.lastId();
+  this->EndsWithoutId = this->Events.endsWithoutId();
+  this->IsWriting = true;
+  bool IsSent = static_cast<bool>(this->Caller.SendChunk(Batch.Bytes));
+  this->IsWriting = false;
+  return IsSent;
 }
 
 void RelayCallHandler::recordAttempt(const ListedTarget &Target,
@@ -866,10 +881,13 @@
 
 bool RelayCallHandler::isRepeatAllowed() const {
   const RelayRoute &Route = *this->Call.Route;
+  if (this->IsWriting)
+    return false;
   if (this->TargetsThatMayHaveRun >= Route.MaxTargets)
     return false;
-  if (Route.Kind == CallKind::Stream)
-    return Route.IsResumable;
+  // A repeated call begins anew, which the stream of a caller can't.
+  if (this->HasStreamStarted || Route.Kind == CallKind::Stream)
+    return Route.hasResumableStreams() && !this->EndsWithoutId;
   return Route.Kind == CallKind::Idempotent;
 }
 
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -173,9 +173,16 @@
   /// When the call was sent to the current target.
   TimePoint SentAt{};
   EventSplitter Events;
+  /// The id of the last event that was sent to the caller. Events that were
+  /// read after it are read again from the next target.
+  std::optional<std::uint64_t> LastSentId;
+  /// The last event that was sent has none, so that no other target can go on.
+  bool EndsWithoutId = false;
   /// A response other than a stream was written.
   bool IsAnswered = false;
   bool HasStreamStarted = false;
+  /// A write of the stream has begun, and may have failed in the middle.
+  bool IsWriting = false;
   /// A target was left out since it may be another run than the listed one.
   bool IsRunUnknown = false;
   /// The target that sent the first event.
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -46,6 +46,16 @@
   return 400;
 }
 
+/// Formats the response to a HEAD request, which states the length of the body
+/// that it lacks: that of the target, or of the refusal of \p BodyBytes.
+std::string formatHeadResponse(const HttpResponseHead &Head,
+                               std::size_t BodyBytes) {
+  if (BodyBytes == 0 && !Head.Length)
+    return formatResponseHead(Head, BodyFraming::None, 0);
+  return formatResponseHead(Head, BodyFraming::Length,
+                            Head.Length.value_or(BodyBytes));
+}
+
 } // namespace
 
 /// The state of one connection.
@@ -65,6 +75,11 @@
   /// The bytes sent before the response to the request in progress; unset if
   /// there is none.
   std::optional<std::uint64_t> SentBeforeResponse;
+  /// The request in progress is a HEAD request.
+  bool IsHeadRequest = false;
+  /// Whether a stream is sent in chunks; otherwise the end of the connection
+  /// is its end.
+  bool ReadsChunks = true;
 
   Session(const TcpConnection::Handle &Connection, const Runtime &Tasks,
           ConnectionRoster &Roster)
@@ -334,18 +349,29 @@
   };
   Caller.SendResponse = [=, &Client, this](const HttpResponseHead &Head,
                                            std::string_view Body) {
+    std::string Formatted =
+        Client.IsHeadRequest
+            ? formatHeadResponse(PrepareHead(Head), Body.size())
+            : formatResponseHead(PrepareHead(Head), BodyFraming::Length,
+                                 Body.size());
     return Client.Connection->writeMessageAsRead(
-        formatResponseHead(PrepareHead(Head), BodyFraming::Length, Body.size()),
-        Body, this->Settings.WriteTimeout);
+        std::move(Formatted), Client.IsHeadRequest ? "" : Body,
+        this->Settings.WriteTimeout);
+  };
+  Caller.BeginStream = [=, &Client](const HttpResponseHead &Head) {
+    Client.MustClose = Client.MustClose || !Client.ReadsChunks;
+    return Write(formatResponseHead(
+        PrepareHead(Head),
+        Client.ReadsChunks ? BodyFraming::Chunked : BodyFraming::None, 0));
   };
-  Caller.BeginStream = [=](const HttpResponseHead &Head) {
-    return Write(
-        formatResponseHead(PrepareHead(Head), BodyFraming::Chunked, 0));
+  Caller.SendChunk = [=, &Client](std::string_view Bytes) {
+    return Client.ReadsChunks ? Write(formatChunk(Bytes)) : Write(Bytes);
   };
-  Caller.SendChunk = [=](std::string_view Bytes) {
-    return Write(formatChunk(Bytes));
+  Caller.EndStream = [=, &Client]() -> Result<void> {
+    if (!Client.ReadsChunks)
+      return success();
+    return Write(LastChunk);
   };
-  Caller.EndStream = [=] { return Write(LastChunk); };
   Caller.AbortStream = [&Client] { Client.MustAbort = true; };
   return Caller;
 }
@@ -361,6 +387,8 @@
 
 bool RelayServer::serveRequest(Session &Client, HttpRequestMessage Message) {
   Client.MustClose = !Message.Head.KeepAlive;
+  Client.IsHeadRequest = Message.Head.Method == "HEAD";
+  Client.ReadsChunks = Message.Head.ReadsChunks;
   std::optional<DecodedCall> Read;
   try {
     Read = this->Decoder(std::move(Message), this->Tasks.Now());
