Log and count when a host reaches no target of a service

Cause: a host's log did not tell a cut of its own links from targets that are dead. Each failed call names one target, as if it were that target's fault; calls that hang on kept connections name none before their deadline.

Nothing else depends on it yet. Without a suspicion there is no connection and no timer beside the housekeeping that runs already.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -5,6 +5,7 @@
 
 #include <new>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace bergamothook::detail {
 
@@ -496,6 +497,8 @@
   if (this->IsPrefillPending)
     Targets.onPrefillDone(Target.Id, this->Call.PromptTokens);
   this->IsPrefillPending = false;
+  if (std::exchange(this->IsAwaitingTarget, false))
+    this->Dispatcher.reach().onEnded(Target);
   Targets.onEnded(Target.Id);
   return End;
 }
@@ -529,8 +532,11 @@
   ++this->Outcome.Sends;
   if (this->TargetPass)
     this->TargetPass->succeed();
-  return Opened ? this->readResponse(Opened.value(), Target)
-                : this->attemptEndOf(Opened.error());
+  if (!Opened)
+    return this->attemptEndOf(Opened.error());
+  this->IsAwaitingTarget = true;
+  this->Dispatcher.reach().onSent(Target);
+  return this->readResponse(Opened.value(), Target);
 }
 
 AttemptEnd RelayCallHandler::endOfUnsent(const ListedTarget &Target) {
@@ -630,6 +636,7 @@
       Exchange.Abort();
       return this->attemptEndOf(Head.error());
     }
+    this->Dispatcher.reach().onHeard(Target);
     switch (this->Hooks.Classify(Head.value(), this->Call)) {
     case ResponseVerdict::WrongTarget:
       Exchange.Abort();
@@ -719,6 +726,7 @@
       Exchange.Abort();
       return this->attemptEndOf(Piece.error());
     }
+    this->Dispatcher.reach().onHeard(Target);
     EventBatch Batch = this->Events.feed(Piece.value().Bytes);
     if (this->Events.hasGap() || this->Events.isOverlong()) {
       Exchange.Abort();
@@ -818,10 +826,12 @@
       this->recordLoss(Target);
     Targets.onLost(Id, this->now());
     Targets.onFailure(Id, this->now());
+    this->Dispatcher.reach().onFailed(Target);
     break;
   case AttemptEnd::NotSent:
     ++this->AttemptsNotSent;
     Targets.onLost(Id, this->now());
+    this->Dispatcher.reach().onFailed(Target);
     [[fallthrough]];
   case AttemptEnd::Malformed:
   case AttemptEnd::OutOfMemory:
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -168,6 +168,8 @@
   std::optional<FailureGate::Pass> TargetPass;
   unsigned TargetsThatMayHaveRun = 0;
   bool IsPrefillPending = false;
+  /// The call was sent to the current target, whose answer is being read.
+  bool IsAwaitingTarget = false;
   /// Events that the current target has sent.
   std::uint32_t EventsFromTarget = 0;
   /// When the call was sent to the current target.
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -50,7 +50,9 @@
                }),
       Origins(this->Settings.Origins, this->Versions, Tokens.roster(),
               this->originHooks()),
-      Queues({}, this->Hooks.Tasks, Stats), Rng(this->Settings.Seed + 1) {}
+      Queues({}, this->Hooks.Tasks, Stats),
+      Reach(this->reachHooks(), this->Targets, Stats, this->Settings.Seed + 2),
+      Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
   LimiterHooks Chosen;
@@ -99,6 +101,13 @@
   return Chosen;
 }
 
+ReachHooks RelayDispatcher::reachHooks() {
+  ReachHooks Chosen;
+  Chosen.Tasks = this->Hooks.Tasks;
+  Chosen.Probe = this->Hooks.Probe;
+  return Chosen;
+}
+
 std::size_t RelayDispatcher::rankForVersions(const std::string &Service) const {
   const HostRoster &Roster = this->TokenSource.roster();
   // Until the other hosts are known, they are waited for.
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -12,6 +12,7 @@
 #include "LibRelay/FailureGate.h"
 #include "LibRelay/OriginExchange.h"
 #include "LibRelay/QuarantineExchange.h"
+#include "LibRelay/ReachMonitor.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
 #include "LibRelay/ResendBudget.h"
@@ -85,6 +86,8 @@
   FailureGate &targetGate() { return this->TargetGate; }
   /// Calls that wait for a target or are in progress, by service.
   CallAdmission &admission() { return this->Queues; }
+  /// Whether this host reaches the targets of a service.
+  ReachMonitor &reach() { return this->Reach; }
   TokenBroker &tokens() { return this->TokenSource; }
   Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
@@ -94,6 +97,7 @@
   LimiterHooks limiterHooks();
   QuarantineExchangeHooks quarantineHooks();
   OriginHooks originHooks();
+  ReachHooks reachHooks();
   std::size_t rankForVersions(const std::string &Service) const;
   bool hasProbeTurn(const Hash128 &Trait, std::uint64_t Turn) const;
   void record(const RelayCall &Call, const RelayOutcome &Outcome);
@@ -114,6 +118,7 @@
   FailureGate TokenGate;
   FailureGate TargetGate;
   CallAdmission Queues;
+  ReachMonitor Reach;
   Random Rng;
 };
 
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -158,6 +158,9 @@
         return std::optional<Duration>();
       };
 
+  /// See ReachHooks::Probe.
+  std::function<bool(const ListedTarget &Target, TimePoint Deadline)> Probe;
+
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
   std::function<HttpResponseHead(unsigned Status, const RelayCall &Call,
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -256,6 +256,17 @@
   return std::move(Answer.value());
 }
 
+bool TargetDialer::probe(const ListedTarget &Target, TimePoint Deadline) {
+  TcpLimits Limits = this->Limits.Connection;
+  Limits.Owners = {Target.memoryOwner()};
+  auto Connection = TcpConnection::connect(this->Loop, Target.Address,
+                                           std::move(Limits), Deadline);
+  if (!Connection)
+    return false;
+  Connection.value()->close();
+  return true;
+}
+
 void TargetDialer::runExpiry(const std::function<bool()> &IsStopped) {
   while (!IsStopped()) {
     this->Idle.closeExpired(this->Tasks.Now());
--- a/Libraries/LibRelayFront/TargetDialer.h
+++ b/Libraries/LibRelayFront/TargetDialer.h
@@ -61,6 +61,9 @@
                                       TimePoint Deadline,
                                       const std::function<bool()> &IsGivenUp);
 
+  /// Connects to a target and closes the connection. See ReachHooks::Probe.
+  bool probe(const ListedTarget &Target, TimePoint Deadline);
+
   /// Closes idle connections that have expired. Runs as a task of its own.
   void runExpiry(const std::function<bool()> &IsStopped);
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -238,6 +238,9 @@
                          Caller, Deadline, IsGivenUp);
     return Head ? platform::readColdLeft(*Head) : std::nullopt;
   };
+  Hooks.Probe = [this](const ListedTarget &Target, TimePoint Deadline) {
+    return this->Dialer.probe(Target, Deadline);
+  };
   Hooks.MakeRefusal = platform::makeRefusal;
   return Hooks;
 }
@@ -431,6 +434,7 @@
   while (!this->IsStopped) {
     this->Dispatcher.targets().expire(this->Tasks.Now());
     this->Dispatcher.endColdPeriods();
+    this->Dispatcher.reach().update();
     this->Evacuations.checkProgress(this->Tasks.Now());
     this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
@@ -498,6 +502,7 @@
       "relay_cold_targets",
       static_cast<double>(this->Dispatcher.targets().coldTargets()));
   this->Evacuations.exportMetrics(this->Measured);
+  this->Dispatcher.reach().exportMetrics(this->Measured);
   this->Load.exportMetrics(this->Measured);
   this->Dispatcher.admission().exportMetrics(this->Tasks.Now());
   this->TokenSource.measure();
