--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -6,7 +6,9 @@
 #define BERGAMOTHOOK_LIBRELAY_RELAYHOOKS_H
 
 #include "LibBase/Result.h"
+#include "LibLoan/HostRoster.h"
 #include "LibNet/MemoryBudget.h"
+#include "LibRelay/PeerExchange.h"
 #include "LibRelay/RelayCall.h"
 #include "LibRelay/TargetDirectory.h"
 #include "LibTask/Runtime.h"
@@ -161,6 +163,14 @@
   /// See ReachHooks::Probe.
   std::function<bool(const ListedTarget &Target, TimePoint Deadline)> Probe;
 
+  /// Connects to another host and asks it to serve a call. Blocks like Open.
+  /// NetError::ConnectFailed guarantees that no byte was sent. Empty if calls
+  /// can't be forwarded.
+  std::function<Result<PeerExchange>(
+      const RosterHost &Peer, const RelayCall &Call, const CallerHooks &Caller,
+      TimePoint Deadline)>
+      Forward;
+
   /// Builds the response head of a refusal, with the time after which the
   /// caller may retry, if any.
   std::function<HttpResponseHead(unsigned Status, const RelayCall &Call,
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -5,10 +5,10 @@
 
 namespace bergamothook {
 
-RelayFixture::RelayFixture()
+RelayFixture::RelayFixture(const std::function<void(RelayHooks &)> &Adjust)
     : Wallets({"host", "domain", "", 1}, "p", {}, this->tokenHooks(),
               this->Stats, 1),
-      Dispatcher({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(),
+      Dispatcher({"host#1", "domain", {}, {}, {}, 1}, this->makeHooks(Adjust),
                  this->Wallets, this->Stats) {
   startLogging("test", "test", LogLevel::Error);
   this->Dispatcher.resends().setHosts(1);
@@ -117,7 +117,8 @@
   return Response;
 }
 
-RelayHooks RelayFixture::makeHooks() {
+RelayHooks
+RelayFixture::makeHooks(const std::function<void(RelayHooks &)> &Adjust) {
   RelayHooks Hooks;
   Hooks.Tasks = this->Simulated.hooks();
   Hooks.Memory = this->Memory;
@@ -176,6 +177,7 @@
     Head.Status = Status;
     return Head;
   };
+  Adjust(Hooks);
   return Hooks;
 }
 
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -53,7 +53,9 @@
 
 class RelayFixture {
 public:
-  RelayFixture();
+  /// \p Adjust changes the hooks of the relay.
+  explicit RelayFixture(const std::function<void(RelayHooks &)> &Adjust =
+                            [](RelayHooks &) {});
 
   /// Adds a target of the service "engines", or lists it again.
   void addTarget(const std::string &Id, const std::string &Version = "v1");
@@ -123,7 +125,7 @@
   RelayDispatcher Dispatcher;
 
 private:
-  RelayHooks makeHooks();
+  RelayHooks makeHooks(const std::function<void(RelayHooks &)> &Adjust);
   TokenHooks tokenHooks();
   TargetExchange makeExchange(const ScriptedResponse &Response,
                               std::size_t Index);
