Have another host serve the calls of a host that reaches no target

Cause: a host had no way to a target but its own links, and took the failures of a link for those of targets. Class: one path, without an alternative, between a caller that is bound to its host and a service that others reach. Leaving the rotation can't help, since the load balancer keeps to a caller's failure domain and takes hosts that aren't ready if all there are.

Change: once several targets fail or are silent and none of up to four others accepts a connection, calls are forwarded to another host over TCP, on the port of the messages between hosts. That host treats a call as one of its own callers: it reserves the tokens and chooses the target; it never forwards the call again, and refuses at once, not run, if it is cut off too, stops, is overloaded or has an older configuration. The call is forwarded before a byte of it was sent, or if it may be repeated and its target is silent. An order that may have run is not sent again. Failures of a cut link are not kept against targets, and count for no quarantine while the cut is known.

--- a/Libraries/LibLoan/TokenBroker.cpp
+++ b/Libraries/LibLoan/TokenBroker.cpp
@@ -30,6 +30,7 @@
       Returns(Policy.Returns) {}
 
 void TokenBroker::begin(const FleetFounding &Founding) {
+  this->Keys = Founding.Keys;
   for (unsigned Partition = 0; Partition < Founding.Partitions; ++Partition)
     this->Wallets.try_emplace(Partition, this->Process, this->Policy.Wallets,
                               this->Hooks.MakeLog(Partition), this->Tasks);
--- a/Libraries/LibLoan/TokenBroker.h
+++ b/Libraries/LibLoan/TokenBroker.h
@@ -89,6 +89,9 @@
   void begin(const FleetFounding &Founding);
   bool hasBegun() const { return this->Peers.has_value(); }
 
+  /// The keys that hosts share; null before begin().
+  const KeyRing *keys() const { return this->Keys ? &*this->Keys : nullptr; }
+
   /// Updates homes, retries returns and probes silent hosts until stop(). Runs
   /// in its own task.
   void run();
@@ -212,6 +215,7 @@
   /// When this host became home of a partition.
   std::map<unsigned, TimePoint> HomeSince;
   std::map<std::uint16_t, PeerNode::Handler> OtherHandlers;
+  std::optional<KeyRing> Keys;
   std::optional<PeerNode> Peers;
   std::map<std::uint64_t, PendingRequest> PendingRequests;
   /// By team and home.
--- a/Libraries/LibRelay/ReachMonitor.cpp
+++ b/Libraries/LibRelay/ReachMonitor.cpp
@@ -65,6 +65,7 @@
                       Probed, LostFor);
     if (!this->Reach.isLost(Service))
       return;
+    this->Hooks.OnLost(Service);
     this->Hooks.Tasks.sleepUntil(BeganAt + ProbeInterval);
   }
 }
@@ -119,7 +120,6 @@
               {"after_ms",
                std::chrono::duration_cast<std::chrono::milliseconds>(LostFor)
                    .count()}});
-  this->Hooks.OnChange(Service);
 }
 
 void ReachMonitor::exportMetrics(Metrics &Exported) const {
--- a/Libraries/LibRelay/ReachMonitor.h
+++ b/Libraries/LibRelay/ReachMonitor.h
@@ -21,8 +21,9 @@
   /// Connects to a target and closes the connection. Blocks the calling task,
   /// at most until the deadline. Empty if targets can't be probed.
   std::function<bool(const ListedTarget &Target, TimePoint Deadline)> Probe;
-  /// Called after each change.
-  std::function<void(const std::string &Service)> OnChange =
+  /// Called when no target of a service can be reached, and each time that this
+  /// is found again.
+  std::function<void(const std::string &Service)> OnLost =
       [](const std::string &) {};
 };
 
@@ -43,7 +44,23 @@
   /// per second.
   void update();
 
-  const TargetReach &reach() const { return this->Reach; }
+  /// \returns whether no target of a service can be reached.
+  bool isLost(const std::string &Service) const {
+    return this->Reach.isLost(Service);
+  }
+  /// \returns whether that is being found out.
+  bool isInDoubt(const std::string &Service) const {
+    return this->Probing.contains(Service);
+  }
+  /// \returns whether a target has not been heard for long while calls wait.
+  bool isSilent(const ListedTarget &Target) const {
+    return this->Reach.isSilent(Target.Service, Target.Id,
+                                this->Hooks.Tasks.Now());
+  }
+  /// See TargetReach.
+  bool mayUseOwnLinks(const std::string &Service, double Draw) const {
+    return this->Reach.mayUseOwnLinks(Service, Draw, this->Hooks.Tasks.Now());
+  }
 
   void exportMetrics(Metrics &Exported) const;
 
--- a/Libraries/LibRelay/RelayCall.h
+++ b/Libraries/LibRelay/RelayCall.h
@@ -37,6 +37,8 @@
   /// them.
   std::optional<std::string> ResumedAttempt;
   std::optional<std::string> ResumedAfter;
+  /// The host that forwarded the call to this one; empty for a caller's own.
+  std::string ForwardedBy;
   /// In prompt order.
   std::vector<PromptPart> Parts;
   std::int64_t PromptTokens = 0;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "LibNet/NetError.h"
 #include "LibObserve/StructuredLog.h"
+#include "LibRelay/CallForwarder.h"
 
 #include <new>
 #include <nlohmann/json.hpp>
@@ -14,8 +15,6 @@
 /// The maximum number of sends of one call, whatever its route allows: beyond
 /// that, a call costs other calls more than it can gain.
 constexpr unsigned MaxSends = 4;
-/// The largest response body that is buffered.
-constexpr std::size_t MaxBufferedBytes = 8 * 1024 * 1024;
 /// How much of a field's text is logged.
 constexpr std::size_t MaxLoggedBytes = 100;
 constexpr std::size_t MaxLoggedParts = 8;
@@ -23,8 +22,6 @@
 constexpr std::uint32_t EventsPastBeginning = 2;
 /// How much of stale responses is read before a connection is closed.
 constexpr std::size_t MaxStaleBytes = 1024 * 1024;
-/// The minimum time left for a send: no target answers in less.
-constexpr Duration MinTimeForSend = std::chrono::milliseconds(20);
 /// When to retry after a refusal because targets are full or none is known:
 /// targets free their slots within fractions of a second, and new ones are
 /// listed about once a second.
@@ -52,11 +49,6 @@
 /// Bounds the time that is deducted for a prompt, whose length callers state.
 constexpr std::int64_t MaxTimedPromptTokens = 1'000'000;
 
-bool isEventStream(const HttpResponseHead &Head) {
-  auto Type = Head.Headers.find("Content-Type");
-  return Head.Status == 200 && Type && Type->starts_with("text/event-stream");
-}
-
 } // namespace
 
 RelayCallHandler::RelayCallHandler(RelayDispatcher &Dispatcher,
@@ -90,6 +82,11 @@
     this->finishFailed(AttemptEnd::Quarantined);
   else if (this->isEvacuated())
     this->finishFailed(AttemptEnd::Evacuated);
+  else if (this->mustForward())
+    this->forward();
+  else if (!this->Call.ForwardedBy.empty() &&
+           this->Dispatcher.reach().isLost(this->Service))
+    this->finishFailed(AttemptEnd::OutOfReach);
   else if (this->mayResume() && this->reserveTokens())
     this->runAttempts();
 }
@@ -189,9 +186,12 @@
   if (!this->Versions.hasBegun())
     this->TargetPass.emplace(
         this->Dispatcher.targetGate().enter(this->Service, 0, this->now()));
-  if (this->TargetPass && this->TargetPass->isRefused())
+  if (this->TargetPass && this->TargetPass->isRefused()) {
+    if (this->mayForward() && this->Dispatcher.reach().isInDoubt(this->Service))
+      return this->forward();
     return this->refuseAtGate(RelayReason::TargetUnreachable,
                               NoTargetRetryAfter);
+  }
   if (this->awaitStart())
     this->tryTargets();
   this->Place.reset();
@@ -251,6 +251,8 @@
       return this->finishFailed(AttemptEnd::HostStops);
     if (this->isQuarantined())
       return this->finishFailed(AttemptEnd::Quarantined);
+    if (this->mustForward())
+      return this->forward();
     TargetState *Target = this->awaitTarget();
     if (!this->maySend())
       return this->finishFailed(AttemptEnd::HostStops);
@@ -280,13 +282,69 @@
       this->Dispatcher.quarantine().endProbe(this->Traits);
     if (End == AttemptEnd::Done)
       return this->finish(RelayEnd::Done, RelayReason::None);
-    if (!this->shouldRetry(End))
-      return this->finishFailed(End);
+    if (!this->shouldRetry(End)) {
+      bool IsInDoubt = End == AttemptEnd::NotSent && this->mayForward() &&
+                       this->Dispatcher.reach().isInDoubt(this->Service);
+      return IsInDoubt ? this->forward() : this->finishFailed(End);
+    }
     if (End != AttemptEnd::Withdrawn)
       this->Excluded.insert(Chosen.Id);
   }
 }
 
+bool RelayCallHandler::mayForward() const {
+  return this->Hooks.Forward && this->Call.ForwardedBy.empty() &&
+         !this->HasStreamStarted;
+}
+
+bool RelayCallHandler::mustForward() const {
+  // The same for a call each time.
+  constexpr std::uint64_t Steps = 1024;
+  double Draw = static_cast<double>(hash64(this->Call.Id) % Steps) / Steps;
+  return this->mayForward() &&
+         !this->Dispatcher.reach().mayUseOwnLinks(this->Service, Draw);
+}
+
+void RelayCallHandler::forward() {
+  // The host that serves the call reserves its tokens, and its place.
+  this->settle();
+  this->Hold.reset();
+  this->Place.reset();
+  this->TargetPass.reset();
+  CallForwarder Forwarder(this->Dispatcher, this->Call, this->Caller,
+                          this->Memory);
+  AttemptEnd End = AttemptEnd::OutOfMemory;
+  try {
+    End = Forwarder.run();
+  } catch (const std::bad_alloc &) {
+    // The connection to the other host has been closed.
+  }
+  this->HasStreamStarted = Forwarder.hasStreamStarted();
+  this->IsAnswered = Forwarder.isAnswered();
+  this->TargetsThatMayHaveRun += Forwarder.mayHaveRun() ? 1 : 0;
+  this->Outcome.Host = Forwarder.host();
+  this->Outcome.Status = Forwarder.status();
+  this->Dispatcher.stats().count(
+      End == AttemptEnd::OutOfReach
+          ? "relay_calls_forwarded_total{taken=\"no\"}"
+          : "relay_calls_forwarded_total{taken=\"yes\"}");
+  if (End == AttemptEnd::Done)
+    return this->finish(Forwarder.status() == 503 ? RelayEnd::NotRun
+                                                  : RelayEnd::Done,
+                        RelayReason::None);
+  if (!this->IsAnswered)
+    return this->finishFailed(End);
+  this->finish(RelayEnd::CallerLeft, RelayReason::CallerGone);
+}
+
+bool RelayCallHandler::isAbandoned(const ListedTarget &Target) const {
+  return this->IsAwaitingTarget && this->mayForward() &&
+         this->Dispatcher.reach().isLost(this->Service) &&
+         this->Dispatcher.reach().isSilent(Target) &&
+         this->isRepeatAllowed(this->TargetsThatMayHaveRun + 1) &&
+         this->Dispatcher.resends().hasResend(this->Service, this->now());
+}
+
 AttemptEnd RelayCallHandler::endWithoutTarget() {
   if (this->isEvacuated())
     return AttemptEnd::Evacuated;
@@ -489,11 +547,15 @@
   Targets.onStarted(Target.Id, this->Call.PromptTokens);
   this->IsPrefillPending = true;
   AttemptEnd End = AttemptEnd::OutOfMemory;
+  if (this->Caller.Changed)
+    this->Dispatcher.addTargetWait(*this->Caller.Changed);
   try {
     End = this->exchange(Target, Head);
   } catch (const std::bad_alloc &) {
     // The exchange has closed its connection.
   }
+  if (this->Caller.Changed)
+    this->Dispatcher.removeTargetWait(*this->Caller.Changed);
   if (this->IsPrefillPending)
     Targets.onPrefillDone(Target.Id, this->Call.PromptTokens);
   this->IsPrefillPending = false;
@@ -512,9 +574,13 @@
                   },
                   [this, &Target] {
                     return this->Dispatcher.targets().mayReceive(Target) &&
-                           this->maySendCold(Target);
+                           this->maySendCold(Target) && !this->mustForward();
                   }};
-  auto Opened = this->Hooks.Open(Target, this->Call, Head, this->Caller, Terms);
+  CallerHooks Waiting = this->Caller;
+  Waiting.MustAnswer = [this, &Target] {
+    return this->Caller.MustAnswer() || this->isAbandoned(Target);
+  };
+  auto Opened = this->Hooks.Open(Target, this->Call, Head, Waiting, Terms);
   if (!Opened && Opened.error() == NetError::UnexpectedPeer) {
     logEvent(LogLevel::Warning, "target_run_unknown",
              {{"request", this->Call.Id},
@@ -536,11 +602,15 @@
     return this->attemptEndOf(Opened.error());
   this->IsAwaitingTarget = true;
   this->Dispatcher.reach().onSent(Target);
-  return this->readResponse(Opened.value(), Target);
+  AttemptEnd End = this->readResponse(Opened.value(), Target);
+  bool IsCutOff = End == AttemptEnd::HostStops && this->isAbandoned(Target) &&
+                  !this->Caller.MustAnswer();
+  return IsCutOff ? AttemptEnd::Lost : End;
 }
 
 AttemptEnd RelayCallHandler::endOfUnsent(const ListedTarget &Target) {
-  if (this->isGivenUp() || !this->Dispatcher.targets().mayReceive(Target))
+  if (this->isGivenUp() || !this->Dispatcher.targets().mayReceive(Target) ||
+      this->mustForward())
     return AttemptEnd::Withdrawn;
   bool LacksPermit = this->isCold(Target) && !this->ColdPermit;
   if (LacksPermit || this->Dispatcher.targets().needsHealthCheck(Target)) {
@@ -560,16 +630,7 @@
 AttemptEnd RelayCallHandler::attemptEndOf(std::error_code Failure) const {
   if (this->Caller.HasLeft())
     return AttemptEnd::CallerLeft;
-  if (Failure == NetError::Cancelled)
-    return AttemptEnd::HostStops;
-  if (Failure == NetError::TimedOut)
-    return AttemptEnd::OutOfTime;
-  if (Failure == NetError::Malformed || Failure == NetError::HeadTooLarge ||
-      Failure == NetError::BodyTooLarge)
-    return AttemptEnd::Malformed;
-  if (Failure == NetError::OutOfMemory)
-    return AttemptEnd::OutOfMemory;
-  return AttemptEnd::Lost;
+  return detail::attemptEndOf(Failure);
 }
 
 std::optional<AttemptEnd>
@@ -822,15 +883,20 @@
     Targets.onFull(Id, this->now());
     break;
   case AttemptEnd::Lost:
+    Targets.onLost(Id, this->now());
+    // It says nothing of the target, nor of the request.
+    if (this->Dispatcher.reach().isLost(this->Service))
+      break;
     if (this->EventsFromTarget < EventsPastBeginning)
       this->recordLoss(Target);
-    Targets.onLost(Id, this->now());
     Targets.onFailure(Id, this->now());
     this->Dispatcher.reach().onFailed(Target);
     break;
   case AttemptEnd::NotSent:
     ++this->AttemptsNotSent;
     Targets.onLost(Id, this->now());
+    if (this->Dispatcher.reach().isLost(this->Service))
+      break;
     this->Dispatcher.reach().onFailed(Target);
     [[fallthrough]];
   case AttemptEnd::Malformed:
@@ -849,6 +915,7 @@
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
   case AttemptEnd::Cold:
+  case AttemptEnd::OutOfReach:
     break;
   }
 }
@@ -874,9 +941,9 @@
             {"counted", IsCounted}});
 }
 
-bool RelayCallHandler::isRepeatAllowed() const {
+bool RelayCallHandler::isRepeatAllowed(unsigned MayHaveRun) const {
   const RelayRoute &Route = *this->Call.Route;
-  if (this->TargetsThatMayHaveRun >= Route.MaxTargets)
+  if (MayHaveRun >= Route.MaxTargets)
     return false;
   if (Route.Kind == CallKind::Stream)
     return Route.IsResumable;
@@ -895,6 +962,7 @@
   case AttemptEnd::HostStops:
   case AttemptEnd::Evacuated:
   case AttemptEnd::Cold:
+  case AttemptEnd::OutOfReach:
     return false;
   case AttemptEnd::Withdrawn:
     // What ended the attempt also ends the next one before it begins, or
@@ -910,7 +978,7 @@
   case AttemptEnd::Lost:
   case AttemptEnd::Malformed:
   case AttemptEnd::OutOfMemory:
-    if (!this->isRepeatAllowed())
+    if (!this->isRepeatAllowed(this->TargetsThatMayHaveRun))
       return false;
     break;
   }
@@ -978,6 +1046,9 @@
     return this->refuse(503, RelayEnd::NotRun, RelayReason::TargetsCold,
                         this->coldRetryAfter());
   }
+  if (End == AttemptEnd::OutOfReach)
+    return this->refuse(503, RelayEnd::NotRun, RelayReason::OutOfReach,
+                        this->Dispatcher.rng().jitter(NoTargetRetryAfter));
   // Without a time to return: the caller had better start anew.
   if (End == AttemptEnd::VersionUnknown ||
       (End == AttemptEnd::RunUnknown && this->Versions.hasBegun()))
@@ -1005,6 +1076,7 @@
                               std::optional<Duration> RetryAfter) {
   this->finish(End, Reason);
   this->Outcome.Status = Status;
+  this->Caller.WillRefuse(Reason);
   if (!this->sendResponse(
           this->Hooks.MakeRefusal(Status, this->Call, RetryAfter),
           refusalBody(Reason, End)))
--- a/Libraries/LibRelay/RelayCallHandler.h
+++ b/Libraries/LibRelay/RelayCallHandler.h
@@ -4,51 +4,13 @@
 #ifndef BERGAMOTHOOK_LIBRELAY_RELAYCALLHANDLER_H
 #define BERGAMOTHOOK_LIBRELAY_RELAYCALLHANDLER_H
 
+#include "LibRelay/AttemptEnd.h"
 #include "LibRelay/EventSplitter.h"
 #include "LibRelay/RelayDispatcher.h"
 #include "LibRelay/StreamVersionRule.h"
 
 namespace bergamothook::detail {
 
-/// How one attempt at one target ended.
-enum class AttemptEnd {
-  /// The caller has the complete answer.
-  Done,
-  /// No byte was sent.
-  NotSent,
-  /// No byte was sent, since the call was given up while it was connected.
-  Withdrawn,
-  /// No byte was sent, since the target is not known to be the listed run.
-  RunUnknown,
-  /// The target did not execute the call.
-  NotRun,
-  /// The target executed the call and reported a failure of its own.
-  Failed,
-  /// The call may have been executed; no usable answer was received.
-  Lost,
-  /// The answer is malformed.
-  Malformed,
-  /// There is no memory for the answer.
-  OutOfMemory,
-  /// The deadline passed.
-  OutOfTime,
-  /// The request crashed targets before, so it is not sent.
-  Quarantined,
-  /// All targets that are left are at their rate limits.
-  RateLimited,
-  /// It can't be known at which software version the stream began.
-  VersionUnknown,
-  /// No target serves that version.
-  VersionNotServed,
-  CallerLeft,
-  /// The host stops before the end of the call.
-  HostStops,
-  /// All targets that are left are in evacuated failure domains.
-  Evacuated,
-  /// All targets that are left are cold, and there is no permit for them.
-  Cold,
-};
-
 class RelayCallHandler {
 public:
   RelayCallHandler(RelayDispatcher &Dispatcher, const RelayCall &Call,
@@ -71,6 +33,16 @@
   void chooseService();
   /// \returns whether the call may resume the stream that it names, if any.
   bool mayResume();
+  /// \returns whether another host may serve the call.
+  bool mayForward() const;
+  /// \returns whether another host is to serve it, since this one reaches no
+  /// target or has only begun to again.
+  bool mustForward() const;
+  /// Has another host serve the call, and answers it.
+  void forward();
+  /// \returns whether there is no use in waiting for an answer of \p Target: it
+  /// is silent, as this host reaches no target, and the call may be repeated.
+  bool isAbandoned(const ListedTarget &Target) const;
   TargetState *chooseTarget();
   /// Chooses among targets that match, and waits for those that don't yet.
   TargetState *awaitTarget();
@@ -125,7 +97,9 @@
   AttemptEnd attemptEndOf(std::error_code Failure) const;
   bool forwardEvents(const EventBatch &Batch);
   bool shouldRetry(AttemptEnd End);
-  bool isRepeatAllowed() const;
+  /// \returns whether the call may be sent again after \p MayHaveRun targets
+  /// may have executed it.
+  bool isRepeatAllowed(unsigned MayHaveRun) const;
   void finishFailed(AttemptEnd End);
   void recordAttempt(const ListedTarget &Target, AttemptEnd End);
   void recordLoss(const ListedTarget &Target);
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -52,7 +52,7 @@
               this->originHooks()),
       Queues({}, this->Hooks.Tasks, Stats),
       Reach(this->reachHooks(), this->Targets, Stats, this->Settings.Seed + 2),
-      Rng(this->Settings.Seed + 1) {}
+      Peers(this->Settings.Seed + 3), Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
   LimiterHooks Chosen;
@@ -105,6 +105,11 @@
   ReachHooks Chosen;
   Chosen.Tasks = this->Hooks.Tasks;
   Chosen.Probe = this->Hooks.Probe;
+  Chosen.OnLost = [this](const std::string &Service) {
+    this->Targets.forgetFailures(Service);
+    for (Event *Changed : this->TargetWaits)
+      Changed->notify();
+  };
   return Chosen;
 }
 
@@ -186,6 +191,7 @@
   RelayOutcome Outcome;
   Outcome.Status = Status;
   Outcome.Reason = Reason;
+  Caller.WillRefuse(Reason);
   auto Sent =
       Caller.SendResponse(this->Hooks.MakeRefusal(Status, Call, RetryAfter),
                           refusalBody(Reason, Outcome.End));
@@ -202,7 +208,8 @@
                              "\",status=\"" + std::to_string(Outcome.Status) +
                              "\"}";
   this->Stats.count("relay_calls_total" + Labels);
-  bool IsPlainSuccess = Outcome.End == RelayEnd::Done && Outcome.Sends == 1 &&
+  bool IsPlainSuccess = Outcome.End == RelayEnd::Done &&
+                        (Outcome.Sends == 1 || !Outcome.Host.empty()) &&
                         Outcome.Status < 400;
   if (IsPlainSuccess) {
     this->Stats.observe("relay_answer_seconds", Outcome.Total);
@@ -222,6 +229,8 @@
        {"status", Outcome.Status},
        {"reason", make_error_code(Outcome.Reason).message()},
        {"target", Outcome.Target},
+       {"forwarded_to", Outcome.Host},
+       {"forwarded_by", Call.ForwardedBy},
        {"sends", Outcome.Sends},
        {"events", Outcome.Events},
        {"tokens_charged", Outcome.TokensCharged},
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -11,6 +11,7 @@
 #include "LibRelay/CallAdmission.h"
 #include "LibRelay/FailureGate.h"
 #include "LibRelay/OriginExchange.h"
+#include "LibRelay/PeerChooser.h"
 #include "LibRelay/QuarantineExchange.h"
 #include "LibRelay/ReachMonitor.h"
 #include "LibRelay/RelayHooks.h"
@@ -88,6 +89,13 @@
   CallAdmission &admission() { return this->Queues; }
   /// Whether this host reaches the targets of a service.
   ReachMonitor &reach() { return this->Reach; }
+  const ReachMonitor &reach() const { return this->Reach; }
+  /// The hosts that serve calls for this one.
+  PeerChooser &peers() { return this->Peers; }
+  /// From the first of these calls to the second, the event of a call is
+  /// notified when this host is found to reach no target of a service.
+  void addTargetWait(Event &Changed) { this->TargetWaits.insert(&Changed); }
+  void removeTargetWait(Event &Changed) { this->TargetWaits.erase(&Changed); }
   TokenBroker &tokens() { return this->TokenSource; }
   Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
@@ -119,6 +127,8 @@
   FailureGate TargetGate;
   CallAdmission Queues;
   ReachMonitor Reach;
+  PeerChooser Peers;
+  std::set<Event *> TargetWaits;
   Random Rng;
 };
 
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -10,6 +10,7 @@
 #include "LibNet/MemoryBudget.h"
 #include "LibRelay/PeerExchange.h"
 #include "LibRelay/RelayCall.h"
+#include "LibRelay/RelayOutcome.h"
 #include "LibRelay/TargetDirectory.h"
 #include "LibTask/Runtime.h"
 
@@ -78,6 +79,8 @@
   bool isSendGivenUp(TimePoint Deadline, bool MayRepeat) const {
     return this->isGivenUp() || !this->MaySend(Deadline, MayRepeat);
   }
+  /// Told why a call is refused, before the refusal is sent.
+  std::function<void(RelayReason)> WillRefuse = [](RelayReason) {};
   /// Sends a complete response.
   std::function<Result<void>(const HttpResponseHead &, std::string_view Body)>
       SendResponse;
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -62,6 +62,11 @@
     return "the targets have just started and accept few requests yet";
   case RelayReason::CannotStart:
     return "the call can't start in time";
+  case RelayReason::OutOfReach:
+    return "this host reaches no target of the service, and no other host took "
+           "the call";
+  case RelayReason::NotOfFleet:
+    return "no host of the fleet has forwarded the request";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -59,6 +59,8 @@
   HostOverloaded,
   TargetsCold,
   CannotStart,
+  OutOfReach,
+  NotOfFleet,
 };
 
 std::error_code make_error_code(RelayReason Value);
@@ -73,6 +75,8 @@
   unsigned Status = 0;
   /// The last target to which the call was sent, or was to be sent.
   std::string Target;
+  /// The other host that took the call, if this one forwarded it.
+  std::string Host;
   /// How many times the call was sent to a target.
   unsigned Sends = 0;
   std::uint32_t Events = 0;
--- a/Libraries/LibRelay/ResendBudget.cpp
+++ b/Libraries/LibRelay/ResendBudget.cpp
@@ -20,7 +20,7 @@
   this->Hosts = std::max<std::size_t>(1, Count);
 }
 
-bool ResendBudget::tryResend(const std::string &Service, TimePoint Now) {
+bool ResendBudget::hasResend(const std::string &Service, TimePoint Now) {
   Counts &ServiceCounts = this->Services[Service];
   this->dropExpired(ServiceCounts.Requests, Now);
   this->dropExpired(ServiceCounts.Resends, Now);
@@ -28,11 +28,15 @@
       this->Policy.Ratio * static_cast<double>(ServiceCounts.Requests.size());
   if (this->Hosts > 0)
     Allowed += this->Policy.FleetSlack / static_cast<double>(this->Hosts);
-  if (static_cast<double>(ServiceCounts.Resends.size()) + 1 > Allowed) {
+  return static_cast<double>(ServiceCounts.Resends.size()) + 1 <= Allowed;
+}
+
+bool ResendBudget::tryResend(const std::string &Service, TimePoint Now) {
+  if (!this->hasResend(Service, Now)) {
     ++this->Refused;
     return false;
   }
-  ServiceCounts.Resends.push_back(Now);
+  this->Services[Service].Resends.push_back(Now);
   return true;
 }
 
--- a/Libraries/LibRelay/ResendBudget.h
+++ b/Libraries/LibRelay/ResendBudget.h
@@ -37,6 +37,9 @@
   /// none of it.
   void setHosts(std::size_t Count);
 
+  /// \returns whether one resend is left.
+  bool hasResend(const std::string &Service, TimePoint Now);
+
   /// Consumes one resend. \returns false if none is left.
   [[nodiscard]] bool tryResend(const std::string &Service, TimePoint Now);
 
--- a/Libraries/LibRelay/TargetDirectory.cpp
+++ b/Libraries/LibRelay/TargetDirectory.cpp
@@ -346,6 +346,14 @@
     State->LostAt = Now;
 }
 
+void TargetDirectory::forgetFailures(const std::string &Service) {
+  for (auto &[Id, State] : this->Targets)
+    if (State.Listed.Service == Service) {
+      State.ConsecutiveFailures = 0;
+      State.BackoffUntil = {};
+    }
+}
+
 void TargetDirectory::onFull(const std::string &Id, TimePoint Now) {
   if (TargetState *State = this->find(Id))
     State->FullUntil = Now + this->Policy.FullDuration;
--- a/Libraries/LibRelay/TargetDirectory.h
+++ b/Libraries/LibRelay/TargetDirectory.h
@@ -235,6 +235,8 @@
   void onSuccess(const std::string &Id);
   void onFailure(const std::string &Id, TimePoint Now);
   void onLost(const std::string &Id, TimePoint Now);
+  /// The failures of the targets of a service were those of this host's links.
+  void forgetFailures(const std::string &Service);
   void onFull(const std::string &Id, TimePoint Now);
   void onRateLimited(const std::string &Id, TimePoint Until);
 
--- a/Libraries/LibRelay/TargetReach.cpp
+++ b/Libraries/LibRelay/TargetReach.cpp
@@ -67,6 +67,16 @@
       }));
 }
 
+bool TargetReach::isSilent(const std::string &Service,
+                           const std::string &Target, TimePoint Now) const {
+  const Entry *Known = this->find(Service);
+  if (!Known)
+    return false;
+  auto Found = Known->Waiting.find(Target);
+  return Found != Known->Waiting.end() &&
+         Now - Found->second.QuietSince >= this->Policy.SilenceTime;
+}
+
 bool TargetReach::isSuspect(const std::string &Service, std::size_t Usable,
                             TimePoint Now) const {
   const Entry *Known = this->find(Service);
--- a/Libraries/LibRelay/TargetReach.h
+++ b/Libraries/LibRelay/TargetReach.h
@@ -82,6 +82,9 @@
   std::size_t lostServices() const;
   std::size_t failedTargets(const std::string &Service, TimePoint Now) const;
   std::size_t silentTargets(const std::string &Service, TimePoint Now) const;
+  /// \returns whether a target has not been heard for long while calls wait.
+  bool isSilent(const std::string &Service, const std::string &Target,
+                TimePoint Now) const;
   /// \returns for how long the targets of a service have been out of reach.
   Duration lostFor(const std::string &Service, TimePoint Now) const;
 
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -68,6 +68,7 @@
                          RelayDispatcher &Dispatcher, Decode Decoder)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
+      Roster(this->Settings.Clients),
       Listener(Loop, this->listenerSettings(),
                [this](const TcpConnection::Handle &Connection) {
                  this->handleConnection(Connection);
@@ -156,7 +157,8 @@
     if (!Client.OpenedAt)
       Client.Place.enter(ConnectionPhase::NextRequest, this->Tasks.Now());
     auto Message = Client.Reader.read(
-        {Limits.MaxHeadBytes, Limits.MaxBodyBytes},
+        {Limits.MaxHeadBytes + this->Settings.ExtraHeadBytes,
+         Limits.MaxBodyBytes},
         this->Tasks.Now() + Limits.HeadTimeout, [&Client, this] {
           (void)Client.Connection->write("HTTP/1.1 100 Continue\r\n\r\n",
                                          this->Tasks.Now() + WriteTimeout);
@@ -213,7 +215,8 @@
       this->Tasks.Now() + WriteTimeout);
 }
 
-CallerHooks RelayServer::makeCallerHooks(Session &Client) const {
+CallerHooks RelayServer::makeCallerHooks(Session &Client,
+                                         const DecodedCall &Decoded) const {
   CallerHooks Caller;
   Caller.Changed = &Client.Changed;
   Caller.HasLeft = [&Client] { return Client.Connection->hasEnded(); };
@@ -228,7 +231,11 @@
         Bytes, this->Tasks.Now() + WriteTimeout,
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
-  auto PrepareHead = [&Client, this](HttpResponseHead Head) {
+  auto Refusal = std::make_shared<RelayReason>(RelayReason::None);
+  Caller.WillRefuse = [Refusal](RelayReason Reason) { *Refusal = Reason; };
+  auto PrepareHead = [&Client, &Decoded, Refusal, this](HttpResponseHead Head) {
+    if (Decoded.Seal)
+      Decoded.Seal(Head, *Refusal);
     Client.MustClose = Client.MustClose || this->Plan.hasStarted() ||
                        this->Settings.Load.EndsConnection();
     Head.KeepAlive = !Client.MustClose;
@@ -288,7 +295,7 @@
       Decoded.RetryAfter = RetryAfter;
     }
   Client.Connection->setOwners({Decoded.Call.memoryOwner()});
-  CallerHooks Caller = this->makeCallerHooks(Client);
+  CallerHooks Caller = this->makeCallerHooks(Client, Decoded);
   RelayOutcome Outcome =
       Decoded.RefusalStatus != 0
           ? this->Dispatcher.refuse(Decoded.Call, Caller, Decoded.RefusalStatus,
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -19,6 +19,9 @@
   unsigned RefusalStatus = 0;
   RelayReason Reason = RelayReason::None;
   std::optional<Duration> RetryAfter;
+  /// Applied to the head of the answer, with the reason if the call is refused;
+  /// empty if the head is sent as it is.
+  std::function<void(HttpResponseHead &Head, RelayReason Refusal)> Seal = {};
 };
 
 /// Decisions of a host about its own load.
@@ -40,6 +43,10 @@
   /// Caller connections and calls in progress beyond which a call is refused;
   /// 0 if not limited.
   std::size_t MaxConnectionsAndCalls = 0;
+  /// Bytes of a head beyond what callers may send.
+  std::uint32_t ExtraHeadBytes = 0;
+  /// Who connects, for the log.
+  std::string Clients = "callers";
 };
 
 /// Reads requests, passes calls to the dispatcher and writes the responses.
@@ -78,7 +85,8 @@
   bool serveRequest(Session &Client, HttpRequestMessage Message);
   bool waitForRequest(Session &Client);
   void refuseMessage(Session &Client, std::error_code Failure);
-  CallerHooks makeCallerHooks(Session &Client) const;
+  CallerHooks makeCallerHooks(Session &Client,
+                              const DecodedCall &Decoded) const;
   CallerLimits limits() const;
   TcpListenerSettings listenerSettings();
   std::optional<Duration> refuse(const RelayCall &Call);
@@ -93,7 +101,7 @@
   RelayServerSettings Settings;
   RelayDispatcher &Dispatcher;
   Decode Decoder;
-  ConnectionRoster Roster{"callers"};
+  ConnectionRoster Roster;
   TcpListener Listener;
   std::set<Event *> Sessions;
   std::size_t InProgress = 0;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -40,6 +40,9 @@
 /// and of the fleet do not start at the same time.
 constexpr double HostResendShare = 0.85;
 constexpr int CallerAcceptBacklog = 1024;
+/// The calls of other hosts in progress are at most the caller connections
+/// divided by this: their callers are served by this host beside its own.
+constexpr std::size_t ForwardedCallDivisor = 8;
 /// How much of an unreadable entry is logged.
 constexpr std::size_t MaxLoggedBytes = 200;
 
@@ -95,6 +98,9 @@
                  }),
       Dialer(Loop, makeDialerLimits(this->Memory),
              {platform::makeRunQuery, platform::readRunAnswer}),
+      Seal({this->TokenSource.roster().self().id(), Seed},
+           [this] { return this->TokenSource.keys(); }),
+      Peers(this->Dialer, this->Seal, this->Tasks),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
       Evacuations(this->Dispatcher.targets()),
@@ -102,8 +108,10 @@
           Loop, this->capacity(), {},
           [this](HostUsage &Usage) {
             // Each call in progress holds a connection to a target.
-            Usage.Descriptors = this->Server.connections() +
-                                this->Server.inProgress() + this->Dialer.idle();
+            Usage.Descriptors =
+                this->Server.connections() + this->Server.inProgress() +
+                this->PeerServer.connections() + this->PeerServer.inProgress() +
+                this->Dialer.idle();
             Usage.MessageBytes = this->Memory->usedBytes();
             Usage.CallerConnections = this->Server.connections();
           },
@@ -113,6 +121,11 @@
                return platform::decodeCall(this->Dispatcher.config(),
                                            std::move(Message), Now);
              }),
+      ForwardedCalls(this->Seal, this->forwardedCallHooks()),
+      PeerServer(Loop, this->peerServerSettings(), this->Dispatcher,
+                 [this](HttpRequestMessage Message, TimePoint Now) {
+                   return this->ForwardedCalls.read(std::move(Message), Now);
+                 }),
       ReadyServer(
           Loop, this->Settings.ReadyAddress, this->Memory,
           [this](const std::string &Path) { return this->answerReady(Path); }),
@@ -173,6 +186,12 @@
   logEvent(LogLevel::Info, "fleet_joined",
            {{"partitions", Founding->Partitions}});
   this->TokenSource.begin(*Founding);
+  // Not before: without the keys, no call of another host can be told from
+  // others.
+  if (auto Started = this->PeerServer.start(); !Started)
+    logEvent(LogLevel::Error, "peer_port_not_bound",
+             {{"address", this->Settings.PeerAddress},
+              {"reason", Started.error().message()}});
 }
 
 RelayServerSettings RelayService::serverSettings() {
@@ -190,6 +209,57 @@
   return Chosen;
 }
 
+std::size_t RelayService::maxForwardedCalls() const {
+  ConnectionLimits Limits = deriveConnectionLimits(this->Settings.MemoryBytes,
+                                                   this->Settings.Descriptors);
+  return std::max<std::size_t>(1,
+                               Limits.CallerConnections / ForwardedCallDivisor);
+}
+
+RelayServerSettings RelayService::peerServerSettings() const {
+  RelayServerSettings Chosen;
+  // Each call has a connection of its own; those beyond the limit of calls are
+  // refused on it.
+  Chosen.Listen = {this->Settings.PeerAddress,
+                   CallerAcceptBacklog,
+                   2 * this->maxForwardedCalls(),
+                   {}};
+  Chosen.Listen.Limits.SendBufferBytes = CallerSendBufferBytes;
+  Chosen.Listen.Limits.Memory = this->Memory;
+  Chosen.ExtraHeadBytes = ForwardSeal::MaxFieldBytes;
+  Chosen.Clients = "hosts";
+  return Chosen;
+}
+
+ForwardedCallHooks RelayService::forwardedCallHooks() {
+  ForwardedCallHooks Hooks;
+  Hooks.Decode = [this](HttpRequestMessage Message, TimePoint Now) {
+    return platform::decodeCall(this->Dispatcher.config(), std::move(Message),
+                                Now);
+  };
+  Hooks.Refuse = [this] { return this->refuseForwarded(); };
+  Hooks.ConfigVersion = [this] {
+    return this->Dispatcher.config() ? this->Dispatcher.config()->Version : 0;
+  };
+  Hooks.NameOf = [this](HostId Host) {
+    const RosterHost *Known = this->TokenSource.roster().find(Host);
+    return Known ? Known->Name : "unlisted";
+  };
+  return Hooks;
+}
+
+RelayReason RelayService::refuseForwarded() const {
+  if (this->IsStopping)
+    return RelayReason::Stopping;
+  if (!this->isReady())
+    return this->Load.control().isOverloaded() ? RelayReason::HostOverloaded
+                                               : RelayReason::NoConfig;
+  // The calls of this host's own callers go first.
+  return this->PeerServer.inProgress() > this->maxForwardedCalls()
+             ? RelayReason::HostOverloaded
+             : RelayReason::None;
+}
+
 ServerLoadHooks RelayService::loadHooks() {
   ServerLoadHooks Hooks;
   Hooks.EndsConnection = [this] {
@@ -241,6 +311,10 @@
   Hooks.Probe = [this](const ListedTarget &Target, TimePoint Deadline) {
     return this->Dialer.probe(Target, Deadline);
   };
+  Hooks.Forward = [this](const RosterHost &Peer, const RelayCall &Call,
+                         const CallerHooks &Caller, TimePoint Deadline) {
+    return this->Peers.forward(Peer, Call, Caller, Deadline);
+  };
   Hooks.MakeRefusal = platform::makeRefusal;
   return Hooks;
 }
@@ -478,6 +552,13 @@
                      static_cast<double>(this->MetricsServer.evictions()));
   this->Measured.set("relay_refusals_descriptors",
                      static_cast<double>(this->Server.descriptorRefusals()));
+  this->Measured.set("relay_forwarded_calls_taken",
+                     static_cast<double>(this->PeerServer.inProgress()));
+  this->Measured.set("relay_calls_at_other_hosts",
+                     static_cast<double>(this->Dispatcher.peers().calls()));
+  this->Measured.set(
+      "relay_forwarded_requests_unsigned",
+      static_cast<double>(this->ForwardedCalls.unsignedRequests()));
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
   this->Measured.set("relay_target_run_queries",
@@ -545,8 +626,18 @@
   this->TokenSource.beginStop();
   this->Dispatcher.limiter().beginStop();
   this->Tasks.Spawn([this] { this->Registry.leave(); });
+  bool HasPeerServerStopped = false;
+  Event PeerServerStopped;
+  this->Tasks.Spawn([&] {
+    this->PeerServer.stop(this->Settings.StopTime);
+    HasPeerServerStopped = true;
+    PeerServerStopped.notify();
+  });
   this->Server.stop(this->Settings.StopTime);
-  std::size_t CutOffCalls = this->Server.inProgress();
+  this->Tasks.waitUntil(PeerServerStopped, KillDeadline,
+                        [&] { return HasPeerServerStopped; });
+  std::size_t CutOffCalls =
+      this->Server.inProgress() + this->PeerServer.inProgress();
   this->TokenSource.stop(KillDeadline - LoanStopTime,
                          KillDeadline - WalletStopTime);
   logEvent(LogLevel::Info, "stopped",
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -6,7 +6,9 @@
 
 #include "LibNet/DatagramSocket.h"
 #include "LibRelay/EvacuationMonitor.h"
+#include "LibRelayFront/ForwardedCallReader.h"
 #include "LibRelayFront/HostMonitor.h"
+#include "LibRelayFront/PeerDialer.h"
 #include "LibRelayFront/RelayServer.h"
 #include "LibRelayFront/StatusServer.h"
 #include "LibRelayFront/TargetDialer.h"
@@ -38,6 +40,11 @@
   void joinFleet();
   RelaySettings relaySettings(std::uint64_t Seed) const;
   RelayServerSettings serverSettings();
+  RelayServerSettings peerServerSettings() const;
+  std::size_t maxForwardedCalls() const;
+  ForwardedCallHooks forwardedCallHooks();
+  /// \returns why this host takes no calls of other hosts now.
+  RelayReason refuseForwarded() const;
   ServerLoadHooks loadHooks();
   HostCapacity capacity() const;
   platform::FeedHooks configFeedHooks();
@@ -70,10 +77,14 @@
   TokenBroker TokenSource;
   DatagramSocket PeerSocket;
   TargetDialer Dialer;
+  ForwardSeal Seal;
+  PeerDialer Peers;
   RelayDispatcher Dispatcher;
   EvacuationMonitor Evacuations;
   HostMonitor Load;
   RelayServer Server;
+  ForwardedCallReader ForwardedCalls;
+  RelayServer PeerServer;
   StatusServer ReadyServer;
   StatusServer MetricsServer;
   platform::StoreFeed ConfigFeed;
