Ask hosts last that were cut off, and leave no call waiting at a cut host

A call that waited for a place at a service went on waiting when the links died, and the gate refused for up to 2 s after a short cut.

Change: a host that said that it reaches no target is asked only if no other is left, for 10 s. Calls that wait for a place are forwarded too. The gate forgets the failures of a cut link. A host without a place counts as busy, and another one is asked.

--- a/Libraries/LibRelay/CallForwarder.cpp
+++ b/Libraries/LibRelay/CallForwarder.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A host that is asked costs a round trip.
-constexpr unsigned MaxHostsAsked = 3;
+constexpr unsigned MaxHostsAsked = 4;
 
 } // namespace
 
--- a/Libraries/LibRelay/FailureGate.h
+++ b/Libraries/LibRelay/FailureGate.h
@@ -66,6 +66,9 @@
   /// not count against it.
   Pass enter(const std::string &Key, std::int64_t Amount, TimePoint Now);
 
+  /// Forgets the failures for \p Key.
+  void forget(const std::string &Key) { this->Entries.erase(Key); }
+
 private:
   struct Entry {
     unsigned Failures = 0;
--- a/Libraries/LibRelay/PeerChooser.cpp
+++ b/Libraries/LibRelay/PeerChooser.cpp
@@ -10,9 +10,9 @@
   return Found == this->Hosts.end() || Found->second.AskAfter <= Now;
 }
 
-bool PeerChooser::isOutOfReach(HostId Host, TimePoint Now) const {
+bool PeerChooser::isLastResort(HostId Host, TimePoint Now) const {
   auto Found = this->Hosts.find(Host);
-  return Found != this->Hosts.end() && Found->second.OutOfReachUntil > Now;
+  return Found != this->Hosts.end() && Found->second.LastResortUntil > Now;
 }
 
 std::size_t PeerChooser::callsAt(HostId Host) const {
@@ -25,19 +25,24 @@
                                           TimePoint Now) {
   std::vector<HostId> Near;
   std::vector<HostId> All;
+  std::vector<HostId> LastResort;
   bool IsDomainHit = false;
   for (HostId Host : Roster.otherResponsiveHosts()) {
     bool IsNear =
         Roster.find(Host)->FailureDomain == Roster.self().FailureDomain;
-    IsDomainHit |= IsNear && this->isOutOfReach(Host, Now);
+    IsDomainHit |= IsNear && this->isLastResort(Host, Now);
     if (Asked.contains(Host) || !this->mayAsk(Host, Now))
       continue;
+    if (this->isLastResort(Host, Now)) {
+      LastResort.push_back(Host);
+      continue;
+    }
     All.push_back(Host);
     if (IsNear)
       Near.push_back(Host);
   }
-  const std::vector<HostId> &Candidates =
-      Near.empty() || IsDomainHit ? All : Near;
+  const std::vector<HostId> &Others = Near.empty() || IsDomainHit ? All : Near;
+  const std::vector<HostId> &Candidates = Others.empty() ? LastResort : Others;
   if (Candidates.empty())
     return std::nullopt;
   // The less busy one of two that are drawn at random.
@@ -56,11 +61,11 @@
   Entry &Known = this->Hosts[Host];
   switch (Verdict) {
   case PeerVerdict::Took:
-    Known.OutOfReachUntil = {};
+    Known.LastResortUntil = {};
     break;
   case PeerVerdict::OutOfReach:
-    Known.OutOfReachUntil = Now + this->Policy.OutOfReachMemory;
-    Known.AskAfter = Known.OutOfReachUntil;
+    Known.AskAfter = Now + this->Policy.OutOfReachMemory;
+    Known.LastResortUntil = Now + this->Policy.LastResortMemory;
     break;
   case PeerVerdict::Busy:
     Known.AskAfter = Now + this->Policy.BusyMemory;
--- a/Libraries/LibRelay/PeerChooser.h
+++ b/Libraries/LibRelay/PeerChooser.h
@@ -20,6 +20,9 @@
 struct PeerPolicy {
   /// How long a host is not asked that reaches no target itself.
   Duration OutOfReachMemory = std::chrono::milliseconds(1000);
+  /// How long the others are asked before such a host, so that calls do not
+  /// find out for themselves each time.
+  Duration LastResortMemory = std::chrono::seconds(10);
   /// How long one is not asked that took no call.
   Duration BusyMemory = std::chrono::milliseconds(300);
   /// How long one is not asked that could not be connected to, or was lost.
@@ -52,11 +55,11 @@
   struct Entry {
     std::size_t Calls = 0;
     TimePoint AskAfter{};
-    TimePoint OutOfReachUntil{};
+    TimePoint LastResortUntil{};
   };
 
   bool mayAsk(HostId Host, TimePoint Now) const;
-  bool isOutOfReach(HostId Host, TimePoint Now) const;
+  bool isLastResort(HostId Host, TimePoint Now) const;
   std::size_t callsAt(HostId Host) const;
 
   PeerPolicy Policy;
--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -210,7 +210,8 @@
   auto Refusal = this->Place->await(
       admissionRequestOf(this->Call, QueuedAt, this->Deadline),
       this->Caller.Changed, [this, &Targets] {
-        return this->isGivenUp() || Targets.isEvacuated(this->Service);
+        return this->isGivenUp() || Targets.isEvacuated(this->Service) ||
+               this->mustForward();
       });
   this->Outcome.QueueWait = this->now() - QueuedAt;
   if (!Refusal)
@@ -221,6 +222,8 @@
     this->finishFailed(AttemptEnd::HostStops);
   else if (Targets.isEvacuated(this->Service))
     this->finishFailed(AttemptEnd::Evacuated);
+  else if (this->mustForward())
+    this->forward();
   else
     // Callers that were refused in the same moment do not return in the same
     // one.
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -107,6 +107,7 @@
   Chosen.Probe = this->Hooks.Probe;
   Chosen.OnLost = [this](const std::string &Service) {
     this->Targets.forgetFailures(Service);
+    this->TargetGate.forget(Service);
     for (Event *Changed : this->TargetWaits)
       Changed->notify();
   };
--- a/Libraries/LibRelayFront/ForwardedCallReader.cpp
+++ b/Libraries/LibRelayFront/ForwardedCallReader.cpp
@@ -19,6 +19,7 @@
   case RelayReason::Stopping:
   case RelayReason::HostOverloaded:
   case RelayReason::OutOfMemory:
+  case RelayReason::CannotStart:
     return PeerVerdict::Busy;
   default:
     return PeerVerdict::Took;
--- a/Tests/LibRelayFront/ForwardedCallTest.cpp
+++ b/Tests/LibRelayFront/ForwardedCallTest.cpp
@@ -235,6 +235,9 @@
   PeerVerdict Expected = PeerVerdict::Busy;
   SUBCASE("it stops") { Host.Refusal = RelayReason::Stopping; }
   SUBCASE("its configuration is older") { Host.ConfigVersion = 0; }
+  SUBCASE("it has no place for more calls") {
+    Host.Refusal = RelayReason::CannotStart;
+  }
   SUBCASE("it reaches no target") {
     Host.Refusal = RelayReason::OutOfReach;
     Expected = PeerVerdict::OutOfReach;
