--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -50,7 +50,9 @@
                }),
       Origins(this->Settings.Origins, this->Versions, Tokens.roster(),
               this->originHooks()),
-      Queues({}, this->Hooks.Tasks, Stats), Rng(this->Settings.Seed + 1) {}
+      Queues({}, this->Hooks.Tasks, Stats),
+      Reach(this->reachHooks(), this->Targets, Stats, this->Settings.Seed + 2),
+      Peers(this->Settings.Seed + 3), Rng(this->Settings.Seed + 1) {}
 
 LimiterHooks RelayDispatcher::limiterHooks() {
   LimiterHooks Chosen;
@@ -99,6 +101,19 @@
   return Chosen;
 }
 
+ReachHooks RelayDispatcher::reachHooks() {
+  ReachHooks Chosen;
+  Chosen.Tasks = this->Hooks.Tasks;
+  Chosen.Probe = this->Hooks.Probe;
+  Chosen.OnLost = [this](const std::string &Service) {
+    this->Targets.forgetFailures(Service);
+    this->TargetGate.forget(Service);
+    for (Event *Changed : this->TargetWaits)
+      Changed->notify();
+  };
+  return Chosen;
+}
+
 std::size_t RelayDispatcher::rankForVersions(const std::string &Service) const {
   const HostRoster &Roster = this->TokenSource.roster();
   // Until the other hosts are known, they are waited for.
@@ -177,6 +192,7 @@
   RelayOutcome Outcome;
   Outcome.Status = Status;
   Outcome.Reason = Reason;
+  Caller.WillRefuse(Reason);
   auto Sent =
       Caller.SendResponse(this->Hooks.MakeRefusal(Status, Call, RetryAfter),
                           refusalBody(Reason, Outcome.End));
@@ -193,7 +209,8 @@
                              "\",status=\"" + std::to_string(Outcome.Status) +
                              "\"}";
   this->Stats.count("relay_calls_total" + Labels);
-  bool IsPlainSuccess = Outcome.End == RelayEnd::Done && Outcome.Sends == 1 &&
+  bool IsPlainSuccess = Outcome.End == RelayEnd::Done &&
+                        (Outcome.Sends == 1 || !Outcome.Host.empty()) &&
                         Outcome.Status < 400;
   if (IsPlainSuccess) {
     this->Stats.observe("relay_answer_seconds", Outcome.Total);
@@ -213,6 +230,8 @@
        {"status", Outcome.Status},
        {"reason", make_error_code(Outcome.Reason).message()},
        {"target", Outcome.Target},
+       {"forwarded_to", Outcome.Host},
+       {"forwarded_by", Call.ForwardedBy},
        {"sends", Outcome.Sends},
        {"events", Outcome.Events},
        {"tokens_charged", Outcome.TokensCharged},
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -11,7 +11,9 @@
 #include "LibRelay/CallAdmission.h"
 #include "LibRelay/FailureGate.h"
 #include "LibRelay/OriginExchange.h"
+#include "LibRelay/PeerChooser.h"
 #include "LibRelay/QuarantineExchange.h"
+#include "LibRelay/ReachMonitor.h"
 #include "LibRelay/RelayHooks.h"
 #include "LibRelay/RelayOutcome.h"
 #include "LibRelay/ResendBudget.h"
@@ -85,6 +87,15 @@
   FailureGate &targetGate() { return this->TargetGate; }
   /// Calls that wait for a target or are in progress, by service.
   CallAdmission &admission() { return this->Queues; }
+  /// Whether this host reaches the targets of a service.
+  ReachMonitor &reach() { return this->Reach; }
+  const ReachMonitor &reach() const { return this->Reach; }
+  /// The hosts that serve calls for this one.
+  PeerChooser &peers() { return this->Peers; }
+  /// From the first of these calls to the second, the event of a call is
+  /// notified when this host is found to reach no target of a service.
+  void addTargetWait(Event &Changed) { this->TargetWaits.insert(&Changed); }
+  void removeTargetWait(Event &Changed) { this->TargetWaits.erase(&Changed); }
   TokenBroker &tokens() { return this->TokenSource; }
   Metrics &stats() { return this->Stats; }
   const RelayHooks &hooks() const { return this->Hooks; }
@@ -94,6 +105,7 @@
   LimiterHooks limiterHooks();
   QuarantineExchangeHooks quarantineHooks();
   OriginHooks originHooks();
+  ReachHooks reachHooks();
   std::size_t rankForVersions(const std::string &Service) const;
   bool hasProbeTurn(const Hash128 &Trait, std::uint64_t Turn) const;
   void record(const RelayCall &Call, const RelayOutcome &Outcome);
@@ -114,6 +126,9 @@
   FailureGate TokenGate;
   FailureGate TargetGate;
   CallAdmission Queues;
+  ReachMonitor Reach;
+  PeerChooser Peers;
+  std::set<Event *> TargetWaits;
   Random Rng;
 };
 
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -91,7 +91,7 @@
                          RelayDispatcher &Dispatcher, Decode Decoder)
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
-      Roster("callers",
+      Roster(this->Settings.Clients,
              [this] {
                return this->formatRefusal(503, TooManyConnections,
                                           RelayEnd::NotRun);
@@ -227,7 +227,8 @@
     if (!Client.OpenedAt)
       Client.Place.enter(ConnectionPhase::NextRequest, this->Tasks.Now());
     auto Message = Client.Reader.read(
-        {Limits.MaxHeadBytes, Limits.MaxBodyBytes},
+        {Limits.MaxHeadBytes + this->Settings.ExtraHeadBytes,
+         Limits.MaxBodyBytes},
         this->Tasks.Now() + Limits.HeadTimeout,
         [&Client, this] {
           (void)Client.Connection->write("HTTP/1.1 100 Continue\r\n\r\n",
@@ -319,7 +320,8 @@
       this->Tasks.Now() + this->Settings.WriteTimeout);
 }
 
-CallerHooks RelayServer::makeCallerHooks(Session &Client) const {
+CallerHooks RelayServer::makeCallerHooks(Session &Client,
+                                         const DecodedCall &Decoded) const {
   CallerHooks Caller;
   Caller.Changed = &Client.Changed;
   Caller.HasLeft = [&Client] { return Client.Connection->hasEnded(); };
@@ -334,7 +336,11 @@
         Bytes, this->Settings.WriteTimeout,
         [this] { return this->Plan.mustAnswer(this->Tasks.Now()); });
   };
-  auto PrepareHead = [&Client, this](HttpResponseHead Head) {
+  auto Refusal = std::make_shared<RelayReason>(RelayReason::None);
+  Caller.WillRefuse = [Refusal](RelayReason Reason) { *Refusal = Reason; };
+  auto PrepareHead = [&Client, &Decoded, Refusal, this](HttpResponseHead Head) {
+    if (Decoded.Seal)
+      Decoded.Seal(Head, *Refusal);
     // The response to the last request that has arrived announces the end.
     if (!Client.MustClose && !Client.Connection->readArrived())
       Client.MustClose =
@@ -414,7 +420,7 @@
       Decoded.RetryAfter = RetryAfter;
     }
   Client.Connection->setOwners({Decoded.Call.memoryOwner()});
-  CallerHooks Caller = this->makeCallerHooks(Client);
+  CallerHooks Caller = this->makeCallerHooks(Client, Decoded);
   RelayOutcome Outcome =
       Decoded.RefusalStatus != 0
           ? this->Dispatcher.refuse(Decoded.Call, Caller, Decoded.RefusalStatus,
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -20,6 +20,9 @@
   unsigned RefusalStatus = 0;
   RelayReason Reason = RelayReason::None;
   std::optional<Duration> RetryAfter;
+  /// Applied to the head of the answer, with the reason if the call is refused;
+  /// empty if the head is sent as it is.
+  std::function<void(HttpResponseHead &Head, RelayReason Refusal)> Seal = {};
 };
 
 /// Decisions of a host about its own load.
@@ -46,6 +49,10 @@
   /// Caller connections and calls in progress beyond which a call is refused;
   /// 0 if not limited.
   std::size_t MaxConnectionsAndCalls = 0;
+  /// Bytes of a head beyond what callers may send.
+  std::uint32_t ExtraHeadBytes = 0;
+  /// Who connects, for the log.
+  std::string Clients = "callers";
 };
 
 /// Reads requests, passes calls to the dispatcher and writes the responses.
@@ -92,7 +99,8 @@
   /// Counts and logs the end of a connection on which a request, or a part of
   /// one, was not answered.
   void recordEnd(const Session &Client);
-  CallerHooks makeCallerHooks(Session &Client) const;
+  CallerHooks makeCallerHooks(Session &Client,
+                              const DecodedCall &Decoded) const;
   CallerLimits limits() const;
   TcpListenerSettings listenerSettings();
   std::optional<Duration> refuse(const RelayCall &Call);
