Do not end the process if memory runs out as a connection ends

Found in review: the refusal on eviction, the answer to a failed request and the record of a connection's end were formatted outside of any handler. Without memory there, the exception ended the process and with it all callers.

An eviction without memory closes the connection without a refusal; a failed request is reset; an end is not counted. By reading: no test makes these allocations fail.

--- a/Libraries/LibRelayFront/ConnectionRoster.cpp
+++ b/Libraries/LibRelayFront/ConnectionRoster.cpp
@@ -75,10 +75,12 @@
     if (isBusy(*At->second, Now))
       continue;
     TcpConnection::Handle Connection = At->second->Connection;
-    bool IsRefused = this->Refusal && hasBegun(*At->second);
+    std::string LastBytes;
+    if (this->Refusal && hasBegun(*At->second))
+      LastBytes = this->Refusal();
     this->ByRank.erase(At);
     ++this->Evictions;
-    Connection->evict(IsRefused ? this->Refusal() : "");
+    Connection->evict(LastBytes);
     this->log(Phase, Now);
     return true;
   }
--- a/Libraries/LibRelayFront/RelayServer.cpp
+++ b/Libraries/LibRelayFront/RelayServer.cpp
@@ -92,10 +92,7 @@
     : Loop(Loop), Tasks(Loop.hooks()), Settings(std::move(Settings)),
       Dispatcher(Dispatcher), Decoder(std::move(Decoder)),
       Roster(this->Settings.Clients,
-             [this] {
-               return this->formatRefusal(503, TooManyConnections,
-                                          RelayEnd::NotRun);
-             }),
+             [this] { return this->formatEvictionRefusal(); }),
       Listener(Loop, this->listenerSettings(),
                [this](const TcpConnection::Handle &Connection) {
                  this->handleConnection(Connection);
@@ -156,8 +153,12 @@
   }
   // Not inside of the handler above: tasks that wait while they handle an
   // exception would mix it up with those of other tasks.
-  if (Client.End.Cause == ConnectionEndCause::TaskFailure)
-    this->answerFailure(Client);
+  try {
+    if (Client.End.Cause == ConnectionEndCause::TaskFailure)
+      this->answerFailure(Client);
+  } catch (const std::bad_alloc &) {
+    Client.MustAbort = true;
+  }
   this->Sessions.erase(&Client.Changed);
   Client.Place.enter(ConnectionPhase::Closing, this->Tasks.Now());
   this->Listener.resume();
@@ -171,7 +172,11 @@
     Client.End.UnansweredBytes = Connection->finishUnread(CloseDeadline);
   else
     Client.End.UnansweredBytes = Connection->finish(CloseDeadline);
-  this->recordEnd(Client);
+  try {
+    this->recordEnd(Client);
+  } catch (const std::bad_alloc &) {
+    // One line that is missing must not end the process.
+  }
 }
 
 void RelayServer::answerFailure(Session &Client) {
@@ -294,6 +299,15 @@
   }
 }
 
+std::string RelayServer::formatEvictionRefusal() const {
+  try {
+    return this->formatRefusal(503, TooManyConnections, RelayEnd::NotRun);
+  } catch (const std::bad_alloc &) {
+    // Without a refusal, the connection is closed all the same.
+    return "";
+  }
+}
+
 std::string RelayServer::formatRefusal(unsigned Status,
                                        const std::string &Reason,
                                        RelayEnd Outcome) const {
--- a/Libraries/LibRelayFront/RelayServer.h
+++ b/Libraries/LibRelayFront/RelayServer.h
@@ -94,6 +94,7 @@
   /// Formats the response to a request that was not decoded.
   std::string formatRefusal(unsigned Status, const std::string &Reason,
                             RelayEnd Outcome) const;
+  std::string formatEvictionRefusal() const;
   /// Answers a request whose handling failed, if no response has begun.
   void answerFailure(Session &Client);
   /// Counts and logs the end of a connection on which a request, or a part of
