Forward the time that is left as a duration

Found by reading: a call whose deadline had just passed was forwarded with a negative number of milliseconds, which says that it has no end.

The time is a duration in all signatures, unset if there is no end, and zero if the deadline has passed.

--- a/Libraries/LibRelay/ForwardSeal.cpp
+++ b/Libraries/LibRelay/ForwardSeal.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view RequestField = "Relay-Forwarded";
 constexpr std::string_view AnswerField = "Relay-Answered";
+/// Milliseconds that state that a call has no end.
+constexpr std::int64_t NoEnd = -1;
 /// The version of both fields.
 constexpr int FormatVersion = 1;
 
@@ -43,7 +45,8 @@
   std::ostringstream Out;
   Out << FormatVersion << ' ' << Terms.From.Host.Value << ' ' << Terms.From.Run
       << ' ' << Terms.To.Host.Value << ' ' << Terms.To.Run << ' '
-      << Terms.Sequence << ' ' << Terms.MillisecondsLeft << ' '
+      << Terms.Sequence << ' '
+      << (Terms.TimeLeft ? Terms.TimeLeft->count() : NoEnd) << ' '
       << Terms.ConfigVersion << ' ' << KeyId;
   return std::move(Out).str();
 }
@@ -98,13 +101,14 @@
 
 std::optional<std::string>
 ForwardSeal::sealRequest(HttpRequestHead &Head, std::string_view Body,
-                         Incarnation To, std::int64_t MillisecondsLeft,
+                         Incarnation To,
+                         std::optional<std::chrono::milliseconds> TimeLeft,
                          std::uint64_t ConfigVersion) {
   const KeyRing *Ring = this->Keys();
   if (!Ring)
     return std::nullopt;
   std::string Terms = formatTerms(
-      {this->Self, To, ++this->LastSequence, MillisecondsLeft, ConfigVersion},
+      {this->Self, To, ++this->LastSequence, TimeLeft, ConfigVersion},
       Ring->signingKeyId());
   std::string Signed = toHexText(Ring->sign(signedText(Terms, Head, Body)));
   Head.Headers.add(RequestField, Terms + " " + Signed);
@@ -125,10 +129,12 @@
   ForwardTerms &Terms = Opened.Terms;
   int Version = 0;
   unsigned KeyId = 0;
+  std::int64_t MillisecondsLeft = NoEnd;
   In >> Version >> Terms.From.Host.Value >> Terms.From.Run >>
       Terms.To.Host.Value >> Terms.To.Run >> Terms.Sequence >>
-      Terms.MillisecondsLeft >> Terms.ConfigVersion >> KeyId >>
-      Opened.Signature;
+      MillisecondsLeft >> Terms.ConfigVersion >> KeyId >> Opened.Signature;
+  if (MillisecondsLeft >= 0)
+    Terms.TimeLeft = std::chrono::milliseconds(MillisecondsLeft);
   auto Signed = parseSignature(Opened.Signature);
   if (In.fail() || Version != FormatVersion || KeyId > UINT8_MAX || !Signed)
     return PeerError::Malformed;
--- a/Libraries/LibRelay/ForwardSeal.h
+++ b/Libraries/LibRelay/ForwardSeal.h
@@ -26,8 +26,8 @@
   Incarnation From;
   Incarnation To;
   std::uint64_t Sequence = 0;
-  /// The milliseconds until the end of the call; -1 if there is none.
-  std::int64_t MillisecondsLeft = -1;
+  /// Until the end of the call; unset if there is none.
+  std::optional<std::chrono::milliseconds> TimeLeft;
   /// The version of the configuration under which the sender read the request.
   std::uint64_t ConfigVersion = 0;
 };
@@ -44,10 +44,10 @@
 
   /// Adds the seal to a request without connection fields. \returns the
   /// signature; nothing while the keys are not known.
-  std::optional<std::string> sealRequest(HttpRequestHead &Head,
-                                         std::string_view Body, Incarnation To,
-                                         std::int64_t MillisecondsLeft,
-                                         std::uint64_t ConfigVersion);
+  std::optional<std::string>
+  sealRequest(HttpRequestHead &Head, std::string_view Body, Incarnation To,
+              std::optional<std::chrono::milliseconds> TimeLeft,
+              std::uint64_t ConfigVersion);
 
   struct OpenedRequest {
     ForwardTerms Terms;
--- a/Libraries/LibRelayFront/ForwardedCallReader.cpp
+++ b/Libraries/LibRelayFront/ForwardedCallReader.cpp
@@ -47,10 +47,9 @@
     Refusal = RelayReason::NoConfig;
   DecodedCall Decoded = this->Hooks.Decode(std::move(Message), Now);
   Decoded.Call.ForwardedBy = this->Hooks.NameOf(Terms.From.Host);
-  if (Terms.MillisecondsLeft >= 0)
+  if (Terms.TimeLeft)
     Decoded.Call.CallerDeadline =
-        std::min(Decoded.Call.CallerDeadline,
-                 Now + std::chrono::milliseconds(Terms.MillisecondsLeft));
+        std::min(Decoded.Call.CallerDeadline, Now + *Terms.TimeLeft);
   if (Refusal != RelayReason::None) {
     Decoded.RefusalStatus = 503;
     Decoded.Reason = Refusal;
--- a/Libraries/LibRelayFront/PeerDialer.cpp
+++ b/Libraries/LibRelayFront/PeerDialer.cpp
@@ -1,5 +1,7 @@
 #include "LibRelayFront/PeerDialer.h"
 
+#include <algorithm>
+
 namespace bergamothook {
 
 Result<PeerExchange> PeerDialer::forward(const RosterHost &Peer,
@@ -8,14 +10,12 @@
                                          TimePoint Deadline) {
   HttpRequestHead Head = Call.Head;
   Head.Headers.removeConnectionFields();
-  std::int64_t MillisecondsLeft = -1;
+  std::optional<std::chrono::milliseconds> TimeLeft;
   if (Deadline != TimePoint::max())
-    MillisecondsLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
-                           Deadline - this->Tasks.Now())
-                           .count();
-  auto Signature =
-      this->Seal.sealRequest(Head, Call.Body, {Peer.id(), Peer.Run},
-                             MillisecondsLeft, Call.Config->Version);
+    TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(Deadline - this->Tasks.Now(), Duration::zero()));
+  auto Signature = this->Seal.sealRequest(
+      Head, Call.Body, {Peer.id(), Peer.Run}, TimeLeft, Call.Config->Version);
   if (!Signature)
     return NetError::ConnectFailed;
   Head.Headers.add("Connection", "close");
--- a/Tests/LibRelay/ForwardSealTest.cpp
+++ b/Tests/LibRelay/ForwardSealTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace bergamothook;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -23,7 +24,7 @@
     // A caller's field of this name is passed on like any other.
     this->Head.Headers.add("Relay-Forwarded", "mine");
     this->Signature =
-        this->Sender.sealRequest(this->Head, this->Body, ReceiverRun, 1500, 3)
+        this->Sender.sealRequest(this->Head, this->Body, ReceiverRun, 1500ms, 3)
             .value();
   }
 
@@ -46,7 +47,7 @@
   REQUIRE(Opened);
   CHECK(Opened.value().IsFresh);
   CHECK(Opened.value().Terms.From == SenderRun);
-  CHECK(Opened.value().Terms.MillisecondsLeft == 1500);
+  CHECK(Opened.value().Terms.TimeLeft == 1500ms);
   CHECK(Opened.value().Terms.ConfigVersion == 3);
   CHECK(Opened.value().Signature == Request.Signature);
   CHECK(Request.Head.Headers.fields() ==
