--- a/review/standin-2/Standin2.cpp
+++ b/review/standin-2/Standin2.cpp
@@ -198,8 +198,14 @@
 }
 
 std::string ServerLoop::listen(const std::string &Ip, Handler Handle) {
+  return this->listenAt(Ip + ":0", std::move(Handle));
+}
+
+std::string ServerLoop::listenAt(const std::string &Address, Handler Handle) {
   int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in At = parseAddress(Ip + ":0");
+  int On = 1;
+  setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in At = parseAddress(Address);
   socklen_t Size = sizeof(At);
   if (bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0 ||
       ::listen(Fd, 4096) != 0 ||
@@ -209,7 +215,8 @@
   }
   setNonBlocking(Fd);
   this->Servers.emplace_back(Fd, std::move(Handle));
-  return Ip + ":" + std::to_string(ntohs(At.sin_port));
+  return Address.substr(0, Address.rfind(':') + 1) +
+         std::to_string(ntohs(At.sin_port));
 }
 
 void ServerLoop::start() {
--- a/review/standin-2/Standin2.h
+++ b/review/standin-2/Standin2.h
@@ -68,6 +68,8 @@
 
   /// Listens on a free port. \returns the address.
   std::string listen(const std::string &Ip, Handler Handle);
+  /// Listens at \p Address.
+  std::string listenAt(const std::string &Address, Handler Handle);
   void start();
   /// No handler runs afterwards.
   void stop();
@@ -207,6 +209,8 @@
   bool send(std::string_view Bytes);
   /// \returns the status of the next answer; 0 if there is none in time.
   unsigned read(HttpMessage &Answer, milliseconds Limit);
+  /// \returns what was received of an answer that is not complete.
+  const std::string &received() const { return this->In; }
 
 private:
   bool fill(Clock::time_point End);
