--- a/review/standin-2/Standin2.cpp
+++ b/review/standin-2/Standin2.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -625,7 +626,8 @@
 }
 
 std::string makeFolder() {
-  std::string Template = "/tmp/bergamothook-review-XXXXXX";
+  std::string Template =
+      std::filesystem::temp_directory_path() / "bergamothook-review-XXXXXX";
   if (!mkdtemp(Template.data()))
     std::exit(2);
   return Template;
