Refuse responses whose status code has no class

What callers saw: a target in trouble answered with status 000, and the caller got "HTTP/1.1 0 Text" as the answer to its call. 001 to 099 and 600 to 999 were passed on too.

Cause: the parser takes any three digits for a status code, and nothing behind it asked for the class. 600 and above were treated like a failure that the target reports of itself, so they did not count against it.

Change: HttpResponseReader::readHead() fails as for any other malformed head unless the code is one of RFC 9110, section 15. Targets, other hosts and the store are all read by it: the call is repeated where that is allowed, else its outcome is unknown; the target counts as in trouble, the connection is closed.

Tests: RawServer, a server that sends arbitrary bytes, and cases at the reader, at a host, by way of another host, at the store's client and with the real program. The same tests send field names with blanks and control bytes, control bytes in values and reasons, folded lines, ambiguous lengths and other versions.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -1,5 +1,7 @@
 #include "LibNet/HttpReader.h"
 
+#include "LibBase/HttpStatus.h"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <new>
@@ -336,10 +338,12 @@
       BOOST_OUTCOME_TRYV(this->advance(Deadline, IsCancelled));
     }
     const auto &Message = this->ParseState->Parser->get();
-    if (Message.result_int() / 100 == 1) {
+    if (isInterimStatus(Message.result_int())) {
       this->ParseState->resetParser();
       continue;
     }
+    if (!isFinalStatus(Message.result_int()))
+      break;
     HttpResponseHead Head;
     Head.Status = Message.result_int();
     auto Reason = Message.reason();
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -65,6 +65,7 @@
   HttpResponseReader(HttpResponseReader &&) noexcept;
 
   /// Reads the head, skipping informational (1xx) responses. Fails with
+  /// NetError::Malformed if it is not one of an HTTP/1.1 response, and with
   /// NetError::Cancelled as soon as \p IsCancelled returns true.
   Result<HttpResponseHead> readHead(TimePoint Deadline,
                                     const std::function<bool()> &IsCancelled);
--- a/Tests/LibHttp/RawSocket.cpp
+++ b/Tests/LibHttp/RawSocket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -46,9 +47,12 @@
   return Socket;
 }
 
-RawSocket::~RawSocket() {
+RawSocket::~RawSocket() { this->close(); }
+
+void RawSocket::close() {
   if (this->Fd >= 0)
     ::close(this->Fd);
+  this->Fd = -1;
 }
 
 bool RawSocket::send(const std::string &Bytes) {
@@ -77,6 +81,28 @@
 
 std::string RawSocket::readToEnd() { return this->readUntil(""); }
 
+std::string RawSocket::readExactly(std::size_t Bytes) {
+  std::string Received(Bytes, '\0');
+  ssize_t Count = 0;
+  if (Bytes > 0)
+    Count = ::recv(this->Fd, Received.data(), Bytes, MSG_WAITALL);
+  Received.resize(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+  return Received;
+}
+
+void RawSocket::endSending() { ::shutdown(this->Fd, SHUT_WR); }
+
+void RawSocket::reset() {
+  linger Immediate{1, 0};
+  setsockopt(this->Fd, SOL_SOCKET, SO_LINGER, &Immediate, sizeof(Immediate));
+  this->close();
+}
+
+void RawSocket::awaitEnd(std::chrono::milliseconds Limit) {
+  pollfd Watched{this->Fd, POLLRDHUP, 0};
+  ::poll(&Watched, 1, static_cast<int>(Limit.count()));
+}
+
 RawListener::RawListener()
     : Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in Address = loopback(0);
@@ -98,4 +124,10 @@
   return RawSocket::adopt(::accept(this->Fd, nullptr, nullptr));
 }
 
+void RawListener::stop() { ::shutdown(this->Fd, SHUT_RDWR); }
+
+void RawListener::setReceiveBuffer(int Bytes) {
+  setsockopt(this->Fd, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
+}
+
 } // namespace bergamothook
--- a/Tests/LibHttp/RawSocket.h
+++ b/Tests/LibHttp/RawSocket.h
@@ -4,6 +4,7 @@
 #ifndef BERGAMOTHOOK_TESTS_LIBHTTP_RAWSOCKET_H
 #define BERGAMOTHOOK_TESTS_LIBHTTP_RAWSOCKET_H
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -31,8 +32,21 @@
   /// Reads until the peer closes the connection.
   std::string readToEnd();
 
+  /// Reads \p Bytes bytes, or fewer if the peer closes the connection.
+  std::string readExactly(std::size_t Bytes);
+
+  /// Sends a FIN; the peer can still send.
+  void endSending();
+
+  /// Sends a RST.
+  void reset();
+
+  /// Waits for the peer to end the connection, without reading its bytes.
+  void awaitEnd(std::chrono::milliseconds Limit);
+
 private:
   RawSocket() = default;
+  void close();
   int Fd = -1;
 };
 
@@ -45,8 +59,14 @@
   RawListener &operator=(const RawListener &) = delete;
 
   std::uint16_t port() const;
+  /// \returns an unconnected socket after stop().
   RawSocket accept();
 
+  void stop();
+
+  /// Bounds what the kernel receives ahead on connections accepted from now on.
+  void setReceiveBuffer(int Bytes);
+
 private:
   int Fd;
 };
--- a/Tests/LibRelayFront/AnswerHost.cpp
+++ b/Tests/LibRelayFront/AnswerHost.cpp
@@ -43,6 +43,7 @@
              }) {
   startLogging("test", "test", LogLevel::Error);
   REQUIRE(this->Target.start());
+  this->TargetAddress = "127.0.0.1:" + std::to_string(this->Target.port());
   this->configure();
   REQUIRE(this->Server.start());
 }
@@ -165,12 +166,19 @@
     Listing.Id = std::to_string(this->Calls) + "." + std::to_string(I);
     Listing.Service = "plain";
     Listing.Version = "v1";
-    Listing.Address = "127.0.0.1:" + std::to_string(this->Target.port());
+    Listing.Address = this->TargetAddress;
     this->Dispatcher.targets().onListed(Listing, Now);
     this->Listed.push_back(Listing.Id);
   }
 }
 
+unsigned AnswerHost::targetFailures() {
+  unsigned Sum = 0;
+  for (const std::string &Id : this->Listed)
+    Sum += this->Dispatcher.targets().find(Id)->ConsecutiveFailures;
+  return Sum;
+}
+
 DecodedCall AnswerHost::decode(HttpRequestMessage Message, TimePoint Now) {
   DecodedCall Decoded;
   RelayCall &Call = Decoded.Call;
@@ -246,8 +254,10 @@
   std::string Path = pathOf(Request.Kind, Request.IsResumable);
   std::string Bytes = Request.Method + " " + Path + this->Played.CallId +
                       " HTTP/" + Request.Version +
-                      "\r\nHost: api.example\r\nId: " + this->Played.CallId +
-                      "\r\n\r\n";
+                      "\r\nHost: api.example\r\nId: " + this->Played.CallId;
+  if (Request.BodyBytes > 0)
+    Bytes += "\r\nContent-Length: " + std::to_string(Request.BodyBytes);
+  Bytes += "\r\n\r\n" + std::string(Request.BodyBytes, 'x');
   if (Request.Version == "1.1")
     Bytes += "GET " + Path +
              " HTTP/1.1\r\nHost: api.example\r\nId: " + std::string(NextId) +
--- a/Tests/LibRelayFront/AnswerHost.h
+++ b/Tests/LibRelayFront/AnswerHost.h
@@ -16,6 +16,7 @@
   bool IsResumable = false;
   std::string Method = "POST";
   std::string Version = "1.1";
+  std::size_t BodyBytes = 0;
 };
 
 /// One call: what the targets sent, and what its caller received.
@@ -42,6 +43,15 @@
   PlayedExchange play(const CallerRequest &Request,
                       const std::vector<TargetAnswer> &Answers);
 
+  /// Lists another server as the targets of all services from now on.
+  void useTargetsAt(const std::string &Address) {
+    this->TargetAddress = Address;
+  }
+
+  /// \returns how many attempts of the last exchange count as failures of their
+  /// targets.
+  unsigned targetFailures();
+
   /// The whole answer to the request that follows.
   static const std::string NextAnswer;
 
@@ -68,6 +78,7 @@
   TcpListener Target;
   std::uint64_t Calls = 0;
   std::vector<std::string> Listed;
+  std::string TargetAddress;
   /// The exchange in progress, and its answers to come.
   PlayedExchange Played;
   std::vector<TargetAnswer> Answers;
--- a/Tests/LibRelayFront/ForwardedCallTest.cpp
+++ b/Tests/LibRelayFront/ForwardedCallTest.cpp
@@ -1,3 +1,4 @@
+#include "../LibHttp/RawServer.h"
 #include "LibObserve/StructuredLog.h"
 #include "LibRelayFront/ForwardedCallReader.h"
 #include "LibRelayFront/PeerDialer.h"
@@ -72,11 +73,16 @@
   }
 
   Result<PeerExchange> forward(const RelayCall &Call) {
+    return this->forwardTo(this->address(), Call);
+  }
+
+  Result<PeerExchange> forwardTo(const std::string &Address,
+                                 const RelayCall &Call) {
     CallerHooks Caller;
     Caller.Changed = &this->Changed;
     Caller.HasLeft = [this] { return this->HasLeft; };
-    return this->Sender.forward({"b", "domain", this->address(), 9}, Call,
-                                Caller, this->Tasks.Now() + 5s);
+    return this->Sender.forward({"b", "domain", Address, 9}, Call, Caller,
+                                this->Tasks.Now() + 5s);
   }
 
   std::string address() const {
@@ -91,6 +97,8 @@
   KeyRing SenderKeys = makeKeys('a');
   RelayReason Refusal = RelayReason::None;
   std::uint64_t ConfigVersion = 1;
+  /// Another server that is listed as the target.
+  std::optional<std::string> OtherTarget;
   /// How long the target works, what it received, and whether its connection
   /// ended before that.
   Duration Work{};
@@ -164,7 +172,8 @@
     ListedTarget Listed;
     Listed.Id = "t1";
     Listed.Service = "plain";
-    Listed.Address = "127.0.0.1:" + std::to_string(this->Target.port());
+    Listed.Address = this->OtherTarget.value_or(
+        "127.0.0.1:" + std::to_string(this->Target.port()));
     this->Dispatcher.targets().onListed(Listed, this->Tasks.Now());
   }
 
@@ -287,3 +296,61 @@
     CHECK(Host.Tasks.Now() - LeftAt < 500ms);
   });
 }
+
+namespace {
+
+/// Beyond what the kernel of a RawServer receives ahead.
+constexpr std::size_t LongBodyBytes = 250'000;
+
+/// Answers to an order that are no HTTP/1.1 responses, or not whole ones.
+std::vector<RawResponse> brokenResponses() {
+  const std::string Length = "Content-Length: 4\r\n\r\npart";
+  return {{"HTTP/1.1 000 Text\r\n" + Length},
+          {"HTTP/1.1 600 Text\r\n" + Length},
+          {"HTTP/1.1 201 Text\r\nNa me: 1\r\n" + Length},
+          {"HTTP/1.1 201 Text\r\nNa\x01me: 1\r\n" + Length}};
+}
+
+} // namespace
+
+TEST_CASE("a broken answer of a target does not get through by way of another "
+          "host") {
+  for (const RawResponse &Response : brokenResponses()) {
+    CAPTURE(Response.Bytes);
+    CAPTURE(static_cast<int>(Response.End));
+    RawServer Target([&](const std::string &) { return Response; });
+    ReceivingHost Host;
+    Host.OtherTarget = Target.address();
+    Host.play([&] {
+      RelayCall Call = Host.makeCall();
+      Call.Body.assign(LongBodyBytes, 'x');
+      auto Exchange = Host.forward(Call);
+      REQUIRE(Exchange);
+      auto Answer = Exchange.value().ReadHead(Host.Tasks.Now() + 2s);
+      REQUIRE(Answer);
+      CHECK(Answer.value().Verdict == PeerVerdict::Took);
+      CHECK(Answer.value().Head.Status == 502);
+      auto Piece = Exchange.value().ReadBody(Host.Tasks.Now() + 2s);
+      REQUIRE(Piece);
+      CHECK(Piece.value().Bytes.find("\"unknown\"") != std::string::npos);
+      Exchange.value().Close();
+    });
+  }
+}
+
+TEST_CASE("a host that answers a forwarded call with bytes that are no answer "
+          "has not answered") {
+  for (const RawResponse &Response : brokenResponses()) {
+    CAPTURE(Response.Bytes);
+    RawServer Other([&](const std::string &) { return Response; });
+    ReceivingHost Host;
+    Host.play([&] {
+      auto Exchange = Host.forwardTo(Other.address(), Host.makeCall());
+      REQUIRE(Exchange);
+      auto Answer = Exchange.value().ReadHead(Host.Tasks.Now() + 2s);
+      REQUIRE_FALSE(Answer);
+      CHECK(Answer.error() == NetError::Malformed);
+      Exchange.value().Close();
+    });
+  }
+}
--- a/Tests/LibRelayFront/ReceivedAnswer.cpp
+++ b/Tests/LibRelayFront/ReceivedAnswer.cpp
@@ -70,7 +70,8 @@
 void splitBody(const PlayedExchange &Played, ReceivedAnswer &Answer) {
   std::string Length = fieldOf(Answer.Head, "Content-Length");
   bool IsChunked = fieldOf(Answer.Head, "Transfer-Encoding") == "chunked";
-  if (Played.Request.Method == "HEAD" || Answer.Status == 204) {
+  if (Played.Request.Method == "HEAD" || Answer.Status == 204 ||
+      Answer.Status == 304) {
     Answer.IsWhole = true;
   } else if (IsChunked) {
     Answer.IsMalformed = !Length.empty() || Played.Request.Version == "1.0";
--- a/Tests/LibRelayFront/TargetAnswer.cpp
+++ b/Tests/LibRelayFront/TargetAnswer.cpp
@@ -3,6 +3,7 @@
 #include "LibNet/HttpMessage.h"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace bergamothook {
 
@@ -37,8 +38,10 @@
 
 std::string headOf(const TargetAnswer &Script, const std::string &Tag,
                    const std::string &CallId, std::size_t BodyBytes) {
-  std::string Head = Script.Interim + "HTTP/" + Script.Version + " " +
-                     std::to_string(Script.Status) + " Text\r\n";
+  char Code[16];
+  std::snprintf(Code, sizeof(Code), "%03u", Script.Status);
+  std::string Head =
+      Script.Interim + "HTTP/" + Script.Version + " " + Code + " Text\r\n";
   Head += "Id: " + (Script.NamesOtherCall ? "other" : CallId) + "\r\n";
   if (Script.HasStamp)
     Head += "Stamp: " + Tag + "\r\n";
--- /dev/null
+++ b/Tests/LibRelayFront/UnsoundAnswerTest.cpp
@@ -0,0 +1,115 @@
+#include "ReceivedAnswer.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamothook;
+
+namespace {
+
+constexpr const char *EventStream = "text/event-stream";
+
+const CallerRequest Order{.Kind = CallKind::NonIdempotent};
+const CallerRequest Read{.Kind = CallKind::Idempotent};
+const CallerRequest Stream{.Kind = CallKind::Stream};
+const CallerRequest ResumableStream{.Kind = CallKind::Stream,
+                                    .IsResumable = true};
+
+TargetAnswer makeAnswer(bool IsStream,
+                        AnswerFraming Framing = AnswerFraming::Length) {
+  TargetAnswer Answer;
+  Answer.Type = IsStream ? EventStream : "application/json";
+  Answer.Framing = Framing;
+  if (IsStream)
+    Answer.Events = 3;
+  else
+    Answer.Body = "{}";
+  return Answer;
+}
+
+/// Complete answers whose head is not one of an HTTP/1.1 response.
+std::vector<TargetAnswer> unsoundAnswers(bool IsStream) {
+  std::vector<TargetAnswer> All;
+  for (AnswerFraming Framing : {AnswerFraming::Length, AnswerFraming::Chunked,
+                                AnswerFraming::Connection}) {
+    const TargetAnswer Sound = makeAnswer(IsStream, Framing);
+    for (unsigned Status : {0, 1, 99, 600, 999}) {
+      All.push_back(Sound);
+      All.back().Status = Status;
+    }
+    for (const char *Line :
+         {"Na me: 1", "Name : 1", "Na\x01me: 1", "\x7fName: 1", "Na\tme: 1",
+          "Content-Length : 1", "Transfer-Encoding : chunked", ": 1"}) {
+      All.push_back(Sound);
+      All.back().ExtraFields = std::string(Line) + "\r\n";
+    }
+  }
+  return All;
+}
+
+bool holds(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+bool mayRepeat(const CallerRequest &Request) {
+  return Request.Kind == CallKind::Idempotent || Request.IsResumable;
+}
+
+} // namespace
+
+TEST_CASE(
+    "no byte of an answer with a broken head reaches the caller: the call "
+    "is repeated, or its outcome is unknown") {
+  AnswerHost Host;
+  for (const CallerRequest &Request : {Order, Read, Stream, ResumableStream})
+    for (const TargetAnswer &Broken :
+         unsoundAnswers(Request.Kind == CallKind::Stream)) {
+      TargetAnswer Next = makeAnswer(Request.Kind == CallKind::Stream);
+      PlayedExchange Played = Host.play(Request, {Broken, Next});
+      CAPTURE(describe(Played));
+      ReceivedAnswer Received = split(Played);
+      CHECK_FALSE(Received.IsMalformed);
+      CHECK(Received.IsWhole);
+      CHECK_FALSE(holds(Played.Received, "t0"));
+      CHECK(Host.targetFailures() == 1);
+      if (mayRepeat(Request)) {
+        CHECK(Received.Status == 200);
+        CHECK(Received.Stamp == "t1");
+        CHECK(findFault(Played).empty());
+      } else {
+        CHECK(Played.Sent.size() == 1);
+        CHECK(Received.Status == 502);
+        CHECK(holds(Received.Body, "\"unknown\""));
+      }
+    }
+}
+
+TEST_CASE("an answer with a broken head does not continue a stream") {
+  AnswerHost Host;
+  TargetAnswer Begins = makeAnswer(true, AnswerFraming::Chunked);
+  Begins.Cut = render(Begins, "t0", "call-10", false, 0).Bytes.find("t0-2");
+  TargetAnswer Continues = makeAnswer(true, AnswerFraming::Chunked);
+  for (const TargetAnswer &Broken : unsoundAnswers(true)) {
+    PlayedExchange Played =
+        Host.play(ResumableStream, {Begins, Broken, Continues});
+    CAPTURE(describe(Played));
+    CHECK_FALSE(holds(Played.Received, "t1"));
+    CHECK(holds(Played.Received, "data: t2"));
+    CHECK(findFault(Played).empty());
+  }
+}
+
+TEST_CASE("rare answers that are sound reach the caller as they are") {
+  AnswerHost Host;
+  for (unsigned Status : {299, 304, 418, 499, 501, 599}) {
+    TargetAnswer Answer = makeAnswer(false);
+    Answer.Status = Status;
+    if (Status == 304)
+      Answer.Body.clear();
+    Answer.ExtraFields = "Empty: \r\nHigh: \xe4\xff\r\n";
+    PlayedExchange Played = Host.play(Order, {Answer});
+    CAPTURE(describe(Played));
+    CHECK(split(Played).Status == Status);
+    CHECK(holds(Played.Received, "High: \xe4\xff\r\n"));
+    CHECK(findFault(Played).empty());
+  }
+}
--- a/Tests/MisbehavingClients/RelayProcess.cpp
+++ b/Tests/MisbehavingClients/RelayProcess.cpp
@@ -48,7 +48,8 @@
                  this->serveTarget(Connection);
                }) {}
 
-  void configure();
+  void configure(const std::map<std::string, std::string> &OtherTargets);
+  void listTarget(const std::string &Service, const std::string &Address);
   void serveTarget(const TcpConnection::Handle &Connection);
 
   NetRuntime Loop;
@@ -56,7 +57,8 @@
   TcpListener Target;
 };
 
-RelayProcess::RelayProcess() : Ip(ownLoopbackAddress()) {
+RelayProcess::RelayProcess(std::map<std::string, std::string> OtherTargets)
+    : OtherTargets(std::move(OtherTargets)), Ip(ownLoopbackAddress()) {
   startLogging("test", "test", LogLevel::Error);
   this->Servers = std::thread([this] { this->runServers(); });
   this->AreServersStarted.get_future().wait();
@@ -66,7 +68,7 @@
   LocalServers Local;
   bool HasStarted = Local.Store.start() && Local.Target.start();
   if (HasStarted) {
-    Local.configure();
+    Local.configure(this->OtherTargets);
     this->StoreAddress = Local.Store.address();
     this->ServerPorts = {
         Local.Target.port(),
@@ -113,7 +115,8 @@
   std::filesystem::remove_all(this->Folder, Ignored);
 }
 
-void RelayProcess::LocalServers::configure() {
+void RelayProcess::LocalServers::configure(
+    const std::map<std::string, std::string> &OtherTargets) {
   using nlohmann::json;
   json Config{
       {"version", 1},
@@ -128,19 +131,30 @@
         {"maxBodyBytes", 4194304},
         {"headerTimeoutMs", 3000},
         {"idleTimeoutMs", 15000}}}};
+  for (const auto &[Service, Address] : OtherTargets) {
+    Config["routes"].push_back(makeRouteEntry(Service, RouteHost, "/" + Service,
+                                              "nonIdempotent", Service));
+    Config["services"].push_back({{"name", Service}, {"maxConns", 1000}});
+    this->listTarget(Service, Address);
+  }
   this->Store.put(std::string(wire::OperatorTopic), wire::ConfigKey,
                   Config.dump());
   for (const char *Service : {"plain", "stream"})
-    this->Store.put(
-        std::string(wire::TargetTopic), std::string(Service) + "-1",
-        json{{"service", Service},
-             {"addr", "127.0.0.1:" + std::to_string(this->Target.port())},
-             {"zone", "zone"},
-             {"version", "v1"},
-             {"slots", 1000},
-             {"state", "ready"},
-             {"born", 1}}
-            .dump());
+    this->listTarget(Service,
+                     "127.0.0.1:" + std::to_string(this->Target.port()));
+}
+
+void RelayProcess::LocalServers::listTarget(const std::string &Service,
+                                            const std::string &Address) {
+  this->Store.put(std::string(wire::TargetTopic), Service + "-1",
+                  nlohmann::json{{"service", Service},
+                                 {"addr", Address},
+                                 {"zone", "zone"},
+                                 {"version", "v1"},
+                                 {"slots", 1000},
+                                 {"state", "ready"},
+                                 {"born", 1}}
+                      .dump());
 }
 
 void RelayProcess::startProcess() {
--- a/Tests/MisbehavingClients/RelayProcess.h
+++ b/Tests/MisbehavingClients/RelayProcess.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <cstdint>
 #include <future>
+#include <map>
 #include <set>
 #include <string>
 #include <sys/types.h>
@@ -32,8 +33,10 @@
 
 class RelayProcess {
 public:
-  /// Starts the store and the targets.
-  RelayProcess();
+  /// Starts the store and the targets. Each of \p OtherTargets is a service
+  /// with its only target, an IP:PORT, on a route /SERVICE whose calls may not
+  /// be repeated.
+  explicit RelayProcess(std::map<std::string, std::string> OtherTargets = {});
   ~RelayProcess();
   RelayProcess(const RelayProcess &) = delete;
   RelayProcess &operator=(const RelayProcess &) = delete;
@@ -62,6 +65,7 @@
   void runServers();
   void startProcess();
 
+  std::map<std::string, std::string> OtherTargets;
   /// Unique to this process, so that the ports are free.
   std::string Ip;
   std::string Folder;
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -1,3 +1,4 @@
+#include "../LibHttp/RawServer.h"
 #include "LibObserve/StructuredLog.h"
 #include "PlatformFixture.h"
 #include "platform/StoreFeed.h"
@@ -206,3 +207,25 @@
                                            "snapshot new-3"});
   });
 }
+
+TEST_CASE("a broken answer does not tell whether the store executed a call") {
+  const std::string Body = "{\"endOffset\": 1}";
+  const std::string Length =
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  const RawResponse Broken[] = {{"HTTP/1.1 000 Text\r\n" + Length},
+                                {"HTTP/1.1 999 Text\r\n" + Length},
+                                {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length}};
+  for (const RawResponse &Response : Broken) {
+    CAPTURE(Response.Bytes);
+    RawServer Server([&](const std::string &) { return Response; });
+    NetRuntime Loop;
+    Metrics Measured;
+    Loop.hooks().Spawn([&] {
+      StoreClient Client(Loop, Server.address(), {}, Measured);
+      auto Appended = Client.append("work", 0, {"a"}, std::nullopt);
+      CHECK((!Appended && Appended.error() == StoreError::NoResponse));
+      Loop.stop();
+    });
+    Loop.run();
+  }
+}
