Refuse a switch to a protocol that was not requested

What callers saw: a target that answered 101, and then bytes in the form of a response, had those passed on as its answer. An append to the store counted as done after the same.

Cause: 101 was skipped as any other interim response. What follows it is of another protocol, and no request of a host asks for one (RFC 9110, section 7.8).

Change: 101 is no interim status, so that the head is malformed.

--- a/Libraries/LibBase/HttpStatus.h
+++ b/Libraries/LibBase/HttpStatus.h
@@ -6,8 +6,13 @@
 
 namespace bergamothook {
 
-/// \returns whether a final response follows one with \p Status.
-constexpr bool isInterimStatus(unsigned Status) { return Status / 100 == 1; }
+/// \returns whether a final response follows one with \p Status. What follows a
+/// 101 is of another protocol, which a request without Upgrade does not ask for
+/// (section 7.8).
+constexpr bool isInterimStatus(unsigned Status) {
+  constexpr unsigned SwitchingProtocols = 101;
+  return Status / 100 == 1 && Status != SwitchingProtocols;
+}
 
 /// \returns whether \p Status is one of a final response. Codes of no class are
 /// invalid, though they have three digits.
--- a/Tests/LibNet/BrokenHeadTest.cpp
+++ b/Tests/LibNet/BrokenHeadTest.cpp
@@ -73,6 +73,14 @@
   checkMalformed(statusLine("099") + "\r\n" + statusLine("200") + Framing);
 }
 
+TEST_CASE("a switch to a protocol that was not requested is no answer") {
+  checkMalformed(statusLine("101") +
+                 "Connection: upgrade\r\nUpgrade: x\r\n"
+                 "\r\n" +
+                 statusLine("200") + Framing);
+  checkMalformed(statusLine("101") + "\r\n" + statusLine("200") + Framing);
+}
+
 TEST_CASE("rare answers that are sound are read as before") {
   for (unsigned Status : {200, 299, 302, 418, 421, 499, 503, 599})
     checkSound(statusLine(std::to_string(Status)) + Framing, Status, "abc");
--- a/Tests/LibRelayFront/ForwardedCallTest.cpp
+++ b/Tests/LibRelayFront/ForwardedCallTest.cpp
@@ -307,6 +307,7 @@
   const std::string Length = "Content-Length: 4\r\n\r\npart";
   return {{"HTTP/1.1 000 Text\r\n" + Length},
           {"HTTP/1.1 600 Text\r\n" + Length},
+          {"HTTP/1.1 101 Text\r\n\r\nHTTP/1.1 201 Text\r\n" + Length},
           {"HTTP/1.1 201 Text\r\nNa me: 1\r\n" + Length},
           {"HTTP/1.1 201 Text\r\nNa\x01me: 1\r\n" + Length}};
 }
--- a/Tests/LibRelayFront/UnsoundAnswerTest.cpp
+++ b/Tests/LibRelayFront/UnsoundAnswerTest.cpp
@@ -36,6 +36,9 @@
       All.push_back(Sound);
       All.back().Status = Status;
     }
+    All.push_back(Sound);
+    All.back().Interim = "HTTP/1.1 101 Switching Protocols\r\n"
+                         "Connection: upgrade\r\nUpgrade: x\r\n\r\n";
     for (const char *Line :
          {"Na me: 1", "Name : 1", "Na\x01me: 1", "\x7fName: 1", "Na\tme: 1",
           "Content-Length : 1", "Transfer-Encoding : chunked", ": 1"}) {
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -212,9 +212,11 @@
   const std::string Body = "{\"endOffset\": 1}";
   const std::string Length =
       "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-  const RawResponse Broken[] = {{"HTTP/1.1 000 Text\r\n" + Length},
-                                {"HTTP/1.1 999 Text\r\n" + Length},
-                                {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length}};
+  const RawResponse Broken[] = {
+      {"HTTP/1.1 000 Text\r\n" + Length},
+      {"HTTP/1.1 999 Text\r\n" + Length},
+      {"HTTP/1.1 101 Text\r\n\r\nHTTP/1.1 200 Text\r\n" + Length},
+      {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length}};
   for (const RawResponse &Response : Broken) {
     CAPTURE(Response.Bytes);
     RawServer Server([&](const std::string &) { return Response; });
