Take an end of the connection for an end of the body only after the upload

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as the complete answer.

Cause: a body that is delimited by the end of its connection counted as complete unless a read or a write had failed. A target that closes while its receive buffer is empty sends a FIN; the RST follows only for the next bytes of the upload. A read reports the FIN, also if the RST has already arrived behind it.

Change: TcpConnection::hasEndedInOrder() asks whether everything was sent and acknowledged, and whether the connection has been reset. The acknowledgement of a FIN covers what the peer has received before, so a target that has read the request passes. Any other end is a loss, as that of a response with a length is.

Complete answers of targets that have read the upload, and refusals with a length during an upload, were passed on before and are.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -318,8 +318,10 @@
       return NetError::Malformed;
     if (this->Connection->hasEnded()) {
       boost::system::error_code Failure;
-      if (!this->Connection->wasLost() && Parser.is_header_done() &&
-          Parser.need_eof()) {
+      // A server that did not read the whole request may have been cut off in
+      // its response.
+      if (Parser.is_header_done() && Parser.need_eof() &&
+          this->Connection->hasEndedInOrder()) {
         detail::feedEnd(Parser, Failure);
         if (!Failure)
           return success();
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -72,7 +72,8 @@
 
   /// Reads the body bytes that have arrived, waiting for at least one or for
   /// the end of the message. A connection that ends before the message is an
-  /// error.
+  /// error; so is one that does not end in order if only its end delimits the
+  /// message.
   Result<BodyPiece> readBody(TimePoint Deadline,
                              const std::function<bool()> &IsCancelled);
 
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -4,8 +4,10 @@
 #include <boost/asio/ip/address.hpp>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <new>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -126,6 +128,25 @@
 
 void TcpConnection::notify() { this->Changed->notify(); }
 
+bool TcpConnection::hasEndedInOrder() {
+  return this->HasEnded && !this->WasLost && this->unsent() == 0 &&
+         this->isAcknowledged() && !this->isReset();
+}
+
+bool TcpConnection::isAcknowledged() {
+  int Bytes = 0;
+  return ::ioctl(this->Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 &&
+         Bytes == 0;
+}
+
+bool TcpConnection::isReset() {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  return ::getsockopt(this->Socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                      &Info, &Size) != 0 ||
+         Info.tcpi_state == TCP_CLOSE;
+}
+
 std::error_code TcpConnection::endReason() const {
   return this->WasLost ? NetError::Reset : NetError::Closed;
 }
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -118,6 +118,11 @@
   /// \returns whether the connection was lost rather than closed by the peer.
   bool wasLost() const { return this->WasLost; }
 
+  /// \returns whether the peer closed the connection after it had received all
+  /// that was sent, and has not reset it since. A FIN may come before the RST
+  /// for bytes that the peer did not read, and hides it from reads.
+  bool hasEndedInOrder();
+
   /// \returns NetError::Reset or NetError::Closed, by how the connection ended.
   std::error_code endReason() const;
 
@@ -204,6 +209,8 @@
   void onReadable(const boost::system::error_code &WaitFailure);
   void receive();
   std::size_t available() const;
+  bool isAcknowledged();
+  bool isReset();
   void sendQueued();
   void sendNow();
   void countSent(std::size_t Bytes);
--- a/Tests/BrokenTargets/BrokenTargetsTest.cpp
+++ b/Tests/BrokenTargets/BrokenTargetsTest.cpp
@@ -56,3 +56,12 @@
   CHECK(playCall(Success, Length + "Na me: 1\r\n") == 502);
   CHECK(playCall(Success, Length + "Na\x01me: 1\r\n") == 502);
 }
+
+TEST_CASE("a part of an answer without a length does not reach the caller of a "
+          "relay as a whole one if its connection ends in the upload") {
+  for (ServerEnd End : {ServerEnd::Reset, ServerEnd::HalfClose,
+                        ServerEnd::HalfCloseThenReset}) {
+    CAPTURE(static_cast<int>(End));
+    CHECK(playCall(Success, "", LongBodyBytes, End) == 502);
+  }
+}
--- a/Tests/LibRelayFront/UnsoundAnswerTest.cpp
+++ b/Tests/LibRelayFront/UnsoundAnswerTest.cpp
@@ -1,3 +1,4 @@
+#include "../LibHttp/RawServer.h"
 #include "ReceivedAnswer.h"
 
 #include <doctest/doctest.h>
@@ -116,3 +117,121 @@
     CHECK(findFault(Played).empty());
   }
 }
+
+namespace {
+
+/// Beyond what the kernel of a RawServer receives ahead, and within what the
+/// host queues for it.
+constexpr std::size_t LongBodyBytes = 250'000;
+constexpr std::size_t VeryLongBodyBytes = 3'000'000;
+
+struct Upload {
+  CallerRequest Request;
+  std::string Head;
+  std::string Body;
+  ServerEnd End = ServerEnd::Close;
+  std::size_t ReadBytes = 0;
+};
+
+/// The targets answer uploads as told, and all other requests completely, which
+/// keeps their connections.
+PlayedExchange playUpload(const Upload &Played, bool IsKept) {
+  auto Respond = [&](const std::string &RequestHead) -> RawResponse {
+    std::string Head =
+        "HTTP/1.1 200 OK\r\nId: " + rawFieldOf(RequestHead, "Id") +
+        "\r\nStamp: raw\r\n";
+    if (rawFieldOf(RequestHead, "Content-Length").empty())
+      return {Head + "Content-Length: 4\r\n\r\nnext", 0, ServerEnd::None};
+    return {Head + Played.Head + "\r\n" + Played.Body, Played.ReadBytes,
+            Played.End};
+  };
+  RawServer Target(Respond);
+  AnswerHost Host;
+  Host.useTargetsAt(Target.address());
+  if (IsKept) {
+    CallerRequest Before = Read;
+    Before.Method = "GET";
+    Host.play(Before, {});
+  }
+  return Host.play(Played.Request, {});
+}
+
+const std::string JsonField = "Content-Type: application/json\r\n";
+const std::string StreamField = "Content-Type: text/event-stream\r\n";
+const std::string WholeEvent = "id: 1\ndata: part\n\n";
+
+std::string describe(const Upload &Played, bool IsKept) {
+  return "kind " + std::to_string(static_cast<int>(Played.Request.Kind)) +
+         ", " + std::to_string(Played.ReadBytes) + " of " +
+         std::to_string(Played.Request.BodyBytes) + " bytes read, end " +
+         std::to_string(static_cast<int>(Played.End)) +
+         (IsKept ? ", kept connection" : "") + "\n" + Played.Head;
+}
+
+} // namespace
+
+TEST_CASE("a part of an answer that the end of its connection delimits is not "
+          "passed on as complete if the upload was not sent") {
+  for (CallerRequest Request : {Order, Read, Stream})
+    for (std::size_t Bytes : {LongBodyBytes, VeryLongBodyBytes})
+      for (ServerEnd End :
+           {ServerEnd::Close, ServerEnd::Reset, ServerEnd::HalfClose,
+            ServerEnd::HalfCloseThenReset})
+        for (bool IsKept : {false, true}) {
+          // The upload would wait for its deadline.
+          if (End == ServerEnd::HalfClose && Bytes == VeryLongBodyBytes)
+            continue;
+          Request.BodyBytes = Bytes;
+          bool IsStream = Request.Kind == CallKind::Stream;
+          Upload Played{Request, IsStream ? StreamField : JsonField,
+                        IsStream ? WholeEvent : "part", End,
+                        IsKept ? Bytes / 2 : 0};
+          CAPTURE(describe(Played, IsKept));
+          PlayedExchange Answered = playUpload(Played, IsKept);
+          CAPTURE(describe(Answered));
+          ReceivedAnswer Received = split(Answered);
+          REQUIRE(Answered.HasEnded);
+          if (IsStream && Received.Stamp == "raw") {
+            CHECK_FALSE(Received.IsWhole);
+            CHECK(Answered.WasReset);
+          } else {
+            CHECK(Received.Status == 502);
+            CHECK(holds(Received.Body, "\"unknown\""));
+          }
+        }
+}
+
+TEST_CASE("an answer that the end of its connection delimits is passed on if "
+          "the upload was read before") {
+  for (std::size_t Bytes : {std::size_t{100}, LongBodyBytes, VeryLongBodyBytes})
+    for (bool IsKept : {false, true}) {
+      CallerRequest Request = Order;
+      Request.BodyBytes = Bytes;
+      Upload Played{Request, JsonField, "part", ServerEnd::Close, Bytes};
+      CAPTURE(describe(Played, IsKept));
+      PlayedExchange Answered = playUpload(Played, IsKept);
+      CAPTURE(describe(Answered));
+      ReceivedAnswer Received = split(Answered);
+      CHECK(Received.Status == 200);
+      CHECK(Received.IsWhole);
+      CHECK(Received.Body == "part");
+    }
+}
+
+TEST_CASE("a refusal with a length reaches the caller of an upload that the "
+          "target does not read") {
+  for (ServerEnd End :
+       {ServerEnd::HalfClose, ServerEnd::Close, ServerEnd::Reset})
+    for (bool IsKept : {false, true}) {
+      CallerRequest Request = Order;
+      Request.BodyBytes = LongBodyBytes;
+      Upload Played{Request, JsonField + "Content-Length: 4\r\n", "part", End};
+      CAPTURE(describe(Played, IsKept));
+      PlayedExchange Answered = playUpload(Played, IsKept);
+      CAPTURE(describe(Answered));
+      ReceivedAnswer Received = split(Answered);
+      CHECK(Received.Status == 200);
+      CHECK(Received.IsWhole);
+      CHECK(Received.Body == "part");
+    }
+}
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -216,7 +216,10 @@
       {"HTTP/1.1 000 Text\r\n" + Length},
       {"HTTP/1.1 999 Text\r\n" + Length},
       {"HTTP/1.1 101 Text\r\n\r\nHTTP/1.1 200 Text\r\n" + Length},
-      {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length}};
+      {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length},
+      {"HTTP/1.1 200 Text\r\n\r\n" + Body, 0, ServerEnd::HalfClose}};
+  // Beyond what the kernel of the server receives ahead.
+  const std::string Record(250'000, 'x');
   for (const RawResponse &Response : Broken) {
     CAPTURE(Response.Bytes);
     RawServer Server([&](const std::string &) { return Response; });
@@ -224,7 +227,7 @@
     Metrics Measured;
     Loop.hooks().Spawn([&] {
       StoreClient Client(Loop, Server.address(), {}, Measured);
-      auto Appended = Client.append("work", 0, {"a"}, std::nullopt);
+      auto Appended = Client.append("work", 0, {Record}, std::nullopt);
       CHECK((!Appended && Appended.error() == StoreError::NoResponse));
       Loop.stop();
     });
