Refuse transfer codings that can't be removed

What callers saw: a target whose answer was coded as gzip and chunked, or as gzip up to the end of the connection, had the coded bytes passed on as its body, without the field that names the coding. Found while looking for other things that a head may not hold.

Cause: the parser removes chunks if the list of codings ends in chunked, and reads up to the end of the connection otherwise. It looks neither at the other codings nor at the version; Transfer-Encoding is a field of the connection, so it is not passed on.

Change: a response with a body is malformed unless chunked is its only coding. A host sends no TE, so that no other one may be used; one of HTTP/1.0 that names a coding has no sound framing (RFC 9112, section 6.1).

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -2,6 +2,7 @@
 
 #include "LibBase/HttpStatus.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <new>
@@ -85,6 +86,8 @@
 
 namespace {
 
+constexpr unsigned Http11 = 11; // As Beast numbers the versions.
+
 std::error_code toNetError(const boost::system::error_code &Failure) {
   if (Failure == http::error::header_limit)
     return NetError::HeadTooLarge;
@@ -139,7 +142,6 @@
   Head.Target.assign(Target.data(), Target.size());
   Head.Headers = toHeaderList(Message.base());
   Head.KeepAlive = Message.keep_alive();
-  constexpr unsigned Http11 = 11; // As Beast numbers the versions.
   Head.ReadsChunks = Message.version() >= Http11;
   Head.ExpectsContinue = Head.Headers.hasToken("Expect", "100-continue");
   return Head;
@@ -241,6 +243,18 @@
 
 namespace {
 
+/// \returns whether the body is as its sender means it once the framing is
+/// removed: chunked is the only transfer coding that is removed, and HTTP/1.0
+/// has none (RFC 9112, section 6.1).
+bool hasKnownCoding(const http::response<detail::GrowingBody> &Message) {
+  auto [First, End] =
+      Message.base().equal_range(http::field::transfer_encoding);
+  if (First == End)
+    return true;
+  return std::next(First) == End && Message.version() >= Http11 &&
+         boost::beast::iequals(First->value(), "chunked");
+}
+
 /// Below TcpLimits::MaxUnread, so that an endless head exceeds this limit
 /// before the connection pauses reading.
 constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024;
@@ -344,7 +358,9 @@
       this->ParseState->resetParser();
       continue;
     }
-    if (!isFinalStatus(Message.result_int()))
+    bool HasBody = !this->ParseState->Parser->is_done();
+    if (!isFinalStatus(Message.result_int()) ||
+        (HasBody && !hasKnownCoding(Message)))
       break;
     HttpResponseHead Head;
     Head.Status = Message.result_int();
--- a/Tests/LibNet/BrokenHeadTest.cpp
+++ b/Tests/LibNet/BrokenHeadTest.cpp
@@ -165,6 +165,26 @@
     checkMalformed(statusLine("200") + Fields + "\r\n3\r\nabc\r\n0\r\n\r\n");
 }
 
+TEST_CASE("a transfer coding other than chunked is no answer, since it can't "
+          "be removed") {
+  const std::string Chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char *Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "identity", "x", "", "chunked;a=b", "chunked x"})
+    checkMalformed(statusLine("200") + "Transfer-Encoding: " + Coding + "\r\n" +
+                   Chunks);
+  for (const char *Second : {"gzip", "chunked"})
+    checkMalformed(statusLine("200") + "Transfer-Encoding: chunked\r\n" +
+                   "Transfer-Encoding: " + Second + "\r\n" + Chunks);
+  checkMalformed(statusLine("200") + "Transfer-Encoding: gzip\r\n" +
+                 "Transfer-Encoding: chunked\r\n" + Chunks);
+  checkMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + Chunks);
+  for (const char *Coding : {"chunked", "Chunked", " chunked\t"})
+    checkSound(statusLine("200") + "Transfer-Encoding: " + Coding + "\r\n" +
+                   Chunks,
+               200, "abc");
+}
+
 TEST_CASE("a trailer is read by the rules of a head") {
   const std::string Start = statusLine("200") +
                             "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
--- a/Tests/LibRelayFront/ForwardedCallTest.cpp
+++ b/Tests/LibRelayFront/ForwardedCallTest.cpp
@@ -310,6 +310,8 @@
           {"HTTP/1.1 101 Text\r\n\r\nHTTP/1.1 201 Text\r\n" + Length},
           {"HTTP/1.1 201 Text\r\nNa me: 1\r\n" + Length},
           {"HTTP/1.1 201 Text\r\nNa\x01me: 1\r\n" + Length},
+          {"HTTP/1.1 201 Text\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+           "4\r\npart\r\n0\r\n\r\n"},
           {"HTTP/1.1 201 Text\r\n\r\npart", 0, ServerEnd::Close},
           {"HTTP/1.1 201 Text\r\n\r\npart", 0, ServerEnd::Reset},
           {"HTTP/1.1 201 Text\r\n\r\npart", 0, ServerEnd::HalfClose},
--- a/Tests/LibRelayFront/UnsoundAnswerTest.cpp
+++ b/Tests/LibRelayFront/UnsoundAnswerTest.cpp
@@ -47,6 +47,10 @@
       All.back().ExtraFields = std::string(Line) + "\r\n";
     }
   }
+  All.push_back(makeAnswer(IsStream, AnswerFraming::Connection));
+  All.back().ExtraFields = "Transfer-Encoding: gzip\r\n";
+  All.push_back(makeAnswer(IsStream, AnswerFraming::Chunked));
+  All.back().Version = "1.0";
   return All;
 }
 
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -217,6 +217,8 @@
       {"HTTP/1.1 999 Text\r\n" + Length},
       {"HTTP/1.1 101 Text\r\n\r\nHTTP/1.1 200 Text\r\n" + Length},
       {"HTTP/1.1 200 Text\r\nNa me: 1\r\n" + Length},
+      {"HTTP/1.1 200 Text\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" +
+       formatChunk(Body) + std::string(LastChunk)},
       {"HTTP/1.1 200 Text\r\n\r\n" + Body, 0, ServerEnd::HalfClose}};
   // Beyond what the kernel of the server receives ahead.
   const std::string Record(250'000, 'x');
