Check the heads of responses that libcurl passes on

A status of 600 or 999, a name with a blank or a control byte, "Content-Length : 3", control bytes and bare line feeds in values, two lengths that differ, a length beside chunks, or a second status line were part of an answer that counted as sound; the body could be another one than the sender meant. The text behind a folded line became a field.

Cause: libcurl looks at the fields that it uses and passes each line on as it came; Transfer split it at the first colon and trimmed both sides.

Change: ResponseHead collects the lines by RFC 9112, sections 4 and 5, and RFC 9110, section 15. A line that no head may hold fails the transfer as a bad answer, after which the outcome of the call is unknown.

--- a/Libraries/LibHttp/Transfer.cpp
+++ b/Libraries/LibHttp/Transfer.cpp
@@ -2,9 +2,6 @@
 
 #include "LibHttp/HttpError.h"
 
-#include <algorithm>
-#include <cctype>
-
 namespace bergamothook::detail {
 
 namespace {
@@ -16,14 +13,6 @@
 /// idle connections only after a longer time.
 constexpr long MaxIdleSeconds = 30;
 
-std::string trim(std::string_view Text) {
-  while (!Text.empty() && std::isspace(static_cast<unsigned char>(Text[0])))
-    Text.remove_prefix(1);
-  while (!Text.empty() && std::isspace(static_cast<unsigned char>(Text.back())))
-    Text.remove_suffix(1);
-  return std::string(Text);
-}
-
 std::string urlOf(const HttpCall &Call) {
   bool IsIpv6 = Call.Address.find(':') != std::string::npos;
   std::string Host = IsIpv6 ? "[" + Call.Address + "]" : Call.Address;
@@ -93,12 +82,12 @@
 Result<void> Transfer::awaitHeaders(const Runtime &Tasks, TimePoint Deadline) {
   bool IsReady = Tasks.waitUntil(this->Changed, Deadline, [this] {
     std::lock_guard Guard(this->Lock);
-    return this->HasHeaders || this->IsDone;
+    return this->Head.isComplete() || this->IsDone;
   });
   if (!IsReady)
     return this->abandon() ? HttpError::TimedOut : HttpError::ConnectFailed;
   std::lock_guard Guard(this->Lock);
-  if (!this->HasHeaders)
+  if (!this->Head.isComplete())
     return this->Failure;
   return success();
 }
@@ -132,7 +121,7 @@
     this->IsDone = true;
     if (Outcome != CURLE_OK)
       this->Failure = this->errorOf(Outcome);
-    else if (!this->HasHeaders)
+    else if (!this->Head.isComplete())
       this->Failure = HttpError::BadAnswer;
   }
   this->Changed.notify();
@@ -141,6 +130,8 @@
 std::error_code Transfer::errorOf(CURLcode Outcome) const {
   if (!this->MayBeSent)
     return HttpError::ConnectFailed;
+  if (this->IsHeadMalformed)
+    return HttpError::BadAnswer;
   switch (Outcome) {
   case CURLE_OPERATION_TIMEDOUT:
     return HttpError::TimedOut;
@@ -166,29 +157,17 @@
 
 std::size_t Transfer::onHeader(char *Bytes, std::size_t, std::size_t Length,
                                void *Self) {
-  static_cast<Transfer *>(Self)->addHeaderLine({Bytes, Length});
-  return Length;
+  // libcurl fails the transfer unless it gets the length.
+  return static_cast<Transfer *>(Self)->addHeaderLine({Bytes, Length}) ? Length
+                                                                       : 0;
 }
 
-void Transfer::addHeaderLine(std::string_view Line) {
-  constexpr long FirstFinalStatus = 200;
-  std::string Text = trim(Line);
+bool Transfer::addHeaderLine(std::string_view Line) {
   std::lock_guard Guard(this->Lock);
-  std::size_t Colon = Text.find(':');
-  if (Text.rfind("HTTP/", 0) == 0) {
-    this->Headers.clear();
-  } else if (Text.empty()) {
-    long Code = 0;
-    curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &Code);
-    this->Status = static_cast<int>(Code);
-    this->HasHeaders = Code >= FirstFinalStatus;
+  this->IsHeadMalformed = !this->Head.addLine(Line);
+  if (!this->IsHeadMalformed && this->Head.isComplete())
     this->Changed.notify();
-  } else if (Colon != std::string::npos) {
-    std::string Name = Text.substr(0, Colon);
-    std::transform(Name.begin(), Name.end(), Name.begin(),
-                   [](unsigned char Byte) { return std::tolower(Byte); });
-    this->Headers[Name] = trim(std::string_view(Text).substr(Colon + 1));
-  }
+  return !this->IsHeadMalformed;
 }
 
 std::size_t Transfer::onBody(char *Bytes, std::size_t, std::size_t Length,
--- a/Libraries/LibHttp/Transfer.h
+++ b/Libraries/LibHttp/Transfer.h
@@ -7,6 +7,7 @@
 
 #include "LibBase/Result.h"
 #include "LibHttp/HttpCall.h"
+#include "LibHttp/ResponseHead.h"
 #include "LibTask/Runtime.h"
 
 #include <curl/curl.h>
@@ -36,8 +37,8 @@
   /// Abandons the transfer. \returns whether the request may have been sent.
   bool abandon();
 
-  int status() const { return this->Status; }
-  const HttpHeaders &headers() const { return this->Headers; }
+  int status() const { return this->Head.status(); }
+  const HttpHeaders &headers() const { return this->Head.fields(); }
   const HttpCall &call() const { return this->Call; }
 
   // Called by the client's thread.
@@ -51,7 +52,7 @@
                               void *Self);
   static std::size_t onBody(char *Bytes, std::size_t, std::size_t Length,
                             void *Self);
-  void addHeaderLine(std::string_view Line);
+  bool addHeaderLine(std::string_view Line);
   std::error_code errorOf(CURLcode Outcome) const;
   void configure();
   void configureRequest();
@@ -64,12 +65,11 @@
   Event Changed;
   bool MayBeSent = false;
   bool IsAbandoned = false;
-  bool HasHeaders = false;
   bool IsPaused = false;
   bool IsDone = false;
   std::error_code Failure;
-  int Status = 0;
-  HttpHeaders Headers;
+  ResponseHead Head;
+  bool IsHeadMalformed = false;
   std::string Buffer;
 };
 
--- a/Tests/LibHttp/HttpClientTest.cpp
+++ b/Tests/LibHttp/HttpClientTest.cpp
@@ -1,7 +1,7 @@
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 #include "LibTask/RealRuntime.h"
-#include "RawSocket.h"
+#include "RawServer.h"
 
 #include <doctest/doctest.h>
 #include <thread>
@@ -167,3 +167,79 @@
   HttpCall Call = makeCall(Server.port());
   CHECK(Client.call(Call, inTenSeconds()).error() == HttpError::ConnectionLost);
 }
+
+namespace {
+
+/// Sends \p Body to a server that answers with \p Response.
+Result<HttpResponse> callRaw(const RawResponse &Response,
+                             const std::string &Body = {}) {
+  RawServer Server([&](const std::string &) { return Response; });
+  RealRuntime Real;
+  HttpClient Client(Real.hooks());
+  HttpCall Call = makeCall(Server.port(), "POST");
+  Call.Body = Body;
+  return Client.call(Call, inTenSeconds());
+}
+
+void checkBad(const std::string &Bytes) {
+  CAPTURE(Bytes);
+  auto Response = callRaw({Bytes});
+  CHECK((!Response && Response.error() == HttpError::BadAnswer));
+}
+
+const std::string Success = "HTTP/1.1 200 OK\r\n";
+const std::string Framing = "Content-Length: 3\r\n\r\nabc";
+
+} // namespace
+
+TEST_CASE("an answer whose status is none of a final response is not valid") {
+  for (const char *Code : {"000", "001", "099", "600", "999"})
+    checkBad("HTTP/1.1 " + std::string(Code) + " Text\r\n" + Framing);
+  checkBad("HTTP/1.1 101 Text\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" +
+           Success + Framing);
+  checkBad("HTTP/1.1 101 Text\r\n\r\n" + Success + Framing);
+}
+
+TEST_CASE("an answer with a line that no head may hold is not valid") {
+  std::vector<std::string> Lines = {
+      "Na me: 1",
+      "Name : 1",
+      "Na\tme: 1",
+      "Na\x01me: 1",
+      "\x7fName: 1",
+      "Na\xe4me: 1",
+      ": 1",
+      "Name",
+      "Name: a\x01",
+      "Name: a\x7f",
+      "Name: a\rb",
+      "Name: a\nOther: b",
+      "Content-Length : 1",
+      "Transfer-Encoding : chunked",
+      "Content-Length: 3\r\nContent-Length: 4",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3",
+      "HTTP/1.1 200 OK",
+      "First: 1\r\n folded: 2",
+      std::string("Na\0me: 1", 8),
+      std::string("Name: a\0b", 9)};
+  for (const std::string &Line : Lines)
+    checkBad(Success + "First: 1\r\n" + Line + "\r\n" + Framing);
+  for (const char *Line : {"HTTP/1.1 200 O\x01K", "HTTP/1.1 2000 OK",
+                           "HTTP/1.1 20 OK", "HTTP/1.2 200 OK", "ICY 200 OK"})
+    checkBad(std::string(Line) + "\r\n" + Framing);
+}
+
+TEST_CASE("rare answers that are sound are read") {
+  for (const char *Line :
+       {"HTTP/1.1 599 Text", "HTTP/1.1 418 ", "HTTP/1.1 200", "HTTP/1.0 200 OK",
+        "HTTP/1.1 200 \xe4\t\x80",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK"}) {
+    CAPTURE(Line);
+    auto Response = callRaw(
+        {std::string(Line) + "\r\nEmpty:\r\nHigh: \xe4\xff\r\n" + Framing});
+    REQUIRE(Response);
+    CHECK(Response.value().Body == "abc");
+    CHECK(Response.value().Headers.at("empty").empty());
+    CHECK(Response.value().Headers.at("high") == "\xe4\xff");
+  }
+}
