Keep the trailers of responses out of their heads

Found beside the relay's fault, in the router's client: a field of a trailer became one of the head, which the task of the call may be reading at that moment.

Cause: libcurl passes the lines of a trailer to the function that gets those of the head.

Change: lines behind the head are checked and not kept.

--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -49,7 +49,9 @@
   Line.remove_suffix(LineEnd.size());
   if (this->Status == 0)
     return this->addStatusLine(Line);
-  return Line.empty() ? this->end() : this->addField(Line);
+  if (!Line.empty())
+    return this->addField(Line);
+  return this->IsComplete || this->end();
 }
 
 bool ResponseHead::end() {
@@ -90,6 +92,9 @@
   std::string Value(trimBlanks(Line.substr(Colon + 1)));
   if (!std::all_of(Name.begin(), Name.end(), isTokenByte) || !isText(Value))
     return false;
+  // A field of the trailer; the task may be reading those of the head.
+  if (this->IsComplete)
+    return true;
   std::transform(Name.begin(), Name.end(), Name.begin(),
                  [](unsigned char Byte) { return std::tolower(Byte); });
   auto [Field, IsNew] = this->Fields.try_emplace(Name, Value);
--- a/Libraries/LibHttp/ResponseHead.h
+++ b/Libraries/LibHttp/ResponseHead.h
@@ -14,7 +14,8 @@
 class ResponseHead {
 public:
   /// Adds a line with its end. The head of an interim response is replaced by
-  /// the one that follows. \returns false if no head may hold the line.
+  /// the one that follows. Lines of a trailer are only checked. \returns false
+  /// if no head may hold the line.
   bool addLine(std::string_view Line);
 
   /// \returns whether the head of the final response has ended.
--- a/Tests/LibHttp/HttpClientTest.cpp
+++ b/Tests/LibHttp/HttpClientTest.cpp
@@ -229,6 +229,32 @@
     checkBad(std::string(Line) + "\r\n" + Framing);
 }
 
+TEST_CASE("a field of the trailer does not become one of the head") {
+  RawServer Server([](const std::string &) -> RawResponse {
+    return {Success + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+                      "Late: 1\r\n\r\n"};
+  });
+  RealRuntime Real;
+  HttpClient Client(Real.hooks());
+  auto Stream = Client.open(makeCall(Server.port()), inTenSeconds());
+  REQUIRE(Stream);
+  for (;;) {
+    auto Chunk = Stream.value().next(inTenSeconds());
+    REQUIRE(Chunk);
+    if (!Chunk.value())
+      break;
+  }
+  CHECK(Stream.value().headers().count("late") == 0);
+}
+
+TEST_CASE("a trailer is read by the rules of a head") {
+  const std::string Start = Success + "Transfer-Encoding: chunked\r\n\r\n"
+                                      "3\r\nabc\r\n0\r\n";
+  CHECK(callRaw({Start + "Late: 1\r\n\r\n"}));
+  for (const char *Line : {"La te: 1", "Late : 1", "Late: \x01"})
+    checkBad(Start + Line + "\r\n\r\n");
+}
+
 TEST_CASE("rare answers that are sound are read") {
   for (const char *Line :
        {"HTTP/1.1 599 Text", "HTTP/1.1 418 ", "HTTP/1.1 200", "HTTP/1.0 200 OK",
