Take an end of the connection for an end of the body in the router too

Found beside the relay's fault, in the router's client: a part of an answer without a length passed for the complete answer if its connection ended during the upload, also with a plain reset. The answer of an order is passed on and kept for its repetitions.

Cause: libcurl ends such a body when a read returns nothing. That is also what a read returns behind a FIN, and after a write has reported the RST, which the kernel reports once.

Change: when libcurl releases a socket, Transfer asks for what is unacknowledged and whether the connection has been reset, as the relay's reader does; the two questions have moved to SocketState for that. A body that only the end of the connection delimits needs a request that was written and received whole, else the outcome of the call is unknown.

Complete answers of servers that have read the request, and refusals with a length during an upload, were read before and are.

--- a/Libraries/LibHttp/CurlLoop.cpp
+++ b/Libraries/LibHttp/CurlLoop.cpp
@@ -161,11 +161,15 @@
       std::clamp<std::int64_t>(Remaining.count(), 0, MaxWaitMs));
 }
 
-int CurlLoop::watchSocket(CURL *, curl_socket_t Socket, int What, void *Self,
-                          void *SocketData) {
+int CurlLoop::watchSocket(CURL *Easy, curl_socket_t Socket, int What,
+                          void *Self, void *SocketData) {
   auto *Loop = static_cast<CurlLoop *>(Self);
   if (What == CURL_POLL_REMOVE) {
     epoll_ctl(Loop->EpollFd, EPOLL_CTL_DEL, Socket, nullptr);
+    // libcurl closes the socket, if at all, after this call.
+    auto Found = Loop->Transfers.find(Easy);
+    if (Found != Loop->Transfers.end())
+      Found->second->onSocketReleased(Socket);
     return 0;
   }
   epoll_event Registration{};
--- a/Libraries/LibHttp/CurlLoop.h
+++ b/Libraries/LibHttp/CurlLoop.h
@@ -28,7 +28,7 @@
   void close(std::shared_ptr<Transfer> Call);
 
 private:
-  static int watchSocket(CURL *, curl_socket_t Socket, int What, void *Self,
+  static int watchSocket(CURL *Easy, curl_socket_t Socket, int What, void *Self,
                          void *SocketData);
   static int setTimer(CURLM *, long Milliseconds, void *Self);
 
--- a/Libraries/LibHttp/Depends.cmake
+++ b/Libraries/LibHttp/Depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS LibBase LibTask PkgConfig::PISTACHE CURL::libcurl OpenSSL::SSL OpenSSL::Crypto nlohmann_json::nlohmann_json)
+set(DEPENDS LibBase LibNet LibTask PkgConfig::PISTACHE CURL::libcurl OpenSSL::SSL OpenSSL::Crypto nlohmann_json::nlohmann_json)
--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -33,6 +33,13 @@
   return std::all_of(Text.begin(), Text.end(), isTextByte);
 }
 
+std::string toLowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(),
+                 [](unsigned char Byte) { return std::tolower(Byte); });
+  return Lower;
+}
+
 std::string_view trimBlanks(std::string_view Text) {
   constexpr std::string_view Blanks = " \t";
   std::size_t First = Text.find_first_not_of(Blanks);
@@ -88,15 +95,13 @@
   std::size_t Colon = Line.find(':');
   if (Colon == 0 || Colon == std::string_view::npos)
     return false;
-  std::string Name(Line.substr(0, Colon));
+  std::string Name = toLowerCase(Line.substr(0, Colon));
   std::string Value(trimBlanks(Line.substr(Colon + 1)));
   if (!std::all_of(Name.begin(), Name.end(), isTokenByte) || !isText(Value))
     return false;
   // A field of the trailer; the task may be reading those of the head.
   if (this->IsComplete)
     return true;
-  std::transform(Name.begin(), Name.end(), Name.begin(),
-                 [](unsigned char Byte) { return std::tolower(Byte); });
   auto [Field, IsNew] = this->Fields.try_emplace(Name, Value);
   if (Name == LengthField && Field->second != Value)
     return false;
@@ -104,4 +109,15 @@
   return true;
 }
 
+bool ResponseHead::isDelimited() const {
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  if (this->Status == NoContent || this->Status == NotModified ||
+      this->Fields.contains(LengthField))
+    return true;
+  auto Coding = this->Fields.find(CodingField);
+  return Coding != this->Fields.end() &&
+         toLowerCase(Coding->second).ends_with("chunked");
+}
+
 } // namespace bergamothook::detail
--- a/Libraries/LibHttp/ResponseHead.h
+++ b/Libraries/LibHttp/ResponseHead.h
@@ -26,6 +26,10 @@
   /// The fields, with names in lower case.
   const HttpHeaders &fields() const { return this->Fields; }
 
+  /// \returns whether something else than the end of the connection delimits
+  /// the body of a response to a request that may have one.
+  bool isDelimited() const;
+
 private:
   bool end();
   bool addStatusLine(std::string_view Line);
--- a/Libraries/LibHttp/Transfer.cpp
+++ b/Libraries/LibHttp/Transfer.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/Transfer.h"
 
 #include "LibHttp/HttpError.h"
+#include "LibNet/SocketState.h"
 
 namespace bergamothook::detail {
 
@@ -71,7 +72,7 @@
   curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, this->Call.Method.c_str());
   if (this->Call.Method == "HEAD")
     curl_easy_setopt(Handle, CURLOPT_NOBODY, 1L);
-  if (this->Call.Method == "GET" || this->Call.Method == "HEAD")
+  if (!this->hasUpload())
     return;
   curl_easy_setopt(Handle, CURLOPT_POST, 1L);
   curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, this->Call.Body.data());
@@ -123,10 +124,32 @@
       this->Failure = this->errorOf(Outcome);
     else if (!this->Head.isComplete())
       this->Failure = HttpError::BadAnswer;
+    // libcurl takes a FIN, and a RST that a write reported, for the end of such
+    // a body.
+    else if (this->endsWithConnection() && !this->WasReceived)
+      this->Failure = HttpError::ConnectionLost;
   }
   this->Changed.notify();
 }
 
+void Transfer::onSocketReleased(curl_socket_t Socket) {
+  curl_off_t WrittenBytes = 0;
+  curl_easy_getinfo(this->Easy, CURLINFO_SIZE_UPLOAD_T, &WrittenBytes);
+  std::lock_guard Guard(this->Lock);
+  bool IsWritten =
+      !this->hasUpload() ||
+      WrittenBytes >= static_cast<curl_off_t>(this->Call.Body.size());
+  this->WasReceived = IsWritten && hasPeerReceivedAll(Socket);
+}
+
+bool Transfer::hasUpload() const {
+  return this->Call.Method != "GET" && this->Call.Method != "HEAD";
+}
+
+bool Transfer::endsWithConnection() const {
+  return this->Call.Method != "HEAD" && !this->Head.isDelimited();
+}
+
 std::error_code Transfer::errorOf(CURLcode Outcome) const {
   if (!this->MayBeSent)
     return HttpError::ConnectFailed;
--- a/Libraries/LibHttp/Transfer.h
+++ b/Libraries/LibHttp/Transfer.h
@@ -44,6 +44,8 @@
   // Called by the client's thread.
 
   CURL *easy() const { return this->Easy; }
+  /// The transfer does not use the socket any more, which is still open.
+  void onSocketReleased(curl_socket_t Socket);
   void finish(CURLcode Outcome);
 
 private:
@@ -54,6 +56,8 @@
                             void *Self);
   bool addHeaderLine(std::string_view Line);
   std::error_code errorOf(CURLcode Outcome) const;
+  bool endsWithConnection() const;
+  bool hasUpload() const;
   void configure();
   void configureRequest();
 
@@ -70,6 +74,8 @@
   std::error_code Failure;
   ResponseHead Head;
   bool IsHeadMalformed = false;
+  /// The server had received the whole request when the transfer ended.
+  bool WasReceived = false;
   std::string Buffer;
 };
 
--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -1,13 +1,13 @@
 #include "LibNet/TcpConnection.h"
 
+#include "LibNet/SocketState.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <cerrno>
 #include <charconv>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <new>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -130,21 +130,7 @@
 
 bool TcpConnection::hasEndedInOrder() {
   return this->HasEnded && !this->WasLost && this->unsent() == 0 &&
-         this->isAcknowledged() && !this->isReset();
-}
-
-bool TcpConnection::isAcknowledged() {
-  int Bytes = 0;
-  return ::ioctl(this->Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 &&
-         Bytes == 0;
-}
-
-bool TcpConnection::isReset() {
-  tcp_info Info{};
-  socklen_t Size = sizeof(Info);
-  return ::getsockopt(this->Socket.native_handle(), IPPROTO_TCP, TCP_INFO,
-                      &Info, &Size) != 0 ||
-         Info.tcpi_state == TCP_CLOSE;
+         hasPeerReceivedAll(this->Socket.native_handle());
 }
 
 std::error_code TcpConnection::endReason() const {
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -119,8 +119,7 @@
   bool wasLost() const { return this->WasLost; }
 
   /// \returns whether the peer closed the connection after it had received all
-  /// that was sent, and has not reset it since. A FIN may come before the RST
-  /// for bytes that the peer did not read, and hides it from reads.
+  /// that was sent, and has not reset it since.
   bool hasEndedInOrder();
 
   /// \returns NetError::Reset or NetError::Closed, by how the connection ended.
@@ -209,8 +208,6 @@
   void onReadable(const boost::system::error_code &WaitFailure);
   void receive();
   std::size_t available() const;
-  bool isAcknowledged();
-  bool isReset();
   void sendQueued();
   void sendNow();
   void countSent(std::size_t Bytes);
--- a/Tests/LibHttp/HttpClientTest.cpp
+++ b/Tests/LibHttp/HttpClientTest.cpp
@@ -269,3 +269,57 @@
     CHECK(Response.value().Headers.at("high") == "\xe4\xff");
   }
 }
+
+namespace {
+
+/// Beyond what the kernel of a RawServer receives ahead, and beyond what the
+/// client's kernel takes too.
+constexpr std::size_t LongBytes = 250'000;
+constexpr std::size_t VeryLongBytes = 8'000'000;
+
+} // namespace
+
+TEST_CASE("an answer that the end of its connection delimits is not complete "
+          "if the connection ends before the request was sent") {
+  for (std::size_t UploadBytes : {LongBytes, VeryLongBytes})
+    for (std::size_t ReadBytes : {std::size_t{0}, UploadBytes / 2})
+      for (ServerEnd End :
+           {ServerEnd::Close, ServerEnd::Reset, ServerEnd::HalfClose,
+            ServerEnd::HalfCloseThenReset}) {
+        CAPTURE(UploadBytes);
+        CAPTURE(ReadBytes);
+        CAPTURE(static_cast<int>(End));
+        auto Response = callRaw({Success + "\r\npart", ReadBytes, End},
+                                std::string(UploadBytes, 'x'));
+        CHECK((!Response && Response.error() == HttpError::ConnectionLost));
+      }
+}
+
+TEST_CASE("an answer that the end of its connection delimits is complete if "
+          "the request was read and the connection was closed in order") {
+  for (std::size_t UploadBytes :
+       {std::size_t{0}, std::size_t{100}, LongBytes, VeryLongBytes}) {
+    CAPTURE(UploadBytes);
+    const std::string Upload(UploadBytes, 'x');
+    for (ServerEnd End : {ServerEnd::Close, ServerEnd::HalfClose}) {
+      auto Response = callRaw({Success + "\r\npart", UploadBytes, End}, Upload);
+      REQUIRE(Response);
+      CHECK(Response.value().Body == "part");
+    }
+    CHECK_FALSE(
+        callRaw({Success + "\r\npart", UploadBytes, ServerEnd::Reset}, Upload));
+  }
+}
+
+TEST_CASE("a refusal with a length is read though its server reads only a part "
+          "of the request") {
+  for (std::size_t UploadBytes : {LongBytes, VeryLongBytes}) {
+    CAPTURE(UploadBytes);
+    auto Response =
+        callRaw({"HTTP/1.1 413 Text\r\n" + Framing, 0, ServerEnd::HalfClose},
+                std::string(UploadBytes, 'x'));
+    REQUIRE(Response);
+    CHECK(Response.value().Status == 413);
+    CHECK(Response.value().Body == "abc");
+  }
+}
