Pass on an answer that came before a reset ended the upload

What callers saw: 502 with an unknown outcome, although the target had refused the upload with a complete answer of stated length before it reset the connection.

Cause: a failed write ended the connection, after which nothing is read, and TargetDialer::open() gave the call up.

Change: what the kernel has received is read before the connection counts as ended, and the answer is read if any of it is there. One that is not complete by its length or its chunks is a loss as before.

--- a/Libraries/LibNet/TcpConnection.cpp
+++ b/Libraries/LibNet/TcpConnection.cpp
@@ -279,7 +279,7 @@
     std::size_t Written = this->Socket.write_some(
         boost::asio::buffer(Bytes.data(), Bytes.size()), Failure);
     if (Failure && Failure != boost::asio::error::would_block) {
-      this->end(true);
+      this->onSendFailed();
       return NetError::Reset;
     }
     this->countSent(Written);
@@ -396,7 +396,7 @@
   std::size_t Written = this->Socket.write_some(
       boost::asio::buffer(Rest.data(), Rest.size()), Failure);
   if (Failure && Failure != boost::asio::error::would_block)
-    return this->end(true);
+    return this->onSendFailed();
   this->Sent += Written;
   this->countSent(Written);
   if (this->unsent() == 0) {
@@ -412,6 +412,17 @@
   this->notify();
 }
 
+void TcpConnection::onSendFailed() {
+  // Nothing is read once the connection counts as ended.
+  std::uint64_t ReceivedBefore = 0;
+  do {
+    ReceivedBefore = this->TotalReceived;
+    if (!this->IsLeftUnread)
+      this->readArrived();
+  } while (this->TotalReceived != ReceivedBefore);
+  this->end(true);
+}
+
 void TcpConnection::countSent(std::size_t Bytes) {
   this->TotalSent += Bytes;
   this->Traffic->BytesSent += Bytes;
--- a/Libraries/LibNet/TcpConnection.h
+++ b/Libraries/LibNet/TcpConnection.h
@@ -127,7 +127,8 @@
 
   /// Sends \p Bytes, immediately as far as possible, and queues the rest. A
   /// full send queue blocks the calling task, at most until \p Deadline or
-  /// until \p IsCancelled returns true.
+  /// until \p IsCancelled returns true. After NetError::Reset, unread() holds
+  /// what the peer sent before, as far as there is room.
   Result<void> write(std::string_view Bytes, TimePoint Deadline,
                      const std::function<bool()> &IsCancelled = neverCancelled);
 
@@ -211,6 +212,7 @@
   void sendQueued();
   void sendNow();
   void countSent(std::size_t Bytes);
+  void onSendFailed();
   void onWritable(const boost::system::error_code &WaitFailure);
   void end(bool IsLoss);
   void notify();
--- a/Libraries/LibRelayFront/TargetDialer.cpp
+++ b/Libraries/LibRelayFront/TargetDialer.cpp
@@ -148,7 +148,11 @@
   if (!Written) {
     if (Connection->bytesSent() == SentBefore)
       return NetError::ConnectFailed;
-    return Written.error();
+    // A target may answer before it has read the request, and close.
+    bool MayBeAnswered =
+        Written.error() == NetError::Reset && !Connection->unread().empty();
+    if (!MayBeAnswered)
+      return Written.error();
   }
   TargetExchange Exchange;
   Exchange.ReadHead = [State](TimePoint Until) -> Result<HttpResponseHead> {
--- a/Tests/LibNet/UnframedResponseTest.cpp
+++ b/Tests/LibNet/UnframedResponseTest.cpp
@@ -59,10 +59,12 @@
             Connection->write("GET / HTTP/1.1\r\n\r\n", Deadline));
         BOOST_OUTCOME_TRYV(Read());
       }
-      BOOST_OUTCOME_TRYV(Connection->writeMessage(
+      auto Written = Connection->writeMessage(
           "POST / HTTP/1.1\r\nContent-Length: " +
               std::to_string(Played.UploadBytes) + "\r\n\r\n",
-          std::string(Played.UploadBytes, 'x'), Tasks.Now() + WriteTimeout));
+          std::string(Played.UploadBytes, 'x'), Tasks.Now() + WriteTimeout);
+      if (!Written && Written.error() != NetError::Reset)
+        return Written.error();
       return Read();
     };
     Body = Exchange();
@@ -130,3 +132,29 @@
       CHECK(Body.value() == "part");
     }
 }
+
+TEST_CASE("what was received before a reset can be read after a write has "
+          "failed") {
+  // More than one read gets, and less than the kernel receives ahead.
+  const std::string Response(20'000, 'x');
+  ConnectionPair Connections;
+  bool IsReset = false;
+  std::error_code Failure;
+  std::size_t UnreadBytes = 0;
+  Connections.run(
+      [&](const TcpConnection::Handle &Connection, Event &) {
+        (void)Connection->write(Response, Connections.deadline());
+        Connection->abort();
+        IsReset = true;
+      },
+      [&](const TcpConnection::Handle &Connection, Event &) {
+        Runtime Tasks = Connections.Loop.hooks();
+        while (!IsReset)
+          Tasks.sleepUntil(Tasks.Now() + 1ms);
+        auto Written = Connection->write("x", Connections.deadline());
+        Failure = Written ? std::error_code() : Written.error();
+        UnreadBytes = Connection->unread().size();
+      });
+  CHECK(Failure == NetError::Reset);
+  CHECK(UnreadBytes == Response.size());
+}
--- a/Tests/LibRelayFront/UnsoundAnswerTest.cpp
+++ b/Tests/LibRelayFront/UnsoundAnswerTest.cpp
@@ -172,6 +172,16 @@
          (IsKept ? ", kept connection" : "") + "\n" + Played.Head;
 }
 
+void checkPassedOn(const Upload &Played, bool IsKept) {
+  CAPTURE(describe(Played, IsKept));
+  PlayedExchange Answered = playUpload(Played, IsKept);
+  CAPTURE(describe(Answered));
+  ReceivedAnswer Received = split(Answered);
+  CHECK(Received.Status == 200);
+  CHECK(Received.IsWhole);
+  CHECK(Received.Body == "part");
+}
+
 } // namespace
 
 TEST_CASE("a part of an answer that the end of its connection delimits is not "
@@ -211,31 +221,24 @@
     for (bool IsKept : {false, true}) {
       CallerRequest Request = Order;
       Request.BodyBytes = Bytes;
-      Upload Played{Request, JsonField, "part", ServerEnd::Close, Bytes};
-      CAPTURE(describe(Played, IsKept));
-      PlayedExchange Answered = playUpload(Played, IsKept);
-      CAPTURE(describe(Answered));
-      ReceivedAnswer Received = split(Answered);
-      CHECK(Received.Status == 200);
-      CHECK(Received.IsWhole);
-      CHECK(Received.Body == "part");
+      checkPassedOn({Request, JsonField, "part", ServerEnd::Close, Bytes},
+                    IsKept);
     }
 }
 
-TEST_CASE("a refusal with a length reaches the caller of an upload that the "
+TEST_CASE("an answer with a length reaches the caller of an upload that the "
           "target does not read") {
-  for (ServerEnd End :
-       {ServerEnd::HalfClose, ServerEnd::Close, ServerEnd::Reset})
-    for (bool IsKept : {false, true}) {
-      CallerRequest Request = Order;
-      Request.BodyBytes = LongBodyBytes;
-      Upload Played{Request, JsonField + "Content-Length: 4\r\n", "part", End};
-      CAPTURE(describe(Played, IsKept));
-      PlayedExchange Answered = playUpload(Played, IsKept);
-      CAPTURE(describe(Answered));
-      ReceivedAnswer Received = split(Answered);
-      CHECK(Received.Status == 200);
-      CHECK(Received.IsWhole);
-      CHECK(Received.Body == "part");
-    }
+  for (std::size_t Bytes : {LongBodyBytes, VeryLongBodyBytes})
+    for (ServerEnd End :
+         {ServerEnd::HalfClose, ServerEnd::Close, ServerEnd::Reset})
+      for (bool IsKept : {false, true}) {
+        // The upload would wait for its deadline.
+        if (End == ServerEnd::HalfClose && Bytes == VeryLongBodyBytes)
+          continue;
+        CallerRequest Request = Order;
+        Request.BodyBytes = Bytes;
+        checkPassedOn({Request, JsonField + "Content-Length: 4\r\n", "part",
+                       End, IsKept ? Bytes / 2 : 0},
+                      IsKept);
+      }
 }
