Show how old a host's view of the configuration is, and what reads cost

A host that missed versions for ten seconds logged store_lost and then the versions in a row. Nothing told whether its reads had received anything, so a read that is given up on the way, one that waits behind callers, and a store that is away looked the same; nor whether answers came from an old view.

No behaviour changes.

--- /dev/null
+++ b/Libraries/LibRelay/ConfigView.cpp
@@ -0,0 +1,30 @@
+#include "LibRelay/ConfigView.h"
+
+#include <algorithm>
+
+namespace bergamothook {
+
+void ConfigView::onCurrent(TimePoint AsOf) {
+  this->CurrentAsOf = std::max(this->CurrentAsOf.value_or(AsOf), AsOf);
+}
+
+std::optional<Duration> ConfigView::age(TimePoint Now) const {
+  if (!this->CurrentAsOf)
+    return std::nullopt;
+  return std::max(Now - *this->CurrentAsOf, Duration::zero());
+}
+
+bool ConfigView::isCurrent(TimePoint Now) const {
+  auto Age = this->age(Now);
+  return Age && *Age <= this->MaxAge;
+}
+
+bool ConfigView::hasChanged(TimePoint Now) {
+  bool IsCurrent = this->isCurrent(Now);
+  if (!this->CurrentAsOf || IsCurrent == this->WasCurrent)
+    return false;
+  this->WasCurrent = IsCurrent;
+  return true;
+}
+
+} // namespace bergamothook
--- /dev/null
+++ b/Libraries/LibRelay/ConfigView.h
@@ -0,0 +1,42 @@
+/// \file
+/// How old a host's view of the configuration is.
+
+#ifndef BERGAMOTHOOK_LIBRELAY_CONFIGVIEW_H
+#define BERGAMOTHOOK_LIBRELAY_CONFIGVIEW_H
+
+#include "LibBase/Time.h"
+
+#include <optional>
+
+namespace bergamothook {
+
+/// Tells whether the version in force may be taken for the newest one. All
+/// times are of one clock that counts while the machine is suspended.
+class ConfigView {
+public:
+  /// Accepted versions have to be in force everywhere within \p MaxAge.
+  explicit ConfigView(Duration MaxAge) : MaxAge(MaxAge) {}
+
+  /// All versions that were accepted before \p AsOf have been received.
+  void onCurrent(TimePoint AsOf);
+
+  /// \returns the age of the view; nothing before the first.
+  std::optional<Duration> age(TimePoint Now) const;
+
+  /// \returns whether every version that has to be in force at \p Now has been
+  /// received.
+  bool isCurrent(TimePoint Now) const;
+
+  /// \returns whether isCurrent() has changed since the last call, once there
+  /// is a view.
+  bool hasChanged(TimePoint Now);
+
+private:
+  Duration MaxAge;
+  std::optional<TimePoint> CurrentAsOf;
+  bool WasCurrent = true;
+};
+
+} // namespace bergamothook
+
+#endif
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -103,7 +103,7 @@
       Peers(this->Dialer, this->Seal, this->Tasks),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
-      Evacuations(this->Dispatcher.targets()),
+      View(this->Settings.ConfigTime), Evacuations(this->Dispatcher.targets()),
       Load(
           Loop, this->capacity(), {},
           [this](HostUsage &Usage) {
@@ -321,10 +321,16 @@
 
 platform::FeedHooks RelayService::configFeedHooks() {
   platform::FeedHooks Hooks;
+  Hooks.Clock = readLeaseClock;
   Hooks.OnSnapshot = [this](const std::vector<KeyedRecord> &Records,
                             std::uint64_t End) {
     this->applyOperatorSnapshot(Records, End);
   };
+  Hooks.OnCurrent = [this](TimePoint AsOf) {
+    this->View.onCurrent(AsOf);
+    this->reportConfigView();
+  };
+  Hooks.OnRead = this->readMeter(wire::OperatorTopic);
   Hooks.OnRecord = [this](const KeyedRecord &Record) {
     this->applyOperatorRecord(Record);
   };
@@ -333,6 +339,36 @@
   return Hooks;
 }
 
+std::function<void(const platform::FeedRead &)>
+RelayService::readMeter(std::string_view Topic) {
+  std::string Labels = "{topic=\"" + std::string(Topic) + "\"}";
+  return [this, Labels](const platform::FeedRead &Read) {
+    this->Measured.set("store_read_bytes" + Labels,
+                       static_cast<double>(Read.Cost.Bytes));
+    this->Measured.set(
+        "store_read_seconds" + Labels,
+        std::chrono::duration<double>(Read.Cost.Elapsed).count());
+    if (!Read.HasSucceeded)
+      this->Measured.count("store_reads_failed_total" + Labels);
+    if (Read.IsSnapshot && Read.HasSucceeded)
+      this->Measured.count("store_snapshots_total" + Labels);
+  };
+}
+
+void RelayService::reportConfigView() {
+  TimePoint Now = readLeaseClock();
+  if (!this->View.hasChanged(Now))
+    return;
+  auto AgeMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             this->View.age(Now).value_or(Duration::zero()))
+                             .count();
+  const RelayConfigPtr &Config = this->Dispatcher.config();
+  logEvent(
+      LogLevel::Warning,
+      this->View.isCurrent(Now) ? "config_view_current" : "config_view_old",
+      {{"version", Config ? Config->Version : 0}, {"age_ms", AgeMilliseconds}});
+}
+
 void RelayService::applyOperatorSnapshot(
     const std::vector<KeyedRecord> &Records, std::uint64_t End) {
   std::vector<EvacuationRecord> Evacuated;
@@ -406,6 +442,7 @@
   Hooks.OnCurrent = [this](TimePoint AsOf) {
     this->Dispatcher.versions().onListRead(AsOf);
   };
+  Hooks.OnRead = this->readMeter(wire::TargetTopic);
   Hooks.OnUnavailable = [this] {
     this->Dispatcher.targets().onListUnreachable(this->Tasks.Now());
     this->TokenSource.setLogReachable(false);
@@ -514,6 +551,7 @@
     this->Dispatcher.endColdPeriods();
     this->Dispatcher.reach().update();
     this->Evacuations.checkProgress(this->Tasks.Now());
+    this->reportConfigView();
     this->Dispatcher.quarantineReports().update();
     this->Dispatcher.limiter().renewLeases();
     this->Dispatcher.limiter().reportUse(this->Tasks.Now());
@@ -563,6 +601,12 @@
   this->Measured.set(
       "relay_forwarded_requests_unsigned",
       static_cast<double>(this->ForwardedCalls.unsignedRequests()));
+  if (const RelayConfigPtr &Config = this->Dispatcher.config())
+    this->Measured.set("relay_config_version",
+                       static_cast<double>(Config->Version));
+  if (auto Age = this->View.age(readLeaseClock()))
+    this->Measured.set("relay_config_view_age_seconds",
+                       std::chrono::duration<double>(*Age).count());
   this->Measured.set("relay_target_connections_made",
                      static_cast<double>(this->Dialer.connectionsMade()));
   this->Measured.set("relay_target_run_queries",
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #define BERGAMOTHOOK_SERVICES_RELAY_RELAYSERVICE_H
 
 #include "LibNet/DatagramSocket.h"
+#include "LibRelay/ConfigView.h"
 #include "LibRelay/EvacuationMonitor.h"
 #include "LibRelayFront/ForwardedCallReader.h"
 #include "LibRelayFront/HostMonitor.h"
@@ -53,6 +54,11 @@
                              std::uint64_t End);
   void applyOperatorRecord(const platform::KeyedRecord &Record);
   void applyConfigRecord(const platform::KeyedRecord &Record);
+  /// Logs when the view of the configuration becomes old or current.
+  void reportConfigView();
+  /// \returns a hook that exports the reads of a feed.
+  std::function<void(const platform::FeedRead &)>
+  readMeter(std::string_view Topic);
   void noteVersion(const ListedTarget &Target);
   void logUnreadableTarget(const platform::KeyedRecord &Record);
   void applyTargetRecord(const platform::KeyedRecord &Record);
@@ -80,6 +86,7 @@
   ForwardSeal Seal;
   PeerDialer Peers;
   RelayDispatcher Dispatcher;
+  ConfigView View;
   EvacuationMonitor Evacuations;
   HostMonitor Load;
   RelayServer Server;
