Give up reads of the store when they stall, not when they are long

Hosts with a full link kept an old configuration, and the old list of targets, for ten seconds and more, while the store answered everybody else.

A read had to end within 1.5 s after its wait. A page that did not arrive in that time was aborted, its bytes were dropped, and the same read began again from the same offset: 0.5 MB need 350 KB/s to end at all, and each version that came made the page larger.

The limit of 1.5 s is now for the head of a response, and then for each KiB of its body (ProgressDeadline). What the kernel has received counts, however late the task runs.

A read that stalls is still given up in its limit.

--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -394,17 +394,39 @@
 Result<std::string>
 HttpResponseReader::readAll(std::size_t MaxBytes, TimePoint Deadline,
                             const std::function<bool()> &IsCancelled) {
-  auto Body = this->readRest(MaxBytes, Deadline, IsCancelled);
+  auto Body = this->readRest(MaxBytes, [&](std::size_t) {
+    return this->readBody(Deadline, IsCancelled);
+  });
   this->Connection->keep(0);
   return Body;
 }
 
-Result<std::string>
-HttpResponseReader::readRest(std::size_t MaxBytes, TimePoint Deadline,
-                             const std::function<bool()> &IsCancelled) {
+Result<std::string> HttpResponseReader::readAll(std::size_t MaxBytes,
+                                                ProgressPolicy Progress) {
+  ProgressDeadline Deadline(Progress, this->Tasks.Now());
+  auto Body = this->readRest(MaxBytes, [&](std::size_t BytesSoFar) {
+    Deadline.onBytes(BytesSoFar, this->Tasks.Now());
+    const auto &Parser = *this->ParseState->Parser;
+    bool HasArrived = this->Tasks.waitUntil(*this->Changed, Deadline.at(), [&] {
+      return Parser.is_done() || !Parser.get().body().empty() ||
+             !this->Connection->unread().empty() ||
+             this->Connection->hasEnded() || this->Connection->lacksMemory();
+    });
+    // A task that runs late may see the timeout before the event loop has read.
+    if (!HasArrived)
+      this->Connection->readArrived();
+    return this->readBody(Deadline.at(), neverCancelled);
+  });
+  this->Connection->keep(0);
+  return Body;
+}
+
+Result<std::string> HttpResponseReader::readRest(
+    std::size_t MaxBytes,
+    const std::function<Result<BodyPiece>(std::size_t)> &ReadPiece) {
   std::string Out;
   for (;;) {
-    BOOST_OUTCOME_TRY(Piece, this->readBody(Deadline, IsCancelled));
+    BOOST_OUTCOME_TRY(Piece, ReadPiece(Out.size()));
     std::size_t Size = Out.size() + Piece.Bytes.size();
     if (Size > MaxBytes)
       return NetError::BodyTooLarge;
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -5,6 +5,7 @@
 #define BERGAMOTHOOK_LIBNET_HTTPREADER_H
 
 #include "LibNet/HttpMessage.h"
+#include "LibNet/ProgressDeadline.h"
 #include "LibNet/TcpConnection.h"
 
 namespace bergamothook {
@@ -82,6 +83,10 @@
   Result<std::string> readAll(std::size_t MaxBytes, TimePoint Deadline,
                               const std::function<bool()> &IsCancelled);
 
+  /// As above, for as long as the body makes progress. Bytes that the kernel
+  /// has received by the deadline count, however late the task runs.
+  Result<std::string> readAll(std::size_t MaxBytes, ProgressPolicy Progress);
+
   /// \returns whether the message is complete and the connection can be reused
   /// for another exchange.
   bool canReuse() const;
@@ -89,8 +94,10 @@
 private:
   struct State;
 
-  Result<std::string> readRest(std::size_t MaxBytes, TimePoint Deadline,
-                               const std::function<bool()> &IsCancelled);
+  /// \p ReadPiece reads what has arrived after the given number of bytes.
+  Result<std::string>
+  readRest(std::size_t MaxBytes,
+           const std::function<Result<BodyPiece>(std::size_t)> &ReadPiece);
   Result<void> advance(TimePoint Deadline,
                        const std::function<bool()> &IsCancelled);
 
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -90,7 +90,8 @@
     HttpResponseHead Head;
     Head.Status = Outgoing.Status;
     Head.Headers.add("Store-Era", std::to_string(this->Era));
-    auto Sent = Connection->write(
+    auto Sent = this->send(
+        *Connection,
         formatResponseHead(Head, BodyFraming::Length, Outgoing.Body.size()) +
             Outgoing.Body,
         Deadline);
@@ -99,11 +100,24 @@
   }
 }
 
+Result<void> FakeStore::send(TcpConnection &To, std::string_view Bytes,
+                             TimePoint Deadline) const {
+  if (this->StallAfter)
+    Bytes = Bytes.substr(0, *this->StallAfter);
+  while (this->PieceBytes > 0 && Bytes.size() > this->PieceBytes) {
+    BOOST_OUTCOME_TRYV(To.write(Bytes.substr(0, this->PieceBytes), Deadline));
+    Bytes.remove_prefix(this->PieceBytes);
+    this->Tasks.sleepUntil(this->Tasks.Now() + this->PiecePause);
+  }
+  return To.write(Bytes, Deadline);
+}
+
 FakeStore::Response FakeStore::answer(const HttpRequestMessage &Message) {
   const std::string &Target = Message.Head.Target;
   auto Query = parseQuery(Target);
   Topic &Selected = this->Topics[Query["topic"]];
   std::string Path = Target.substr(0, Target.find('?'));
+  this->Calls.push_back(Path);
   if (Path == "/-/log-append")
     return this->append(Selected, Query, Message.Body);
   if (Path == "/-/log-read")
@@ -138,6 +152,10 @@
       bigEndian(From.Records.size()) + bigEndian(From.FirstRetained);
   for (std::size_t I = Begin; I < From.Records.size(); ++I)
     Out += platform::frameRecord(From.Records[I]);
+  constexpr std::size_t OffsetsBytes = 16;
+  constexpr std::size_t BytesPerKiB = 1024;
+  std::size_t MaxFetch = std::stoull(Query.at("maxFetch")) * BytesPerKiB;
+  Out.resize(std::min(Out.size(), OffsetsBytes + MaxFetch));
   return {200, Out};
 }
 
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -52,6 +52,14 @@
   void restore(const std::string &Topic, std::size_t Lost);
 
   StoreFault Fault = StoreFault::None;
+  /// If set, responses are sent in pieces of that size, with a pause after
+  /// each.
+  std::size_t PieceBytes = 0;
+  Duration PiecePause{};
+  /// If set, no response is sent beyond that many bytes.
+  std::optional<std::size_t> StallAfter;
+  /// The calls received, without their arguments.
+  std::vector<std::string> Calls;
   /// What a list of newest records holds first, besides the records.
   std::vector<nlohmann::json> OddEntries;
 
@@ -67,6 +75,8 @@
   };
 
   void serve(const TcpConnection::Handle &Connection);
+  Result<void> send(TcpConnection &To, std::string_view Bytes,
+                    TimePoint Deadline) const;
   Response answer(const HttpRequestMessage &Message);
   Response append(Topic &To, const std::map<std::string, std::string> &Query,
                   std::string_view Body);
