--- a/Tests/Platform/StoreReadTest.cpp
+++ b/Tests/Platform/StoreReadTest.cpp
@@ -81,3 +81,34 @@
   });
   Loop.run();
 }
+
+TEST_CASE(
+    "a connection to the store may take as long to be made as an answer") {
+  using boost::asio::ip::tcp;
+  NetRuntime Loop;
+  Metrics Measured;
+  Runtime Tasks = Loop.hooks();
+  tcp::acceptor Acceptor(Loop.context(), tcp::v4());
+  Acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+  Acceptor.listen(0);
+  std::string Address =
+      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  Tasks.Spawn([&] {
+    // While it waits to be accepted, the kernel drops the first packet of the
+    // next one, which is sent again after a second.
+    auto Waiting = TcpConnection::connect(Loop, Address, {}, Tasks.Now() + 1s);
+    REQUIRE(Waiting);
+    bool HasAccepted = false;
+    Tasks.Spawn([&] {
+      Tasks.sleepUntil(Tasks.Now() + 700ms);
+      Acceptor.accept();
+      HasAccepted = true;
+    });
+    StoreClient Client(Loop, Address, {}, Measured);
+    CHECK(Client.read("work", 0, 0, {}).error() == StoreError::NoResponse);
+    while (!HasAccepted)
+      Tasks.sleepUntil(Tasks.Now() + 1ms);
+    Loop.stop();
+  });
+  Loop.run();
+}
