Let what a host reads not grow with the versions that it missed

A host that had been cut off by its own link read versions 19, 23, 26, 28, 31, 34 and 38 one by one, each of half a megabyte and parsed as a whole, while only the last one mattered; others came meanwhile.

Of a page, only the newest record of each key is passed on.

--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -134,7 +134,10 @@
                       return this->answerMetrics(Path);
                     }),
       ConfigFeed(this->Store, this->Tasks,
-                 {std::string(wire::OperatorTopic), ConfigWait, ConfigPause},
+                 {.Topic = std::string(wire::OperatorTopic),
+                  .Wait = ConfigWait,
+                  .Pause = ConfigPause,
+                  .OnlyNewest = true},
                  this->configFeedHooks()),
       TargetFeed(this->Store, this->Tasks,
                  {std::string(wire::TargetTopic), TargetWait, TargetPause},
@@ -350,6 +353,9 @@
         std::chrono::duration<double>(Read.Cost.Elapsed).count());
     if (!Read.HasSucceeded)
       this->Measured.count("store_reads_failed_total" + Labels);
+    if (Read.PassedOver > 0)
+      this->Measured.count("store_records_passed_over_total" + Labels,
+                           static_cast<double>(Read.PassedOver));
     if (Read.IsSnapshot && Read.HasSucceeded)
       this->Measured.count("store_snapshots_total" + Labels);
   };
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -118,6 +118,7 @@
   Topic &Selected = this->Topics[Query["topic"]];
   std::string Path = Target.substr(0, Target.find('?'));
   this->Calls.push_back(Path);
+  this->OnCall(Path);
   if (Path == "/-/log-append")
     return this->append(Selected, Query, Message.Body);
   if (Path == "/-/log-read")
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -60,6 +60,8 @@
   std::optional<std::size_t> StallAfter;
   /// The calls received, without their arguments.
   std::vector<std::string> Calls;
+  /// Called before each call is executed, with its path.
+  std::function<void(const std::string &)> OnCall = [](const std::string &) {};
   /// What a list of newest records holds first, besides the records.
   std::vector<nlohmann::json> OddEntries;
 
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -150,7 +150,7 @@
     Hooks.OnAvailable = [] {};
     int Rounds = 0;
     StoreFeed Feed(*Fixture.Client, Fixture.Loop.hooks(),
-                   {"keyed.x", 0ms, 1ms, 1ms}, Hooks);
+                   {.Topic = "keyed.x", .Pause = 1ms, .RetryPause = 1ms}, Hooks);
     // Called before each read.
     Feed.run([&] {
       ++Rounds;
--- a/Tests/Platform/StoreReadTest.cpp
+++ b/Tests/Platform/StoreReadTest.cpp
@@ -38,7 +38,7 @@
     Fixture.Store.StallAfter = 50'000;
     TimePoint Begin = readMonotonicClock();
     ReadCost Cost;
-    CHECK(Client.read("work", 0, 0, {}, &Cost).error() ==
+    CHECK(Client.read("work", 0, 0, {.Cost = &Cost}).error() ==
           StoreError::NoResponse);
     CHECK(readMonotonicClock() - Begin < 3 * ShortLimits.ResponseTimeout);
     CHECK(Cost.DroppedBytes == 50'000);
