Deny nothing on an old view of the configuration

A host that had not read the configuration for ten seconds still answered 401, 402 and 404, as if the version in force were the newest: the route, the key or the raise of the budget may have been acknowledged long before.

Such a request now gets 503 with Retry-After, not run, if the last complete read of the configuration began more than configMs ago; hosts that forward calls take it as busy and ask another host. Requests whose route and key are there are served as before, however long the store is away.

"a route or key that an old configuration lacks is not denied" and "a budget of an old configuration does not count as spent" get 404, 401 and 402 without the change.

--- a/Libraries/LibRelay/ConfigView.h
+++ b/Libraries/LibRelay/ConfigView.h
@@ -5,11 +5,23 @@
 #define BERGAMOTHOOK_LIBRELAY_CONFIGVIEW_H
 
 #include "LibBase/Time.h"
+#include "LibRelay/RelayConfig.h"
 
 #include <optional>
+#include <utility>
 
 namespace bergamothook {
 
+/// The version under which a call is decoded; null before the first one. Of an
+/// old view, only what is there counts: what is not may have been added since.
+struct ConfigInForce {
+  ConfigInForce(RelayConfigPtr Config, bool IsCurrent = true)
+      : Config(std::move(Config)), IsCurrent(IsCurrent) {}
+
+  RelayConfigPtr Config;
+  bool IsCurrent;
+};
+
 /// Tells whether the version in force may be taken for the newest one. All
 /// times are of one clock that counts while the machine is suspended.
 class ConfigView {
--- a/Libraries/LibRelay/RelayHooks.h
+++ b/Libraries/LibRelay/RelayHooks.h
@@ -127,6 +127,10 @@
   /// suspended.
   std::function<TimePoint()> LeaseClock;
 
+  /// Tells whether every version of the configuration that has to be in force
+  /// is known.
+  std::function<bool()> IsConfigCurrent = [] { return true; };
+
   /// Connects to a target and sends it the call. NetError::ConnectFailed
   /// guarantees that no byte was sent. A call that may no longer be passed on
   /// once it is connected is not sent, nor is one whose target may no longer
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -67,6 +67,9 @@
            "the call";
   case RelayReason::NotOfFleet:
     return "no host of the fleet has forwarded the request";
+  case RelayReason::ConfigOld:
+    return "the configuration may be an old one, which lacks what the request "
+           "needs";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -61,6 +61,7 @@
   CannotStart,
   OutOfReach,
   NotOfFleet,
+  ConfigOld,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Libraries/LibRelayFront/ForwardedCallReader.cpp
+++ b/Libraries/LibRelayFront/ForwardedCallReader.cpp
@@ -16,6 +16,7 @@
   case RelayReason::NoTarget:
     return PeerVerdict::OutOfReach;
   case RelayReason::NoConfig:
+  case RelayReason::ConfigOld:
   case RelayReason::Stopping:
   case RelayReason::HostOverloaded:
   case RelayReason::OutOfMemory:
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -118,7 +118,7 @@
           Seed),
       Server(Loop, this->serverSettings(), this->Dispatcher,
              [this](HttpRequestMessage Message, TimePoint Now) {
-               return platform::decodeCall(this->Dispatcher.config(),
+               return platform::decodeCall(this->configInForce(),
                                            std::move(Message), Now);
              }),
       ForwardedCalls(this->Seal, this->forwardedCallHooks()),
@@ -237,8 +237,7 @@
 ForwardedCallHooks RelayService::forwardedCallHooks() {
   ForwardedCallHooks Hooks;
   Hooks.Decode = [this](HttpRequestMessage Message, TimePoint Now) {
-    return platform::decodeCall(this->Dispatcher.config(), std::move(Message),
-                                Now);
+    return platform::decodeCall(this->configInForce(), std::move(Message), Now);
   };
   Hooks.Refuse = [this] { return this->refuseForwarded(); };
   Hooks.ConfigVersion = [this] {
@@ -298,6 +297,7 @@
                       const SendTerms &Terms) {
     return this->Dialer.open(Target, Call, Head, Caller, Terms);
   };
+  Hooks.IsConfigCurrent = [this] { return this->configInForce().IsCurrent; };
   Hooks.MakeHead = platform::makeTargetHead;
   Hooks.Classify = platform::classifyAnswer;
   Hooks.ReadRateLimit = platform::readRateLimit;
@@ -342,6 +342,10 @@
   return Hooks;
 }
 
+ConfigInForce RelayService::configInForce() const {
+  return {this->Dispatcher.config(), this->View.isCurrent(readLeaseClock())};
+}
+
 std::function<void(const platform::FeedRead &)>
 RelayService::readMeter(std::string_view Topic) {
   std::string Labels = "{topic=\"" + std::string(Topic) + "\"}";
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -54,6 +54,7 @@
                              std::uint64_t End);
   void applyOperatorRecord(const platform::KeyedRecord &Record);
   void applyConfigRecord(const platform::KeyedRecord &Record);
+  ConfigInForce configInForce() const;
   /// Logs when the view of the configuration becomes old or current.
   void reportConfigView();
   /// \returns a hook that exports the reads of a feed.
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -41,7 +41,9 @@
 /// A relay with three targets and enough requests for its budget to allow
 /// resends.
 struct Relay : RelayFixture {
-  Relay() {
+  explicit Relay(const std::function<void(RelayHooks &)> &Adjust =
+                     [](RelayHooks &) {})
+      : RelayFixture(Adjust) {
     for (const char *Id : {"a", "b", "c"})
       this->addTarget(Id);
     this->configure();
@@ -287,6 +289,32 @@
   CHECK(Fixture.SentCalls[0].WasAborted);
 }
 
+TEST_CASE("a budget of an old configuration does not count as spent") {
+  bool IsCurrent = true;
+  Relay Fixture([&](RelayHooks &Hooks) {
+    Hooks.IsConfigCurrent = [&] { return IsCurrent; };
+  });
+  Fixture.Team.Budget = 10'000;
+  Fixture.setKind(CallKind::Stream, true);
+  Fixture.Wallets.begin({KeyRing(), 1});
+  Fixture.Simulated.hooks().Spawn([&] { Fixture.Wallets.run(); });
+  Fixture.Simulated.runFor(4s);
+  RelayCall Call = Fixture.makeCall();
+  Call.PromptTokens = 11'000;
+  Fixture.serve(Call);
+  CHECK(Fixture.Status == 402);
+  IsCurrent = false;
+  RelayOutcome Outcome = Fixture.serve(Call);
+  CHECK(Fixture.Status == 503);
+  CHECK(Outcome.End == RelayEnd::NotRun);
+  CHECK(Outcome.Reason == RelayReason::ConfigOld);
+  Fixture.Simulated.hooks().Spawn([&] {
+    TimePoint Now = Fixture.Simulated.now();
+    Fixture.Wallets.stop(Now, Now + 1s);
+  });
+  Fixture.Simulated.runFor(2s);
+}
+
 TEST_CASE(
     "a team is charged for the prompt once and for the delivered events") {
   Relay Fixture;
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -83,7 +83,7 @@
 
 TEST_CASE("a request without route, key or configuration is refused") {
   HttpRequestMessage Message = makeRequest();
-  CHECK(decodeCall(nullptr, Message, Now).RefusalStatus == 503);
+  CHECK(decodeCall({nullptr}, Message, Now).RefusalStatus == 503);
   Message.Head.Target = "/none/";
   CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 404);
   Message = makeRequest();
@@ -95,6 +95,24 @@
   CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
 }
 
+TEST_CASE("a route or key that an old configuration lacks is not denied") {
+  ConfigInForce Old(makeConfig(), false);
+  auto CheckNotDenied = [&](const HttpRequestMessage &Message) {
+    DecodedCall Decoded = decodeCall(Old, Message, Now);
+    CHECK(Decoded.RefusalStatus == 503);
+    CHECK(Decoded.Reason == RelayReason::ConfigOld);
+    CHECK(Decoded.RetryAfter);
+  };
+  HttpRequestMessage Message = makeRequest();
+  CHECK(decodeCall(Old, Message, Now).RefusalStatus == 0);
+  Message.Head.Target = "/added/";
+  CheckNotDenied(Message);
+  Message = makeRequest();
+  Message.Head.Headers.remove("Authorization");
+  Message.Head.Headers.add("Authorization", "Bearer added");
+  CheckNotDenied(Message);
+}
+
 TEST_CASE("a budgeted team's request needs valid token counts") {
   for (const char *Counts :
        {"", "1460", "1460,", ",80", "1460,many", "-1,80", "1460,80x"}) {
