Start no call by an old configuration on a link that callers keep full

On a full link of 10 Mbit/s the store's answers queue behind some ten seconds of callers' bytes: connections are not made in 1.5 s, and answers do not begin in 2.4 s. Meanwhile the host routed what it still admitted, a tenth of its calls and more, by a version that others had replaced long before.

While the link is full (above LinkFullAbove) and the view of the configuration is older than configMs, every call is refused with 503, not run, as nine in ten were. A store that is away changes nothing at a host whose link has room.

"a host that callers keep from reading the configuration starts no call by an old one": before, such a host admits calls in the same state.

--- a/Libraries/LibOverload/HostUsage.h
+++ b/Libraries/LibOverload/HostUsage.h
@@ -44,6 +44,8 @@
   std::size_t Descriptors = 0;
   std::size_t MessageBytes = 0;
   std::size_t CallerConnections = 0;
+  /// Set if the host may lack a version of the configuration.
+  bool HasOldConfig = false;
 };
 
 } // namespace bergamothook
--- a/Libraries/LibOverload/OverloadControl.cpp
+++ b/Libraries/LibOverload/OverloadControl.cpp
@@ -138,6 +138,11 @@
                   this->utilization(HostResource::LinkSend));
 }
 
+bool OverloadControl::isStarved() const {
+  return this->OverloadedBy && this->Last.HasOldConfig &&
+         this->linkUtilization() > this->Policy.LinkFullAbove;
+}
+
 bool OverloadControl::isRelieved() const {
   for (std::size_t I = 0; I < HostResourceCount; ++I)
     if (this->Utilization[I] >= (this->HasCausedOverload[I]
@@ -215,7 +220,7 @@
 
 std::optional<Duration> OverloadControl::refuse(const CallDemand &Call,
                                                 TimePoint Now) {
-  if (this->Shedder.admit(Call, Now))
+  if (this->Shedder.admit(Call, Now) && !this->isStarved())
     return std::nullopt;
   return this->Rng.jitter(BaseRetryAfter);
 }
--- a/Libraries/LibOverload/OverloadControl.h
+++ b/Libraries/LibOverload/OverloadControl.h
@@ -91,7 +91,9 @@
   bool endsConnection();
 
   /// Decides on a call that has arrived. \returns when its caller may return if
-  /// the call must not start.
+  /// the call must not start. While callers fill the link and keep the host
+  /// from reading the configuration, none starts: it would be routed by an old
+  /// version, and its bytes would prolong that.
   std::optional<Duration> refuse(const CallDemand &Call, TimePoint Now);
 
   /// \returns the fraction of a resource that is in use; 0 if it is not
@@ -123,6 +125,7 @@
   double withoutWaits(std::size_t I, double Callers, double HoldsBack,
                       Duration Elapsed);
   double linkUtilization() const;
+  bool isStarved() const;
   /// \returns whether all resources are below the threshold that ends an
   /// overload: the lower one for those that caused it.
   bool isRelieved() const;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -114,6 +114,7 @@
                 this->Dialer.idle();
             Usage.MessageBytes = this->Memory->usedBytes();
             Usage.CallerConnections = this->Server.connections();
+            Usage.HasOldConfig = !this->configInForce().IsCurrent;
           },
           Seed),
       Server(Loop, this->serverSettings(), this->Dispatcher,
--- a/Tests/LibOverload/OverloadControlTest.cpp
+++ b/Tests/LibOverload/OverloadControlTest.cpp
@@ -48,6 +48,29 @@
   }
 }
 
+TEST_CASE("a host that callers keep from reading the configuration starts no "
+          "call by an old one") {
+  auto AdmittedOf = [](LoadedHost &Host, int Calls) {
+    int Admitted = 0;
+    for (int I = 0; I < Calls; ++I)
+      Admitted += Host.Control.refuse({0, 100}, Host.Now) ? 0 : 1;
+    return Admitted;
+  };
+  LoadedHost Host;
+  Host.carry(LinkBytesPerSecond, 5s);
+  CHECK(AdmittedOf(Host, 1000) > 0);
+  Host.Usage.HasOldConfig = true;
+  Host.carry(LinkBytesPerSecond, Interval);
+  CHECK(AdmittedOf(Host, 1000) == 0);
+  // While the store is away, a link with room carries its calls as before.
+  Host.carry(0.5 * LinkBytesPerSecond, 5s);
+  CHECK(Host.Control.isOverloaded());
+  CHECK(AdmittedOf(Host, 1000) == 1000);
+  Host.Usage.HasOldConfig = false;
+  Host.carry(LinkBytesPerSecond, 5s);
+  CHECK(AdmittedOf(Host, 1000) > 0);
+}
+
 TEST_CASE("a host whose capacity is not known is not overloaded") {
   OverloadControl Unknown({}, {}, 1);
   HostUsage Usage;
