--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -150,7 +150,8 @@
     Hooks.OnAvailable = [] {};
     int Rounds = 0;
     StoreFeed Feed(*Fixture.Client, Fixture.Loop.hooks(),
-                   {.Topic = "keyed.x", .Pause = 1ms, .RetryPause = 1ms}, Hooks);
+                   {.Topic = "keyed.x", .Pause = 1ms, .RetryPause = 1ms},
+                   Hooks);
     // Called before each read.
     Feed.run([&] {
       ++Rounds;
