--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -145,7 +145,7 @@
 
 FakeStore::Response
 FakeStore::read(const Topic &From,
-                const std::map<std::string, std::string> &Query) {
+                const std::map<std::string, std::string> &Query) const {
   std::size_t Begin = std::stoull(Query.at("from"));
   if (Begin < From.FirstRetained || Begin > From.Records.size())
     return {410, json{{"firstOffset", From.FirstRetained}}.dump()};
@@ -156,7 +156,8 @@
   constexpr std::size_t OffsetsBytes = 16;
   constexpr std::size_t BytesPerKiB = 1024;
   std::size_t MaxFetch = std::stoull(Query.at("maxFetch")) * BytesPerKiB;
-  Out.resize(std::min(Out.size(), OffsetsBytes + MaxFetch));
+  Out.resize(
+      std::min(Out.size(), OffsetsBytes + MaxFetch - this->FetchOverhead));
   return {200, Out};
 }
 
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -58,6 +58,8 @@
   Duration PiecePause{};
   /// If set, no response is sent beyond that many bytes.
   std::optional<std::size_t> StallAfter;
+  /// How much less than the requested size a read returns.
+  std::size_t FetchOverhead = 0;
   /// The calls received, without their arguments.
   std::vector<std::string> Calls;
   /// Called before each call is executed, with its path.
@@ -82,8 +84,8 @@
   Response answer(const HttpRequestMessage &Message);
   Response append(Topic &To, const std::map<std::string, std::string> &Query,
                   std::string_view Body);
-  static Response read(const Topic &From,
-                       const std::map<std::string, std::string> &Query);
+  Response read(const Topic &From,
+                const std::map<std::string, std::string> &Query) const;
   Response newest(const Topic &Selected) const;
 
   Runtime Tasks;
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -99,6 +99,18 @@
   CHECK(Followed.CurrentAsOf.size() == 2);
 }
 
+TEST_CASE("a record that a read of its size does not hold is read otherwise") {
+  FollowedTopic Followed;
+  FakeStore &Store = Followed.Fixture.Store;
+  Store.FetchOverhead = 10'000;
+  Store.put(Topic, "config", "0");
+  Followed.follow(2, [&](int Read) {
+    if (Read == 1)
+      Store.put(Topic, "config", largeValue('a'));
+  });
+  CHECK(Followed.Seen == std::vector<std::string>{"config=0", "config=a"});
+}
+
 TEST_CASE("records that others of the same read supersede are passed over") {
   FollowedTopic Followed;
   FakeStore &Store = Followed.Fixture.Store;
