--- a/Libraries/LibRelay/ConfigView.h
+++ b/Libraries/LibRelay/ConfigView.h
@@ -12,8 +12,8 @@
 
 namespace bergamothook {
 
-/// The version under which a call is decoded; null before the first one. Of an
-/// old view, only what is there counts: what is not may have been added since.
+/// The version under which a call is decoded; null before the first one. Unless
+/// it is current, a later version may have added what it lacks.
 struct ConfigInForce {
   ConfigInForce(RelayConfigPtr Config, bool IsCurrent = true)
       : Config(std::move(Config)), IsCurrent(IsCurrent) {}
