Require keys under a configuration whose list of teams is empty

Cause: RelayConfig::hasTeams() was "there are teams" and decided whether keys are asked for. The reader did not keep whether the configuration has a list at all, so that an empty list counted as none. The log told the two apart only by "teams": 0, which both have.

Whether calls need a key is a decision of its own now, CallerAccess, made where the configuration is decoded: Open without the field, ByKey with it, whatever it holds. A configuration that is made in any other way asks for keys. hasTeams() is gone. The line config_in_force and gauges show teams, keys, routes and the access in force.

--- a/Libraries/LibRelay/RelayConfig.cpp
+++ b/Libraries/LibRelay/RelayConfig.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+const char *nameOf(CallerAccess Access) {
+  switch (Access) {
+  case CallerAccess::Open:
+    return "open";
+  case CallerAccess::ByKey:
+    return "by_key";
+  }
+  return "unknown_access";
+}
+
 void RelayConfig::addRoute(RelayRoute Route) {
   auto &HostRoutes = this->Routes[hostKey(Route.Host)];
   auto Place = std::find_if(
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -87,6 +87,17 @@
   std::optional<Tokens> Budget;
 };
 
+/// Whether calls have to carry an API key.
+enum class CallerAccess {
+  /// The configuration names no teams at all: calls belong to none.
+  Open,
+  /// Calls need the key of a team, unless their route is public. The list of
+  /// teams may be empty; no key is in force then.
+  ByKey,
+};
+
+const char *nameOf(CallerAccess Access);
+
 /// Size limits and timeouts for requests.
 struct CallerLimits {
   std::uint32_t MaxHeadBytes = 16 * 1024;
@@ -99,6 +110,7 @@
 class RelayConfig {
 public:
   std::uint64_t Version = 0;
+  CallerAccess Access = CallerAccess::ByKey;
   CallerLimits Limits;
 
   void addRoute(RelayRoute Route);
@@ -120,11 +132,14 @@
   /// \returns the services that have streams which may be resumed.
   std::set<std::string> resumableServices() const;
 
-  /// Tells whether calls need an API key.
-  bool hasTeams() const { return !this->Teams.empty(); }
+  /// Tells whether the calls of a route need an API key.
+  bool requiresKey(const RelayRoute &Route) const {
+    return this->Access == CallerAccess::ByKey && !Route.IsPublic;
+  }
 
   const std::map<std::string, RelayTeam> &teams() const { return this->Teams; }
   std::size_t routes() const { return this->RouteCount; }
+  std::size_t keys() const { return this->TeamOfKey.size(); }
 
 private:
   /// By host, with the longest prefixes first.
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -415,6 +415,8 @@
            {{"version", Config.value()->Version},
             {"routes", Config.value()->routes()},
             {"teams", Config.value()->teams().size()},
+            {"keys", Config.value()->keys()},
+            {"caller_access", nameOf(Config.value()->Access)},
             {"idle_timeout_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(
                  Config.value()->Limits.IdleTimeout)
@@ -590,6 +592,18 @@
   return {this->isReady() ? 200U : 503U, "text/plain", ""};
 }
 
+void RelayService::measureConfig(const RelayConfig &Config) {
+  this->Measured.set("relay_config_version",
+                     static_cast<double>(Config.Version));
+  this->Measured.set("relay_config_routes",
+                     static_cast<double>(Config.routes()));
+  this->Measured.set("relay_config_teams",
+                     static_cast<double>(Config.teams().size()));
+  this->Measured.set("relay_config_keys", static_cast<double>(Config.keys()));
+  this->Measured.set("relay_config_requires_keys",
+                     Config.Access == CallerAccess::ByKey ? 1 : 0);
+}
+
 StatusResponse RelayService::answerMetrics(const std::string &Path) {
   if (Path != "/metrics")
     return {};
@@ -613,8 +627,7 @@
       "relay_forwarded_requests_unsigned",
       static_cast<double>(this->ForwardedCalls.unsignedRequests()));
   if (const RelayConfigPtr &Config = this->Dispatcher.config())
-    this->Measured.set("relay_config_version",
-                       static_cast<double>(Config->Version));
+    this->measureConfig(*Config);
   if (auto Age = this->View.age(readLeaseClock()))
     this->Measured.set("relay_config_view_age_seconds",
                        std::chrono::duration<double>(*Age).count());
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -66,6 +66,7 @@
   bool isReady() const;
   StatusResponse answerReady(const std::string &Path) const;
   StatusResponse answerMetrics(const std::string &Path);
+  void measureConfig(const RelayConfig &Config);
   /// Spawns a task that goes on after it ran out of memory.
   void spawnLoop(std::function<void()> Run);
   void waitForSignal();
--- /dev/null
+++ b/Tests/ConfigReading/Depends.cmake
@@ -0,0 +1,3 @@
+find_package(rapidcheck REQUIRED)
+list(APPEND DEPENDS Platform)
+list(APPEND DEPENDS rapidcheck)
