Match no request without a key to an empty key

Callers: with an empty text among a team's keys, requests without an Authorization field, with another scheme or with nothing behind "Bearer" ran as requests of that team.

Cause: bearerToken() gave an empty text for "there is no key", and the table of keys held an empty text like any other.

--- a/Libraries/LibRelay/RelayConfig.cpp
+++ b/Libraries/LibRelay/RelayConfig.cpp
@@ -46,7 +46,8 @@
                           const std::vector<std::string> &Keys) {
   this->Teams.insert_or_assign(Team.Name, Team);
   for (const std::string &Key : Keys)
-    this->TeamOfKey.insert_or_assign(Key, Team.Name);
+    if (!Key.empty())
+      this->TeamOfKey.insert_or_assign(Key, Team.Name);
 }
 
 const RelayRoute *RelayConfig::findRoute(std::string_view Host,
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -115,6 +115,7 @@
 
   void addRoute(RelayRoute Route);
   void addService(RoutedService Service);
+  /// Empty keys are left out: a call without a key must not match them.
   void addTeam(const RelayTeam &Team, const std::vector<std::string> &Keys);
 
   /// Finds the route of a call: the route of its host with the longest matching
--- a/Tests/ConfigReading/CallerAccessTest.cpp
+++ b/Tests/ConfigReading/CallerAccessTest.cpp
@@ -25,3 +25,21 @@
   CHECK(refusalOf(Entry, std::nullopt) == 0);
   CHECK(refusalOf(Entry, "Bearer never-held") == 0);
 }
+
+// Guards against an empty text in the list of keys letting requests without a
+// key in.
+TEST_CASE("a request without a key does not match an empty key") {
+  json Entry = makeConfigEntry();
+  Entry["tenants"][0]["apiKeys"] = {"", "key"};
+  CHECK(refusalOf(Entry, "Bearer key") == 0);
+  for (const std::optional<std::string> &Credentials :
+       {std::optional<std::string>(), std::optional<std::string>(""),
+        std::optional<std::string>("Bearer"),
+        std::optional<std::string>("Bearer "),
+        std::optional<std::string>("Bearer   "),
+        std::optional<std::string>("Basic a2V5"),
+        std::optional<std::string>("key")}) {
+    CAPTURE(Credentials.value_or("none"));
+    CHECK(refusalOf(Entry, Credentials) == 401);
+  }
+}
