Match no request without a token to the hash of an empty one

The router's kin of the fault: bearerTokenOf() returns an empty text for requests without a token, LibConfig hashes it, and the hash of nothing is what an operator publishes whose variable was not set. Requests without a token then counted as that team's, or as that operator's, also for operators of the settings file.

An empty token has no owner.

--- a/Libraries/LibConfig/ConfigSnapshot.cpp
+++ b/Libraries/LibConfig/ConfigSnapshot.cpp
@@ -12,9 +12,15 @@
 
 } // namespace
 
+const TokenOwner *
+ConfigSnapshot::ownerOfToken(std::string_view BearerToken) const {
+  return BearerToken.empty() ? nullptr
+                             : this->Tables->Tokens.find(sha256(BearerToken));
+}
+
 const EffectiveTeam *
 ConfigSnapshot::teamOfToken(std::string_view BearerToken) const {
-  const TokenOwner *Owner = this->Tables->Tokens.find(sha256(BearerToken));
+  const TokenOwner *Owner = this->ownerOfToken(BearerToken);
   return Owner && !Owner->IsOperator ? this->team(Owner->Team) : nullptr;
 }
 
@@ -32,7 +38,7 @@
 
 const EffectiveOperator *
 ConfigSnapshot::operatorOfToken(std::string_view BearerToken) const {
-  const TokenOwner *Owner = this->Tables->Tokens.find(sha256(BearerToken));
+  const TokenOwner *Owner = this->ownerOfToken(BearerToken);
   return Owner && Owner->IsOperator
              ? findShared(this->Tables->Operators, Owner->Operator)
              : nullptr;
--- a/Libraries/LibConfig/ConfigSnapshot.h
+++ b/Libraries/LibConfig/ConfigSnapshot.h
@@ -58,6 +58,10 @@
   const ConfigTables &tables() const { return *this->Tables; }
 
 private:
+  /// \returns the owner of a token; null for the empty one, which requests
+  /// without a token have.
+  const TokenOwner *ownerOfToken(std::string_view BearerToken) const;
+
   std::shared_ptr<const ConfigTables> Tables;
 };
 
--- a/Libraries/LibConfig/OperatorAuthorizer.cpp
+++ b/Libraries/LibConfig/OperatorAuthorizer.cpp
@@ -13,6 +13,8 @@
 OperatorAuthorizer::authorize(const ConfigSnapshot &Config,
                               std::string_view BearerToken,
                               OperatorRole RequiredRole) const {
+  if (BearerToken.empty())
+    return ConfigError::NotAuthenticated;
   const EffectiveOperator *Found = Config.operatorOfToken(BearerToken);
   if (!Found) {
     auto Entry = this->FromSettings.find(sha256(BearerToken));
--- a/Tests/LibConfig/ConfigFoldTest.cpp
+++ b/Tests/LibConfig/ConfigFoldTest.cpp
@@ -290,3 +290,24 @@
   CHECK(Authorizer.authorize(Config, "guess", OperatorRole::Read).error() ==
         ConfigError::NotAuthenticated);
 }
+
+// Guards against the hash of nothing, which an unset variable yields, letting
+// requests without a token in.
+TEST_CASE("a request without a token does not match the hash of an empty one") {
+  Publisher Operators;
+  const std::string Empty = toHex(sha256(""));
+  REQUIRE(Operators.publish(R"({"team/open": {"keys": [")" + Empty + R"("]}})")
+              .IsAccepted);
+  CHECK_FALSE(Operators.Fold.snapshot().teamOfToken(""));
+  REQUIRE(Operators
+              .publish(R"({"team/open": null, "operator/ana":
+      {"roles": ["read"], "keys": [")" +
+                       Empty + R"("]}})")
+              .IsAccepted);
+  ConfigSnapshot Config = Operators.Fold.snapshot();
+  CHECK_FALSE(Config.operatorOfToken(""));
+  OperatorAuthorizer Authorizer(
+      {{"first", {OperatorRole::Read}, {sha256("")}}});
+  CHECK(Authorizer.authorize(Config, "", OperatorRole::Read).error() ==
+        ConfigError::NotAuthenticated);
+}
