--- a/Tests/BrokenTargets/BrokenTargetsTest.cpp
+++ b/Tests/BrokenTargets/BrokenTargetsTest.cpp
@@ -31,7 +31,7 @@
   RelayProcess Relay({{"order", Target.address()}});
   Relay.start();
   std::string Request =
-      "POST /order HTTP/1.1\r\nHost: " + std::string(RelayProcess::RouteHost) +
+      "POST /order/ HTTP/1.1\r\nHost: " + std::string(RelayProcess::RouteHost) +
       "\r\n" + IdField + ": call-1\r\nConnection: close\r\n" +
       "Content-Length: " + std::to_string(UploadBytes) + "\r\n\r\n" +
       std::string(UploadBytes, 'x');
--- a/Tests/MisbehavingClients/RelayProcess.cpp
+++ b/Tests/MisbehavingClients/RelayProcess.cpp
@@ -121,8 +121,9 @@
   json Config{
       {"version", 1},
       {"routes",
-       {makeRouteEntry("plain", RouteHost, "/plain", "idempotent", "plain"),
-        makeRouteEntry("stream", RouteHost, "/stream", "streaming", "stream")}},
+       {makeRouteEntry("plain", RouteHost, "/plain/", "idempotent", "plain"),
+        makeRouteEntry("stream", RouteHost, "/stream/", "streaming",
+                       "stream")}},
       {"services",
        {{{"name", "plain"}, {"maxConns", 1000}},
         {{"name", "stream"}, {"maxConns", 1000}}}},
@@ -132,8 +133,8 @@
         {"headerTimeoutMs", 3000},
         {"idleTimeoutMs", 15000}}}};
   for (const auto &[Service, Address] : OtherTargets) {
-    Config["routes"].push_back(makeRouteEntry(Service, RouteHost, "/" + Service,
-                                              "nonIdempotent", Service));
+    Config["routes"].push_back(makeRouteEntry(
+        Service, RouteHost, "/" + Service + "/", "nonIdempotent", Service));
     Config["services"].push_back({{"name", Service}, {"maxConns", 1000}});
     this->listTarget(Service, Address);
   }
--- a/Tests/MisbehavingClients/RelayProcess.h
+++ b/Tests/MisbehavingClients/RelayProcess.h
@@ -34,7 +34,7 @@
 class RelayProcess {
 public:
   /// Starts the store and the targets. Each of \p OtherTargets is a service
-  /// with its only target, an IP:PORT, on a route /SERVICE whose calls may not
+  /// with its only target, an IP:PORT, on a route /SERVICE/ whose calls may not
   /// be repeated.
   explicit RelayProcess(std::map<std::string, std::string> OtherTargets = {});
   ~RelayProcess();
