Take what can be read of a version of the configuration

Callers: one field of one route in a form that this build does not know, and the whole version was passed over. The view of the configuration counted as current, so that what the new version had added was denied with 401 and 404; only a line in the log said otherwise.

Cause: each field was read by its type or not at all. An exception of one passed over the version, and where there was none, "unreadable" became "absent": a budget that is no number meant unlimited, an engine that is no object meant one token an event, weights of 0 sent all calls to the last service, of two keys, routes, services or fields of the same name one won.

What decides who may call, where a call runs, how often and at whose cost has to be readable, else exactly the route, service, team, key or budget is not in force: the calls that need it get 503 with a Retry-After, neither served nor denied. What only delays or orders a call has a value with which it is served. Parts that contradict each other are not in force, nor is an object in which a name stands twice. Problems have a kind and a place, logged as config_part_unreadable and counted in relay_config_unreadable_parts.

"an invalid manifest is rejected" expected that a route that can't be read takes the version with it; the case is checked as it is now: the route is not in force, and nothing is denied for want of it.

--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -9,6 +9,7 @@
 #include "LibBase/Time.h"
 #include "LibWallet/WalletRecord.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,47 @@
   std::uint32_t Weight = 1;
 };
 
+/// Why a part of a configuration can't be taken as it stands.
+enum class ConfigProblemKind {
+  Missing,
+  /// Its type, or the type of a part of it, is not the expected one.
+  WrongType,
+  OutOfRange,
+  /// It contradicts another part, or stands twice.
+  Ambiguous,
+  /// It names a service that is not described.
+  UnknownService,
+};
+
+const char *nameOf(ConfigProblemKind Kind);
+
+struct ConfigProblem {
+  ConfigProblemKind Kind{};
+  /// Where it is, as a JSON pointer.
+  std::string Place;
+};
+
+/// The problems of one version.
+class ConfigProblems {
+public:
+  /// A version may hold any number of them.
+  static constexpr std::size_t MaxKept = 16;
+
+  void add(ConfigProblemKind Kind, std::string Place) {
+    ++this->Count;
+    if (this->First.size() < MaxKept)
+      this->First.push_back({Kind, std::move(Place)});
+  }
+
+  std::size_t count() const { return this->Count; }
+  /// The first MaxKept of them.
+  const std::vector<ConfigProblem> &first() const { return this->First; }
+
+private:
+  std::vector<ConfigProblem> First;
+  std::size_t Count = 0;
+};
+
 struct RelayRoute {
   std::string Name;
   std::string Host;
@@ -55,6 +97,9 @@
   unsigned MaxTargets = 1;
   bool IsPublic = false;
   bool IsResumable = false;
+  /// Unset if something in the route can't be read. The calls that match it are
+  /// neither served nor denied.
+  bool IsReadable = true;
   bool hasResumableStreams() const {
     return this->Kind == CallKind::Stream && this->IsResumable;
   }
@@ -70,6 +115,8 @@
   std::uint32_t EngineSlots = 0;
   /// The maximum number of tokens in one event of a stream.
   std::uint32_t TokensPerEvent = 1;
+  /// Unset if it can't be read what the service's answers cost a team.
+  bool IsReadable = true;
   /// Requests per second that a target accepts from all hosts together while it
   /// is cold; 0 if the service has no cold targets.
   double ColdPerSecond = 0;
@@ -85,6 +132,12 @@
   std::optional<int> Priority;
   /// The tokens that the team has paid for; unlimited if unset.
   std::optional<Tokens> Budget;
+  /// Unset if the configuration states a budget that can't be read. The team's
+  /// tokens can't be spent then.
+  bool HasReadableBudget = true;
+  /// Unset if something else in the team can't be read. Its calls are neither
+  /// served nor denied.
+  bool IsReadable = true;
 };
 
 /// Whether calls have to carry an API key.
@@ -106,17 +159,43 @@
   Duration IdleTimeout = std::chrono::seconds(15);
 };
 
+namespace detail {
+
+/// Finds texts without a copy of them.
+struct TextHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view Text) const {
+    return std::hash<std::string_view>()(Text);
+  }
+};
+
+} // namespace detail
+
 /// One version of the configuration.
 class RelayConfig {
 public:
   std::uint64_t Version = 0;
   CallerAccess Access = CallerAccess::ByKey;
   CallerLimits Limits;
-
-  void addRoute(RelayRoute Route);
-  void addService(RoutedService Service);
-  /// Empty keys are left out: a call without a key must not match them.
-  void addTeam(const RelayTeam &Team, const std::vector<std::string> &Keys);
+  /// Unset if there may be routes, or keys, that can't be read. What is not
+  /// found among the others is not denied.
+  bool HasAllRoutes = true;
+  bool HasAllKeys = true;
+  ConfigProblems Problems;
+
+  /// Of routes with the same host and prefix none is readable. \returns whether
+  /// this is the only one.
+  bool addRoute(RelayRoute Route);
+
+  /// Of services with the same name none is readable. \returns whether this is
+  /// the only one.
+  bool addService(RoutedService Service);
+
+  /// Empty keys are left out: a call without a key must not match them. Teams
+  /// with the same name are one; if their budgets differ, none is readable. A
+  /// key of several teams belongs to none of them. \returns whether the team
+  /// and its keys contradict no other.
+  bool addTeam(const RelayTeam &Team, const std::vector<std::string> &Keys);
 
   /// Finds the route of a call: the route of its host with the longest matching
   /// path prefix. \p Target may include a query.
@@ -124,8 +203,13 @@
                               std::string_view Target) const;
 
   const RoutedService *findService(const std::string &Name) const;
+  /// \returns the only team that has \p Key; null if there is none.
   const RelayTeam *findTeamByKey(std::string_view Key) const;
 
+  /// Tells whether \p Key, which findTeamByKey() does not find, may be in force
+  /// by a part that can't be read.
+  bool mayHaveKey(std::string_view Key) const;
+
   /// \returns the rates at which cold targets accept requests, of the services
   /// that have such targets.
   std::map<std::string, double> coldRates() const;
@@ -143,11 +227,20 @@
   std::size_t keys() const { return this->TeamOfKey.size(); }
 
 private:
-  /// By host, with the longest prefixes first.
-  std::unordered_map<std::string, std::vector<RelayRoute>> Routes;
+  /// The routes of one host.
+  struct HostRoutes {
+    /// By prefix.
+    std::unordered_map<std::string, RelayRoute, detail::TextHash,
+                       std::equal_to<>>
+        ByPrefix;
+    std::size_t LongestPrefix = 0;
+  };
+
+  std::unordered_map<std::string, HostRoutes> Routes;
   std::map<std::string, RoutedService> Services;
   std::map<std::string, RelayTeam> Teams;
-  std::unordered_map<std::string, std::string> TeamOfKey;
+  /// The names of the teams; nothing for a key of several teams.
+  std::unordered_map<std::string, std::optional<std::string>> TeamOfKey;
   std::size_t RouteCount = 0;
 };
 
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -70,6 +70,8 @@
   case RelayReason::ConfigOld:
     return "the configuration may be an old one, which lacks what the request "
            "needs";
+  case RelayReason::ConfigUnreadable:
+    return "the part of the configuration that the request needs can't be read";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -62,6 +62,7 @@
   OutOfReach,
   NotOfFleet,
   ConfigOld,
+  ConfigUnreadable,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -416,12 +416,19 @@
             {"routes", Config.value()->routes()},
             {"teams", Config.value()->teams().size()},
             {"keys", Config.value()->keys()},
+            {"unreadable_parts", Config.value()->Problems.count()},
             {"caller_access", nameOf(Config.value()->Access)},
             {"idle_timeout_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(
                  Config.value()->Limits.IdleTimeout)
                  .count()},
             {"offset", Record.Offset}});
+  if (IsNew)
+    for (const ConfigProblem &Problem : Config.value()->Problems.first())
+      logEvent(LogLevel::Error, "config_part_unreadable",
+               {{"version", Config.value()->Version},
+                {"place", Problem.Place.substr(0, MaxLoggedBytes)},
+                {"problem", nameOf(Problem.Kind)}});
 }
 
 platform::FeedHooks RelayService::targetFeedHooks() {
@@ -602,6 +609,8 @@
   this->Measured.set("relay_config_keys", static_cast<double>(Config.keys()));
   this->Measured.set("relay_config_requires_keys",
                      Config.Access == CallerAccess::ByKey ? 1 : 0);
+  this->Measured.set("relay_config_unreadable_parts",
+                     static_cast<double>(Config.Problems.count()));
 }
 
 StatusResponse RelayService::answerMetrics(const std::string &Path) {
--- a/Tests/Platform/ManifestReaderTest.cpp
+++ b/Tests/Platform/ManifestReaderTest.cpp
@@ -94,8 +94,30 @@
   CHECK_FALSE(parseManifest(""));
   CHECK_FALSE(parseManifest("[]"));
   CHECK_FALSE(parseManifest("{\"version\":\"x\"}"));
-  CHECK_FALSE(
-      parseManifest(R"({"version":1,"routes":[{"name":1}],"services":[]})"));
+  CHECK_FALSE(parseManifest(R"({"version":1,"version":2})"));
+}
+
+TEST_CASE("a route that can't be read is not in force, and nothing is denied "
+          "for want of it") {
+  auto Read =
+      parseManifest(R"({"version":1,"routes":[{"name":1}],"services":[]})");
+  REQUIRE(Read);
+  CHECK(Read.value()->routes() == 0);
+  CHECK_FALSE(Read.value()->HasAllRoutes);
+  CHECK(Read.value()->Problems.count() == 3);
+}
+
+TEST_CASE("weights of a route's services may be fractions") {
+  std::string Text = Manifest;
+  Text.replace(Text.find("\"weight\":90"), 11, "\"weight\":0.9");
+  Text.replace(Text.find("\"weight\":10"), 11, "\"weight\":0.1");
+  auto Read = parseManifest(Text);
+  REQUIRE(Read);
+  const RelayRoute *Route = Read.value()->findRoute("a.example", "/x/y");
+  REQUIRE(Route);
+  CHECK(Route->IsReadable);
+  CHECK(Route->Services[0].Weight == 900);
+  CHECK(Route->Services[1].Weight == 100);
 }
 
 TEST_CASE("valid target entries are parsed and invalid ones rejected") {
