Deny nothing while the newest version can't be read

Callers: a record of the configuration that is no JSON object, or has no version, was passed over as if it had never come, and so was one that removes the configuration. Reads went on, so that the view counted as current: routes and keys that the unread version may have added were denied with 404 and 401, and exhausted budgets that it may have raised with 402, for good.

A version that can't be read, or is gone, is not in force, and makes the view age as an outage does. The version before serves what it allows; what it lacks is refused with 503 and a Retry-After once the view is older than configMs. config_view_old says so, and config_unreadable and config_removed name the version that stays in force; relay_config_newest_unreadable is 1. A full link is told apart from that by what has been received.

"a view is not current while the newest version can't be read" can't be compiled on the code before, which has no such state: its view is told only of reads. There, the view is 0 s old in that test.

--- a/Libraries/LibRelay/ConfigView.cpp
+++ b/Libraries/LibRelay/ConfigView.cpp
@@ -5,7 +5,13 @@
 namespace bergamothook {
 
 void ConfigView::onCurrent(TimePoint AsOf) {
-  this->CurrentAsOf = std::max(this->CurrentAsOf.value_or(AsOf), AsOf);
+  this->ReceivedAsOf = std::max(this->ReceivedAsOf.value_or(AsOf), AsOf);
+  if (this->IsNewestReadable)
+    this->CurrentAsOf = this->ReceivedAsOf;
+}
+
+bool ConfigView::hasReceived(TimePoint Now) const {
+  return this->ReceivedAsOf && Now - *this->ReceivedAsOf <= this->MaxAge;
 }
 
 std::optional<Duration> ConfigView::age(TimePoint Now) const {
--- a/Libraries/LibRelay/ConfigView.h
+++ b/Libraries/LibRelay/ConfigView.h
@@ -22,21 +22,30 @@
   bool IsCurrent;
 };
 
-/// Tells whether the version in force may be taken for the newest one. All
-/// times are of one clock that counts while the machine is suspended.
+/// Tells whether the version in force may be taken for the newest one. A
+/// version that can't be read is not in force and makes the view age. All times
+/// are of one clock that counts while the machine is suspended.
 class ConfigView {
 public:
   /// Accepted versions have to be in force everywhere within \p MaxAge.
   explicit ConfigView(Duration MaxAge) : MaxAge(MaxAge) {}
 
+  /// The newest of the versions received can, or can't, be read.
+  void onNewest(bool IsReadable) { this->IsNewestReadable = IsReadable; }
+
   /// All versions that were accepted before \p AsOf have been received.
   void onCurrent(TimePoint AsOf);
 
+  bool isNewestReadable() const { return this->IsNewestReadable; }
+
+  /// \returns whether every version that has to be in force at \p Now has been
+  /// received, be it readable or not.
+  bool hasReceived(TimePoint Now) const;
+
   /// \returns the age of the view; nothing before the first.
   std::optional<Duration> age(TimePoint Now) const;
 
-  /// \returns whether every version that has to be in force at \p Now has been
-  /// received.
+  /// \returns whether every version that has to be in force at \p Now is.
   bool isCurrent(TimePoint Now) const;
 
   /// \returns whether isCurrent() has changed since the last call, once there
@@ -45,7 +54,9 @@
 
 private:
   Duration MaxAge;
+  std::optional<TimePoint> ReceivedAsOf;
   std::optional<TimePoint> CurrentAsOf;
+  bool IsNewestReadable = true;
   bool WasCurrent = true;
 };
 
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -114,7 +114,7 @@
                 this->Dialer.idle();
             Usage.MessageBytes = this->Memory->usedBytes();
             Usage.CallerConnections = this->Server.connections();
-            Usage.HasOldConfig = !this->configInForce().IsCurrent;
+            Usage.HasOldConfig = !this->View.hasReceived(readLeaseClock());
           },
           Seed),
       Server(Loop, this->serverSettings(), this->Dispatcher,
@@ -390,8 +390,13 @@
       Evacuated.push_back(std::move(*Listed));
     }
   this->Evacuations.onSnapshot(Evacuated, End, this->Tasks.Now());
-  for (const KeyedRecord &Record : Records)
+  bool HasConfig = false;
+  for (const KeyedRecord &Record : Records) {
+    HasConfig |= Record.Key == wire::ConfigKey;
     this->applyConfigRecord(Record);
+  }
+  if (!HasConfig)
+    this->onNoConfig(End);
 }
 
 void RelayService::applyOperatorRecord(const KeyedRecord &Record) {
@@ -401,13 +406,28 @@
     this->applyConfigRecord(Record);
 }
 
+void RelayService::onNoConfig(std::uint64_t Offset) {
+  this->View.onNewest(false);
+  // The version in force goes on: a fleet without any would refuse everyone.
+  if (this->Dispatcher.config())
+    logEvent(LogLevel::Error, "config_removed",
+             {{"offset", Offset},
+              {"version_in_force", this->Dispatcher.config()->Version}});
+}
+
 void RelayService::applyConfigRecord(const KeyedRecord &Record) {
-  if (Record.Key != wire::ConfigKey || !Record.Value)
+  if (Record.Key != wire::ConfigKey)
     return;
+  if (!Record.Value)
+    return this->onNoConfig(Record.Offset);
   auto Config = platform::parseManifest(*Record.Value);
+  this->View.onNewest(static_cast<bool>(Config));
   if (!Config) {
+    const RelayConfigPtr &InForce = this->Dispatcher.config();
     logEvent(LogLevel::Error, "config_unreadable",
-             {{"offset", Record.Offset}, {"bytes", Record.Value->size()}});
+             {{"offset", Record.Offset},
+              {"bytes", Record.Value->size()},
+              {"version_in_force", InForce ? InForce->Version : 0}});
     return;
   }
   bool IsNew = this->Dispatcher.setConfig(Config.value());
@@ -637,6 +657,8 @@
       static_cast<double>(this->ForwardedCalls.unsignedRequests()));
   if (const RelayConfigPtr &Config = this->Dispatcher.config())
     this->measureConfig(*Config);
+  this->Measured.set("relay_config_newest_unreadable",
+                     this->View.isNewestReadable() ? 0 : 1);
   if (auto Age = this->View.age(readLeaseClock()))
     this->Measured.set("relay_config_view_age_seconds",
                        std::chrono::duration<double>(*Age).count());
--- a/Services/Relay/RelayService.h
+++ b/Services/Relay/RelayService.h
@@ -54,6 +54,8 @@
                              std::uint64_t End);
   void applyOperatorRecord(const platform::KeyedRecord &Record);
   void applyConfigRecord(const platform::KeyedRecord &Record);
+  /// The store holds no configuration at \p Offset.
+  void onNoConfig(std::uint64_t Offset);
   ConfigInForce configInForce() const;
   /// Logs when the view of the configuration becomes old or current.
   void reportConfigView();
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -272,6 +272,25 @@
   CHECK(View.age(Begin + 4s) == 4s);
 }
 
+// Guards against denials, for good, by the version before one that can't be
+// read.
+TEST_CASE("a view is not current while the newest version can't be read") {
+  ConfigView View(3s);
+  View.onNewest(true);
+  View.onCurrent(Begin);
+  View.onNewest(false);
+  View.onCurrent(Begin + 10s);
+  CHECK(View.age(Begin + 10s) == 10s);
+  CHECK_FALSE(View.isCurrent(Begin + 10s));
+  // It has been received all the same: nothing keeps this host from reading.
+  CHECK(View.hasReceived(Begin + 13s));
+  CHECK_FALSE(View.hasReceived(Begin + 14s));
+  View.onNewest(true);
+  View.onCurrent(Begin + 20s);
+  CHECK(View.isCurrent(Begin + 23s));
+  CHECK_FALSE(View.isCurrent(Begin + 24s));
+}
+
 TEST_CASE("a view reports once that it is old, and once that it is current") {
   ConfigView View(3s);
   View.onCurrent(Begin);
