Take away the budgets that a version removes

A version that removed a team, or its budget, or stated it in a form that can't be read, left the budget of the version before with the wallets: hosts held the team's tokens and stayed active for it, a request that had waited since before got tokens by it, and one that found no budget at all was refused with 402, for good, where nothing is known of what is left. A loan asked for in that moment stated a budget of 0.

setConfig() states all budgets of a version. Those that it lacks are forgotten: idle tokens go back to the log, requests that wait for them end with 503 and a Retry-After (WalletError::NoBudget), loans in flight are settled as before. What was spent stays counted and is charged to the budget if the team gets one again. budget_removed is logged.

--- a/Libraries/LibLoan/TokenBroker.cpp
+++ b/Libraries/LibLoan/TokenBroker.cpp
@@ -195,6 +195,20 @@
   return HasChanged;
 }
 
+std::vector<std::string>
+TokenBroker::keepBudgets(const std::set<std::string> &Teams) {
+  std::vector<std::string> Forgotten;
+  for (const auto &[Team, Budget] : this->Budgets)
+    if (!Teams.contains(Team))
+      Forgotten.push_back(Team);
+  for (const std::string &Team : Forgotten) {
+    this->Budgets.erase(Team);
+    if (WalletService *Service = this->walletOf(Team))
+      Service->forgetBudget(Team);
+  }
+  return Forgotten;
+}
+
 Result<TokenReservation>
 TokenBroker::reserve(const std::string &Team, Tokens Amount, TimePoint Deadline,
                      const std::function<bool()> &IsCancelled) {
@@ -215,6 +229,10 @@
     auto Next = this->nextHome(Partition, Asked, IsLogLost);
     if (!Next)
       break;
+    // It may have been forgotten while a home was asked.
+    auto Budget = this->Budgets.find(Team);
+    if (Budget == this->Budgets.end())
+      return WalletError::NoBudget;
     HostId Home = *Next;
     Asked.insert(Home);
     bool IsOwn = Home == this->Roster.self().id();
@@ -225,8 +243,9 @@
       continue;
     }
     HomeOutcome Outcome =
-        IsOwn ? this->reserveOwn(Team, Amount, End, IsCancelled)
-              : this->borrow(Home, Reservation, End, IsCancelled);
+        IsOwn
+            ? this->reserveOwn(Team, Amount, End, IsCancelled)
+            : this->borrow(Home, Budget->second, Reservation, End, IsCancelled);
     const RosterHost *Found = this->Roster.find(Home);
     std::string Name = Found ? Found->Name : "removed";
     switch (Outcome) {
@@ -251,6 +270,8 @@
       break;
     }
   }
+  if (!this->Budgets.contains(Team))
+    return WalletError::NoBudget;
   this->logRefusal(Team, Amount, Outcomes);
   return WalletError::NotInHand;
 }
@@ -326,15 +347,15 @@
 }
 
 TokenBroker::HomeOutcome
-TokenBroker::borrow(HostId Lender, TokenReservation &Reservation, TimePoint End,
-                    const std::function<bool()> &IsCancelled) {
+TokenBroker::borrow(HostId Lender, Tokens Budget, TokenReservation &Reservation,
+                    TimePoint End, const std::function<bool()> &IsCancelled) {
   TimePoint Begin = this->Tasks.Now();
   auto Wait = std::min<Duration>(this->Policy.LenderTimeout, End - Begin);
   LoanRequest Request;
   Request.Number = ++this->LastNumber;
   Request.Team = Reservation.Team;
   Request.Amount = Reservation.Amount;
-  Request.Budget = this->Budgets[Reservation.Team];
+  Request.Budget = Budget;
   Request.WaitMilliseconds = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count());
   PendingRequest &Pending = this->PendingRequests[Request.Number];
--- a/Libraries/LibLoan/TokenBroker.h
+++ b/Libraries/LibLoan/TokenBroker.h
@@ -105,7 +105,8 @@
   void beginStop();
 
   /// Reserves tokens for one request, waiting for them at most until \p
-  /// Deadline or until \p IsCancelled returns true.
+  /// Deadline or until \p IsCancelled returns true. Fails with
+  /// WalletError::NoBudget if the team has no budget, or none any more.
   Result<TokenReservation> reserve(const std::string &Team, Tokens Amount,
                                    TimePoint Deadline,
                                    const std::function<bool()> &IsCancelled);
@@ -116,6 +117,11 @@
   /// \returns whether the budget changed.
   bool setBudget(const std::string &Team, Tokens Budget);
 
+  /// Forgets the budgets of all teams but \p Teams: their tokens can't be
+  /// reserved any more, and idle ones are returned. \returns the teams whose
+  /// budget was forgotten.
+  std::vector<std::string> keepBudgets(const std::set<std::string> &Teams);
+
   /// Sets the handler of a message kind that is not about tokens. Must be
   /// called before begin().
   void setMessageHandler(std::uint16_t Kind, PeerNode::Handler Callback) {
@@ -168,8 +174,9 @@
   unsigned partitionOf(const std::string &Team) const;
   HomeOutcome reserveOwn(const std::string &Team, Tokens Amount, TimePoint End,
                          const std::function<bool()> &IsCancelled);
-  HomeOutcome borrow(HostId Lender, TokenReservation &Reservation,
-                     TimePoint End, const std::function<bool()> &IsCancelled);
+  HomeOutcome borrow(HostId Lender, Tokens Budget,
+                     TokenReservation &Reservation, TimePoint End,
+                     const std::function<bool()> &IsCancelled);
   HomeOutcome awaitResponse(HostId Lender, const LoanRequest &Request,
                             PendingRequest &Pending, TimePoint End,
                             const std::function<bool()> &IsCancelled);
--- a/Libraries/LibLoan/WalletService.cpp
+++ b/Libraries/LibLoan/WalletService.cpp
@@ -41,6 +41,13 @@
   return true;
 }
 
+void WalletService::forgetBudget(const std::string &Team) {
+  this->LocalWallet.forgetBudget(Team);
+  // Requests that wait for its tokens end.
+  this->StateChanged.notify();
+  this->WorkAvailable.notify();
+}
+
 void WalletService::setLogLost(bool IsLost) {
   if (IsLost == this->IsLogLost)
     return;
@@ -146,7 +153,7 @@
 
 bool WalletService::isActive(TimePoint Now) const {
   return (this->IsHolder && !this->IsStopping &&
-          this->LocalWallet.hasTeams()) ||
+          this->LocalWallet.hasBudgets()) ||
          Now < this->ActiveUntil || this->LocalWallet.isInUse();
 }
 
@@ -222,7 +229,8 @@
     std::uint64_t Generation = this->StateChanged.generation();
     auto Reservation =
         this->LocalWallet.reserve(Team, Amount, this->Tasks.Now());
-    if (Reservation || Reservation.error() == WalletError::Exhausted)
+    if (Reservation || Reservation.error() == WalletError::Exhausted ||
+        Reservation.error() == WalletError::NoBudget)
       return Reservation;
     bool IsDemandCounted = Reservation.error() == WalletError::NotInHand;
     this->activate();
--- a/Libraries/LibLoan/WalletService.h
+++ b/Libraries/LibLoan/WalletService.h
@@ -85,6 +85,8 @@
 
   /// \returns whether the budget changed.
   bool setBudget(const std::string &Team, Tokens Budget);
+  /// See Wallet::forgetBudget().
+  void forgetBudget(const std::string &Team);
 
   Wallet &wallet() { return this->LocalWallet; }
 
--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -138,15 +138,27 @@
   return Hosts[Turn % Hosts.size()] == Roster.self().id();
 }
 
-bool RelayDispatcher::setConfig(RelayConfigPtr Next) {
-  if (this->Config && Next->Version <= this->Config->Version)
-    return false;
-  for (const auto &[Name, Team] : Next->teams())
-    if (Team.Budget && this->TokenSource.setBudget(Name, *Team.Budget))
+void RelayDispatcher::applyBudgets(const RelayConfig &Next) {
+  std::set<std::string> Budgeted;
+  for (const auto &[Name, Team] : Next.teams()) {
+    if (!Team.Budget || !Team.IsReadable)
+      continue;
+    Budgeted.insert(Name);
+    if (this->TokenSource.setBudget(Name, *Team.Budget))
       logEvent(LogLevel::Info, "budget_changed",
                {{"team", Name},
                 {"tokens", *Team.Budget},
-                {"config_version", Next->Version}});
+                {"config_version", Next.Version}});
+  }
+  for (const std::string &Name : this->TokenSource.keepBudgets(Budgeted))
+    logEvent(LogLevel::Warning, "budget_removed",
+             {{"team", Name}, {"config_version", Next.Version}});
+}
+
+bool RelayDispatcher::setConfig(RelayConfigPtr Next) {
+  if (this->Config && Next->Version <= this->Config->Version)
+    return false;
+  this->applyBudgets(*Next);
   this->Versions.setServices(Next->resumableServices());
   this->Targets.setColdRates(Next->coldRates());
   this->Config = std::move(Next);
--- a/Libraries/LibRelay/RelayDispatcher.h
+++ b/Libraries/LibRelay/RelayDispatcher.h
@@ -102,6 +102,7 @@
   Random &rng() { return this->Rng; }
 
 private:
+  void applyBudgets(const RelayConfig &Next);
   LimiterHooks limiterHooks();
   QuarantineExchangeHooks quarantineHooks();
   OriginHooks originHooks();
--- a/Libraries/LibWallet/Wallet.cpp
+++ b/Libraries/LibWallet/Wallet.cpp
@@ -28,9 +28,23 @@
   return HasChanged;
 }
 
+void Wallet::forgetBudget(const std::string &Team) {
+  auto Found = this->Accounts.find(Team);
+  if (Found != this->Accounts.end())
+    Found->second.Budget.reset();
+}
+
+bool Wallet::hasBudgets() const {
+  return std::any_of(
+      this->Accounts.begin(), this->Accounts.end(),
+      [](const auto &Entry) { return Entry.second.Budget.has_value(); });
+}
+
 Result<void> Wallet::reserve(const std::string &Team, Tokens Amount,
                              TimePoint Now) {
   TeamAccount &Account = this->Accounts[Team];
+  if (!Account.Budget)
+    return WalletError::NoBudget;
   if (Account.committed() + Amount <= Account.limit()) {
     Account.Reserved += Amount;
     Account.LargestRequest = std::max(Account.LargestRequest, Amount);
@@ -39,8 +53,6 @@
   }
   if (!this->HasRead)
     return WalletError::NotReady;
-  if (!Account.Budget)
-    return WalletError::Exhausted;
   WalletShare Others = this->ShareTable.sumOfOthers(Team, this->Self);
   bool IsFresh =
       this->viewAge(Now) <= this->Policy.MaxViewAge && !this->isInGrace(Now);
--- a/Libraries/LibWallet/Wallet.h
+++ b/Libraries/LibWallet/Wallet.h
@@ -44,6 +44,10 @@
   /// Sets the budget of a team. \returns whether it changed.
   bool setBudget(const std::string &Team, Tokens Budget);
 
+  /// The team has no budget any more: nothing more is reserved, and what is
+  /// idle is returned. What was spent still counts if it gets one again.
+  void forgetBudget(const std::string &Team);
+
   /// Reserves \p Amount for one request. WalletError::NotInHand counts it as
   /// pending demand until abandon() is called or a further call succeeds.
   Result<void> reserve(const std::string &Team, Tokens Amount, TimePoint Now);
@@ -114,7 +118,8 @@
   /// \returns the time since the log was last read to its end.
   Duration viewAge(TimePoint Now) const { return Now - this->ReadAt; }
 
-  bool hasTeams() const { return !this->Accounts.empty(); }
+  /// \returns whether any team has a budget.
+  bool hasBudgets() const;
 
   WalletView view(const std::string &Team) const;
   std::vector<std::string> teams() const;
--- a/Libraries/LibWallet/WalletError.cpp
+++ b/Libraries/LibWallet/WalletError.cpp
@@ -14,6 +14,8 @@
     return "the tokens are not in hand";
   case WalletError::NotReady:
     return "the budgets have not been read";
+  case WalletError::NoBudget:
+    return "no budget of the team is known";
   }
   return "unknown wallet error";
 }
--- a/Libraries/LibWallet/WalletError.h
+++ b/Libraries/LibWallet/WalletError.h
@@ -16,6 +16,8 @@
   NotInHand,
   /// The log has not been read since the process started.
   NotReady,
+  /// No budget of the team is known. This says nothing of what is left of one.
+  NoBudget,
 };
 
 std::error_code make_error_code(WalletError Value);
--- a/Tests/LibLoan/TokenBrokerTest.cpp
+++ b/Tests/LibLoan/TokenBrokerTest.cpp
@@ -117,6 +117,40 @@
   checkBudgets(Fleet);
 }
 
+// Guards against tokens of a removed team that stay with the hosts that held
+// them, and against refusals for good that rest on a missing budget.
+TEST_CASE("a budget that is taken away goes back to the log, and comes back "
+          "with what was spent of it") {
+  TokenFleet Fleet({}, 5);
+  Fleet.load(20, 3'000, 3s);
+  Fleet.Simulation.runFor(1s);
+  REQUIRE(Fleet.heldOnLog("team-0") > Fleet.committed("team-0"));
+  const std::set<std::string> Others = {"team-1", "team-2", "team-3"};
+  for (int Host = 0; Host < Fleet.hosts(); ++Host)
+    CHECK(Fleet.broker(Host).keepBudgets(Others) ==
+          std::vector<std::string>{"team-0"});
+  Fleet.Simulation.runFor(4s);
+  CHECK(Fleet.heldOnLog("team-0") == Fleet.committed("team-0"));
+  CHECK(Fleet.heldOnLog("team-1") > Fleet.committed("team-1"));
+  Fleet.Results = {};
+  Fleet.request(0, "team-0", 1'000, 1'000, 10ms);
+  Fleet.Simulation.runFor(2s);
+  CHECK(Fleet.Results.Granted == 0);
+  CHECK(Fleet.Results.Exhausted == 0);
+  // Hosts read a version at different times.
+  for (int Host = 0; Host < Fleet.hosts(); ++Host) {
+    Fleet.broker(Host).setBudget("team-0", Fleet.Budget);
+    Fleet.request(Host, "team-0", 1'000, 1'000, 10ms);
+    Fleet.Simulation.runFor(500ms);
+  }
+  Fleet.Results = {};
+  Fleet.load(200, 12'000, 8s);
+  Fleet.Simulation.runFor(2s);
+  CHECK(Fleet.Results.Granted > 0);
+  CHECK(Fleet.Results.Exhausted > 0);
+  checkBudgets(Fleet);
+}
+
 TEST_CASE("a dead home has a successor") {
   TokenFleet Fleet(largeFleet(), 4);
   Fleet.load(100, 2'000, 2s);
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -315,6 +315,28 @@
   Fixture.Simulated.runFor(2s);
 }
 
+TEST_CASE("a budget that a later version took away does not count as spent") {
+  Relay Fixture;
+  Fixture.Team.Budget = 10'000;
+  Fixture.setKind(CallKind::Stream, true);
+  Fixture.Wallets.begin({KeyRing(), 1});
+  Fixture.Simulated.hooks().Spawn([&] { Fixture.Wallets.run(); });
+  Fixture.Simulated.runFor(4s);
+  RelayCall Call = Fixture.makeCall();
+  Call.PromptTokens = 1'000;
+  Fixture.Team.Budget.reset();
+  Fixture.configure();
+  RelayOutcome Outcome = Fixture.serve(Call);
+  CHECK(Fixture.Status == 503);
+  CHECK(Outcome.Reason == RelayReason::ConfigOld);
+  CHECK(Fixture.SentCalls.empty());
+  Fixture.Simulated.hooks().Spawn([&] {
+    TimePoint Now = Fixture.Simulated.now();
+    Fixture.Wallets.stop(Now, Now + 1s);
+  });
+  Fixture.Simulated.runFor(2s);
+}
+
 TEST_CASE(
     "a team is charged for the prompt once and for the delivered events") {
   Relay Fixture;
--- a/Tests/LibWallet/WalletTest.cpp
+++ b/Tests/LibWallet/WalletTest.cpp
@@ -114,6 +114,41 @@
         WalletError::NotInHand);
 }
 
+// Guards against a refusal for good that rests on a budget that is not known.
+TEST_CASE("a budget that is not known does not count as exhausted") {
+  FakeWalletLog Log;
+  Wallet LocalWallet("a", {});
+  runWalletRound(LocalWallet, Log, Begin);
+  CHECK(LocalWallet.reserve("team", 1, Begin).error() == WalletError::NoBudget);
+}
+
+// Guards against tokens of a team being held, and spent, after its budget has
+// been taken away.
+TEST_CASE("a budget that is taken away gives its idle tokens back, and keeps "
+          "count of what was spent") {
+  FakeWalletLog Log;
+  Wallet LocalWallet("a", {});
+  LocalWallet.setBudget("team", 1000);
+  runWalletRound(LocalWallet, Log, Begin);
+  REQUIRE(LocalWallet.reserve("team", 30, Begin));
+  REQUIRE(LocalWallet.reserve("team", 20, Begin));
+  LocalWallet.settle("team", 30, 25, Begin);
+  LocalWallet.forgetBudget("team");
+  CHECK_FALSE(LocalWallet.hasBudgets());
+  CHECK(LocalWallet.isInUse());
+  CHECK(LocalWallet.reserve("team", 1, Begin).error() == WalletError::NoBudget);
+  runWalletRound(LocalWallet, Log, Begin + 1s);
+  CHECK(LocalWallet.view("team").Held == 45);
+  LocalWallet.settle("team", 20, 20, Begin + 1s);
+  runWalletRound(LocalWallet, Log, Begin + 2s);
+  CHECK_FALSE(LocalWallet.isInUse());
+  LocalWallet.setBudget("team", 100);
+  runWalletRound(LocalWallet, Log, Begin + 3s);
+  CHECK(LocalWallet.view("team").Spent == 45);
+  CHECK(LocalWallet.reserve("team", 56, Begin + 3s).error() ==
+        WalletError::Exhausted);
+}
+
 TEST_CASE("nothing is reserved before the log was read") {
   Wallet LocalWallet("a", {});
   LocalWallet.setBudget("team", 1000);
