Let keys expire where the settings ask for it

bounds.revokeFailClosed and bounds.revokeMs were read by nothing: a setting that asks for the safe side was not obeyed, and one that can't be read was not noticed.

With true, a host whose view of the configuration is older than revokeMs (the store is away, or the newest version can't be read) takes no call by a key: 503 with a Retry-After. Public routes go on. Empty fields count as not stated, as the platform writes them; another word than true or false, or no time beside true, ends the start with the name of the field.

"keys are accepted by a view of any age, unless its age is bounded", "keys are not accepted once they may have been revoked too long ago" and "keys expire without word of the configuration if the settings ask for it" cover the decision, the refusal and the settings. On the code before they can't be compiled; its settings take any text in both fields.

--- a/Libraries/LibRelay/ConfigView.cpp
+++ b/Libraries/LibRelay/ConfigView.cpp
@@ -11,7 +11,7 @@
 }
 
 bool ConfigView::hasReceived(TimePoint Now) const {
-  return this->ReceivedAsOf && Now - *this->ReceivedAsOf <= this->MaxAge;
+  return this->ReceivedAsOf && Now - *this->ReceivedAsOf <= this->Policy.MaxAge;
 }
 
 std::optional<Duration> ConfigView::age(TimePoint Now) const {
@@ -22,7 +22,14 @@
 
 bool ConfigView::isCurrent(TimePoint Now) const {
   auto Age = this->age(Now);
-  return Age && *Age <= this->MaxAge;
+  return Age && *Age <= this->Policy.MaxAge;
+}
+
+bool ConfigView::acceptsKeys(TimePoint Now) const {
+  if (!this->Policy.MaxKeyAge)
+    return true;
+  auto Age = this->age(Now);
+  return Age && *Age <= *this->Policy.MaxKeyAge;
 }
 
 bool ConfigView::hasChanged(TimePoint Now) {
--- a/Libraries/LibRelay/ConfigView.h
+++ b/Libraries/LibRelay/ConfigView.h
@@ -15,11 +15,23 @@
 /// The version under which a call is decoded; null before the first one. Unless
 /// it is current, a later version may have added what it lacks.
 struct ConfigInForce {
-  ConfigInForce(RelayConfigPtr Config, bool IsCurrent = true)
-      : Config(std::move(Config)), IsCurrent(IsCurrent) {}
+  ConfigInForce(RelayConfigPtr Config, bool IsCurrent = true,
+                bool AcceptsKeys = true)
+      : Config(std::move(Config)), IsCurrent(IsCurrent),
+        AcceptsKeys(AcceptsKeys) {}
 
   RelayConfigPtr Config;
   bool IsCurrent;
+  /// Unset if a key may have been revoked too long ago to be accepted.
+  bool AcceptsKeys;
+};
+
+struct ConfigViewPolicy {
+  /// Accepted versions have to be in force everywhere within this time.
+  Duration MaxAge{};
+  /// How old a view may be by which keys are accepted; nothing if keys are
+  /// accepted by a view of any age.
+  std::optional<Duration> MaxKeyAge = {};
 };
 
 /// Tells whether the version in force may be taken for the newest one. A
@@ -27,8 +39,7 @@
 /// are of one clock that counts while the machine is suspended.
 class ConfigView {
 public:
-  /// Accepted versions have to be in force everywhere within \p MaxAge.
-  explicit ConfigView(Duration MaxAge) : MaxAge(MaxAge) {}
+  explicit ConfigView(ConfigViewPolicy Policy) : Policy(Policy) {}
 
   /// The newest of the versions received can, or can't, be read.
   void onNewest(bool IsReadable) { this->IsNewestReadable = IsReadable; }
@@ -48,12 +59,15 @@
   /// \returns whether every version that has to be in force at \p Now is.
   bool isCurrent(TimePoint Now) const;
 
+  /// \returns whether keys may be accepted.
+  bool acceptsKeys(TimePoint Now) const;
+
   /// \returns whether isCurrent() has changed since the last call, once there
   /// is a view.
   bool hasChanged(TimePoint Now);
 
 private:
-  Duration MaxAge;
+  ConfigViewPolicy Policy;
   std::optional<TimePoint> ReceivedAsOf;
   std::optional<TimePoint> CurrentAsOf;
   bool IsNewestReadable = true;
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -103,7 +103,8 @@
       Peers(this->Dialer, this->Seal, this->Tasks),
       Dispatcher(this->relaySettings(Seed), this->relayHooks(),
                  this->TokenSource, this->Measured),
-      View(this->Settings.ConfigTime), Evacuations(this->Dispatcher.targets()),
+      View({this->Settings.ConfigTime, this->Settings.KeyTime}),
+      Evacuations(this->Dispatcher.targets()),
       Load(
           Loop, this->capacity(), {},
           [this](HostUsage &Usage) {
@@ -344,7 +345,9 @@
 }
 
 ConfigInForce RelayService::configInForce() const {
-  return {this->Dispatcher.config(), this->View.isCurrent(readLeaseClock())};
+  TimePoint Now = readLeaseClock();
+  return {this->Dispatcher.config(), this->View.isCurrent(Now),
+          this->View.acceptsKeys(Now)};
 }
 
 std::function<void(const platform::FeedRead &)>
--- a/Tests/LibRelay/RelayDecisionsTest.cpp
+++ b/Tests/LibRelay/RelayDecisionsTest.cpp
@@ -259,7 +259,7 @@
 
 TEST_CASE("a view of the configuration is current for as long as versions may "
           "take to be in force") {
-  ConfigView View(3s);
+  ConfigView View({3s});
   CHECK_FALSE(View.isCurrent(Begin));
   CHECK_FALSE(View.age(Begin));
   CHECK_FALSE(View.hasChanged(Begin));
@@ -275,7 +275,7 @@
 // Guards against denials, for good, by the version before one that can't be
 // read.
 TEST_CASE("a view is not current while the newest version can't be read") {
-  ConfigView View(3s);
+  ConfigView View({3s});
   View.onNewest(true);
   View.onCurrent(Begin);
   View.onNewest(false);
@@ -291,8 +291,25 @@
   CHECK_FALSE(View.isCurrent(Begin + 24s));
 }
 
+TEST_CASE("keys are accepted by a view of any age, unless its age is bounded") {
+  ConfigView Any({3s});
+  CHECK(Any.acceptsKeys(Begin));
+  ConfigView Bounded({3s, 5s});
+  CHECK_FALSE(Bounded.acceptsKeys(Begin));
+  Bounded.onCurrent(Begin);
+  CHECK(Bounded.acceptsKeys(Begin + 5s));
+  CHECK_FALSE(Bounded.acceptsKeys(Begin + 5001ms));
+  // A version that can't be read may have revoked a key.
+  Bounded.onNewest(false);
+  Bounded.onCurrent(Begin + 10s);
+  CHECK_FALSE(Bounded.acceptsKeys(Begin + 10s));
+  Bounded.onNewest(true);
+  Bounded.onCurrent(Begin + 11s);
+  CHECK(Bounded.acceptsKeys(Begin + 11s));
+}
+
 TEST_CASE("a view reports once that it is old, and once that it is current") {
-  ConfigView View(3s);
+  ConfigView View({3s});
   View.onCurrent(Begin);
   CHECK_FALSE(View.hasChanged(Begin + 3s));
   CHECK(View.hasChanged(Begin + 4s));
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -113,6 +113,18 @@
   CheckNotDenied(Message);
 }
 
+TEST_CASE(
+    "keys are not accepted once they may have been revoked too long ago") {
+  ConfigInForce Expired(makeConfig(), false, false);
+  HttpRequestMessage Message = makeRequest();
+  DecodedCall Decoded = decodeCall(Expired, Message, Now);
+  CHECK(Decoded.RefusalStatus == 503);
+  CHECK(Decoded.Reason == RelayReason::ConfigOld);
+  CHECK(Decoded.RetryAfter);
+  Message.Head.Target = "/p/";
+  CHECK(decodeCall(Expired, Message, Now).RefusalStatus == 0);
+}
+
 TEST_CASE("a budgeted team's request needs valid token counts") {
   for (const char *Counts :
        {"", "1460", "1460,", ",80", "1460,many", "-1,80", "1460,80x"}) {
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -100,3 +100,25 @@
       CHECK(Unreadable.error().Field == Field);
     }
 }
+
+// Guards against a setting that asks for keys to expire and is not obeyed.
+TEST_CASE("keys expire without word of the configuration if the settings ask "
+          "for it") {
+  auto KeyTimeOf = [](const std::string &Fields) {
+    auto Read = parseSettings(Good + Fields);
+    REQUIRE(Read);
+    return Read.value().KeyTime;
+  };
+  CHECK_FALSE(KeyTimeOf(""));
+  CHECK_FALSE(KeyTimeOf("bounds.revokeFailClosed=\nbounds.revokeMs=\n"));
+  CHECK_FALSE(
+      KeyTimeOf("bounds.revokeFailClosed=false\nbounds.revokeMs=5000\n"));
+  CHECK(KeyTimeOf("bounds.revokeFailClosed=true\nbounds.revokeMs=5000\n") ==
+        5s);
+  for (const char *Fields :
+       {"bounds.revokeFailClosed=yes\nbounds.revokeMs=5000\n",
+        "bounds.revokeFailClosed=true\n",
+        "bounds.revokeFailClosed=true\nbounds.revokeMs=\n",
+        "bounds.revokeFailClosed=true\nbounds.revokeMs=soon\n"})
+    CHECK_FALSE(parseSettings(Good + Fields));
+}
