--- a/Tests/MisbehavingClients/RelayProcess.cpp
+++ b/Tests/MisbehavingClients/RelayProcess.cpp
@@ -1,6 +1,5 @@
 #include "RelayProcess.h"
 
-#include "../Platform/FakeStore.h"
 #include "../Platform/RouteEntry.h"
 #include "LibNet/HttpReader.h"
 #include "LibObserve/StructuredLog.h"
@@ -18,6 +17,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace bergamothook {
 
@@ -42,8 +42,9 @@
 
 /// Created in the thread that runs them, as a runtime requires.
 struct RelayProcess::LocalServers {
-  LocalServers()
-      : Target(this->Loop, {"127.0.0.1:0", 1024, 1024, {}},
+  explicit LocalServers(std::atomic<std::uint64_t> &Executed)
+      : Executed(Executed),
+        Target(this->Loop, {"127.0.0.1:0", 1024, 1024, {}},
                [this](const TcpConnection::Handle &Connection) {
                  this->serveTarget(Connection);
                }) {}
@@ -52,6 +53,7 @@
   void listTarget(const std::string &Service, const std::string &Address);
   void serveTarget(const TcpConnection::Handle &Connection);
 
+  std::atomic<std::uint64_t> &Executed;
   NetRuntime Loop;
   FakeStore Store{Loop};
   TcpListener Target;
@@ -65,7 +67,7 @@
 }
 
 void RelayProcess::runServers() {
-  LocalServers Local;
+  LocalServers Local(this->Executed);
   bool HasStarted = Local.Store.start() && Local.Target.start();
   if (HasStarted) {
     Local.configure(this->OtherTargets);
@@ -80,8 +82,14 @@
     return;
   Local.Loop.hooks().Spawn([&] {
     Runtime Tasks = Local.Loop.hooks();
-    while (!this->IsStopping)
+    while (!this->IsStopping) {
+      {
+        std::lock_guard Guard(this->ChangeLock);
+        if (this->NextChange.valid())
+          std::exchange(this->NextChange, {})(Local.Store);
+      }
       Tasks.sleepUntil(Tasks.Now() + 5ms);
+    }
     Local.Target.stop();
     Local.Store.stop();
     while (Local.Target.connections() > 0)
@@ -104,11 +112,41 @@
   }
 }
 
-RelayProcess::~RelayProcess() {
-  if (this->Process > 0) {
-    kill(this->Process, SIGKILL);
-    waitpid(this->Process, nullptr, 0);
+void RelayProcess::restart() {
+  this->endProcess();
+  this->start();
+}
+
+void RelayProcess::publish(const std::string &Config) {
+  this->changeStore([Config](FakeStore &Store) {
+    Store.put(std::string(wire::OperatorTopic), wire::ConfigKey, Config);
+  });
+}
+
+void RelayProcess::setStoreFault(StoreFault Fault) {
+  this->changeStore([Fault](FakeStore &Store) { Store.Fault = Fault; });
+}
+
+void RelayProcess::changeStore(std::function<void(FakeStore &)> Change) {
+  std::packaged_task<void(FakeStore &)> Task(std::move(Change));
+  std::future<void> HasRun = Task.get_future();
+  {
+    std::lock_guard Guard(this->ChangeLock);
+    this->NextChange = std::move(Task);
   }
+  HasRun.wait();
+}
+
+void RelayProcess::endProcess() {
+  if (this->Process <= 0)
+    return;
+  kill(this->Process, SIGKILL);
+  waitpid(this->Process, nullptr, 0);
+  this->Process = -1;
+}
+
+RelayProcess::~RelayProcess() {
+  this->endProcess();
   this->IsStopping = true;
   this->Servers.join();
   std::error_code Ignored; // A leftover folder does no harm.
@@ -223,7 +261,9 @@
     std::string Body;
     if (Asked.Target == wire::TargetReportPath)
       Body = R"({"born":1})";
-    else if (Asked.Target == "/plain/large")
+    else if (Asked.Target.starts_with("/plain/"))
+      ++this->Executed;
+    if (Asked.Target == "/plain/large")
       Body.assign(LargeBodyBytes, 'x');
     std::string Bytes =
         formatResponseHead(Head, BodyFraming::Length, Body.size()) + Body;
--- a/Tests/MisbehavingClients/RelayProcess.h
+++ b/Tests/MisbehavingClients/RelayProcess.h
@@ -5,12 +5,13 @@
 #ifndef BERGAMOTHOOK_TESTS_MISBEHAVINGCLIENTS_RELAYPROCESS_H
 #define BERGAMOTHOOK_TESTS_MISBEHAVINGCLIENTS_RELAYPROCESS_H
 
-#include "LibBase/Time.h"
+#include "../Platform/FakeStore.h"
 
 #include <atomic>
 #include <cstdint>
 #include <future>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 #include <sys/types.h>
@@ -44,6 +45,18 @@
   /// Starts the process and waits until it is ready.
   void start();
 
+  /// Ends the process at once, and starts another one.
+  void restart();
+
+  /// Publishes a configuration, and waits until the store has it.
+  void publish(const std::string &Config);
+
+  /// Sets the fault of the store for all calls from now on.
+  void setStoreFault(StoreFault Fault);
+
+  /// The calls that the targets of the service "plain" have executed.
+  std::uint64_t executed() const { return this->Executed; }
+
   bool isAlive() const;
 
   /// Measures what is used now.
@@ -64,6 +77,9 @@
 
   void runServers();
   void startProcess();
+  void endProcess();
+  /// Runs \p Change in the thread of the store, and waits until it has run.
+  void changeStore(std::function<void(FakeStore &)> Change);
 
   std::map<std::string, std::string> OtherTargets;
   /// Unique to this process, so that the ports are free.
@@ -73,6 +89,10 @@
   /// The ports of the store and of the targets.
   std::set<std::uint16_t> ServerPorts;
   std::promise<void> AreServersStarted;
+  std::mutex ChangeLock;
+  /// Runs in the thread of the store.
+  std::packaged_task<void(FakeStore &)> NextChange;
+  std::atomic<std::uint64_t> Executed = 0;
   std::atomic<bool> IsStopping = false;
   std::thread Servers;
   pid_t Process = -1;
