Take no turn to probe before the other hosts are known

A list of hosts that has not been read held this host alone, and counted as a fleet of one: a host that has just started, and reads of a quarantined request that came again for five minutes, took every turn to probe it, and wrote and cleared the record that all hosts share. With several such hosts each of them sends the request that crashes targets.

The turn is taken only once the list of hosts has been read. "a host that does not know the others yet takes no turn to probe a quarantined request" fails without the change (it probes) and passes with it.

--- a/Libraries/LibRelay/RelayDispatcher.cpp
+++ b/Libraries/LibRelay/RelayDispatcher.cpp
@@ -133,6 +133,9 @@
 bool RelayDispatcher::hasProbeTurn(const Hash128 &Trait,
                                    std::uint64_t Turn) const {
   const HostRoster &Roster = this->TokenSource.roster();
+  // Each host that knows of no other would take every turn.
+  if (!Roster.settledAt())
+    return false;
   std::vector<HostId> Hosts =
       Roster.firstHosts(toHex(Trait), Roster.hosts(), this->Hooks.Tasks.Now());
   return Hosts[Turn % Hosts.size()] == Roster.self().id();
--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -289,6 +289,30 @@
   CHECK(Fixture.SentCalls[0].WasAborted);
 }
 
+// Guards against a list of hosts that has not been read counting as one with
+// this host alone.
+TEST_CASE("a host that does not know the others yet takes no turn to probe a "
+          "quarantined request") {
+  Relay Fixture;
+  RequestQuarantine &Quarantine = Fixture.Dispatcher.quarantine();
+  const RequestTraits Deadly = {hash128("deadly"), {}};
+  TimePoint Now = Fixture.Simulated.now();
+  for (const char *Target : {"a", "b", "c", "d", "e"}) {
+    Quarantine.onLost(Deadly, Target, Now, Now + 100ms);
+    Now += 1s;
+    Quarantine.update(Now);
+  }
+  // Requests that come again keep their entry.
+  for (int I = 0; I < 40; ++I) {
+    Now += 10s;
+    Quarantine.admit(Deadly, Now);
+    Quarantine.update(Now);
+  }
+  CHECK(Quarantine.admission(Deadly, Now) == SendAdmission::Refused);
+  Fixture.Wallets.roster().setSettled(Now);
+  CHECK(Quarantine.admission(Deadly, Now) == SendAdmission::Probe);
+}
+
 TEST_CASE("a budget of an old configuration does not count as spent") {
   bool IsCurrent = true;
   Relay Fixture([&](RelayHooks &Hooks) {
