Refuse requests without an id as their targets do

Requests without an attempt id shared the empty one. An answer that names no call was taken for theirs whatever it belonged to, a stream of one caller could be taken up as that of another, and all of them drew the same part of the calls that are forwarded.

--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -72,6 +72,8 @@
            "needs";
   case RelayReason::ConfigUnreadable:
     return "the part of the configuration that the request needs can't be read";
+  case RelayReason::NoAttemptId:
+    return "the request does not state its id";
   }
   return "unknown relay reason";
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -63,6 +63,7 @@
   NotOfFleet,
   ConfigOld,
   ConfigUnreadable,
+  NoAttemptId,
 };
 
 std::error_code make_error_code(RelayReason Value);
--- a/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
+++ b/Tests/MisbehavingClients/MisbehavingClientsTest.cpp
@@ -6,6 +6,7 @@
 
 #include "ClientCrowd.h"
 #include "RelayProcess.h"
+#include "platform/WireNames.h"
 
 #include <arpa/inet.h>
 #include <cstdio>
@@ -27,8 +28,10 @@
 constexpr std::size_t LegalBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t StatusBodyBytes = 64 * 1024;
 
+/// Without an id, a relay refuses requests before it sends them on.
 const std::string RouteHead =
-    std::string(" HTTP/1.1\r\nHost: ") + RelayProcess::RouteHost + "\r\n";
+    std::string(" HTTP/1.1\r\nHost: ") + RelayProcess::RouteHost + "\r\n" +
+    std::string(platform::wire::AttemptId) + ": call-1\r\n";
 
 // The kinds of addresses that clients use.
 struct Route {
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -95,6 +95,19 @@
   CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 0);
 }
 
+// Guards against calls that share the empty id, and with it the answers and
+// streams of each other.
+TEST_CASE("a request without an id is refused as its target would") {
+  for (const char *Id : {"", "id-1"}) {
+    HttpRequestMessage Message = makeRequest();
+    Message.Head.Headers.remove("X-Bergamothook-Attempt-Id");
+    CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus == 400);
+    Message.Head.Headers.add("X-Bergamothook-Attempt-Id", Id);
+    CHECK(decodeCall(makeConfig(), Message, Now).RefusalStatus ==
+          (*Id ? 0 : 400));
+  }
+}
+
 TEST_CASE("a route or key that an old configuration lacks is not denied") {
   ConfigInForce Old(makeConfig(), false);
   auto CheckNotDenied = [&](const HttpRequestMessage &Message) {
