--- a/Tests/ConfigReading/Depends.cmake
+++ /dev/null
@@ -1,3 +0,0 @@
-find_package(rapidcheck REQUIRED)
-list(APPEND DEPENDS Platform)
-list(APPEND DEPENDS rapidcheck)
--- a/Tests/KeyRevocation/KeyRevocationTest.cpp
+++ b/Tests/KeyRevocation/KeyRevocationTest.cpp
@@ -4,6 +4,7 @@
 
 #include "../LibHttp/RawSocket.h"
 #include "../MisbehavingClients/RelayProcess.h"
+#include "../Platform/RouteEntry.h"
 #include "platform/WireNames.h"
 
 #include <arpa/inet.h>
@@ -23,18 +24,11 @@
 constexpr Duration ChangeTime = 4s;
 
 json makeConfig(std::uint64_t Version, const json &Teams) {
-  json Route = {{"host", RelayProcess::RouteHost},
-                {"routeKind", "idempotent"},
-                {"service", "plain"},
-                {"timeoutMs", 20000},
-                {"sloMs", 1000},
-                {"priority", 1},
-                {"attempts", 1}};
-  json Closed = Route;
-  Closed.update({{"name", "closed"}, {"pathPrefix", "/plain/closed/"}});
-  json Open = Route;
-  Open.update(
-      {{"name", "open"}, {"pathPrefix", "/plain/open/"}, {"public", true}});
+  json Closed = makeRouteEntry("closed", RelayProcess::RouteHost,
+                               "/plain/closed/", "idempotent", "plain");
+  Closed["public"] = false;
+  json Open = makeRouteEntry("open", RelayProcess::RouteHost, "/plain/open/",
+                             "idempotent", "plain");
   return {{"version", Version},
           {"routes", {Closed, Open}},
           {"services", {{{"name", "plain"}, {"maxConns", 1000}}}},
--- a/Tests/ConfigReading/ConfigEntry.h
+++ b/Tests/Platform/ConfigEntry.h
@@ -1,8 +1,8 @@
 /// \file
 /// A configuration entry of the platform's store, and requests under it.
 
-#ifndef BERGAMOTHOOK_TESTS_CONFIGREADING_CONFIGENTRY_H
-#define BERGAMOTHOOK_TESTS_CONFIGREADING_CONFIGENTRY_H
+#ifndef BERGAMOTHOOK_TESTS_PLATFORM_CONFIGENTRY_H
+#define BERGAMOTHOOK_TESTS_PLATFORM_CONFIGENTRY_H
 
 #include "platform/HeaderCodec.h"
 #include "platform/ManifestReader.h"
