--- a/Tests/LibRelay/RelayCallHandlerTest.cpp
+++ b/Tests/LibRelay/RelayCallHandlerTest.cpp
@@ -320,9 +320,7 @@
   });
   Fixture.Team.Budget = 10'000;
   Fixture.setKind(CallKind::Stream, true);
-  Fixture.Wallets.begin({KeyRing(), 1});
-  Fixture.Simulated.hooks().Spawn([&] { Fixture.Wallets.run(); });
-  Fixture.Simulated.runFor(4s);
+  Fixture.beginTokens();
   RelayCall Call = Fixture.makeCall();
   Call.PromptTokens = 11'000;
   Fixture.serve(Call);
@@ -332,20 +330,14 @@
   CHECK(Fixture.Status == 503);
   CHECK(Outcome.End == RelayEnd::NotRun);
   CHECK(Outcome.Reason == RelayReason::ConfigOld);
-  Fixture.Simulated.hooks().Spawn([&] {
-    TimePoint Now = Fixture.Simulated.now();
-    Fixture.Wallets.stop(Now, Now + 1s);
-  });
-  Fixture.Simulated.runFor(2s);
+  Fixture.endTokens();
 }
 
 TEST_CASE("a budget that a later version took away does not count as spent") {
   Relay Fixture;
   Fixture.Team.Budget = 10'000;
   Fixture.setKind(CallKind::Stream, true);
-  Fixture.Wallets.begin({KeyRing(), 1});
-  Fixture.Simulated.hooks().Spawn([&] { Fixture.Wallets.run(); });
-  Fixture.Simulated.runFor(4s);
+  Fixture.beginTokens();
   RelayCall Call = Fixture.makeCall();
   Call.PromptTokens = 1'000;
   Fixture.Team.Budget.reset();
@@ -354,11 +346,7 @@
   CHECK(Fixture.Status == 503);
   CHECK(Outcome.Reason == RelayReason::ConfigOld);
   CHECK(Fixture.SentCalls.empty());
-  Fixture.Simulated.hooks().Spawn([&] {
-    TimePoint Now = Fixture.Simulated.now();
-    Fixture.Wallets.stop(Now, Now + 1s);
-  });
-  Fixture.Simulated.runFor(2s);
+  Fixture.endTokens();
 }
 
 TEST_CASE(
@@ -366,9 +354,7 @@
   Relay Fixture;
   Fixture.Team.Budget = 10'000;
   Fixture.setKind(CallKind::Stream, true);
-  Fixture.Wallets.begin({KeyRing(), 1});
-  Fixture.Simulated.hooks().Spawn([&] { Fixture.Wallets.run(); });
-  Fixture.Simulated.runFor(4s);
+  Fixture.beginTokens();
   const Wallet &TeamWallet = Fixture.Wallets.walletOf("team")->wallet();
   Fixture.Responses = {brokenStream(1, 2), completeStream(3, 4)};
   RelayCall Call = Fixture.makeCall();
@@ -388,11 +374,7 @@
   Call.PromptTokens = 9'000;
   Fixture.serve(Call);
   CHECK(Fixture.Status == 402);
-  Fixture.Simulated.hooks().Spawn([&] {
-    TimePoint Now = Fixture.Simulated.now();
-    Fixture.Wallets.stop(Now, Now + 1s);
-  });
-  Fixture.Simulated.runFor(3s);
+  Fixture.endTokens();
   CHECK(TeamWallet.view("team").Held == 1028);
 }
 
--- a/Tests/LibRelay/RelayFixture.cpp
+++ b/Tests/LibRelay/RelayFixture.cpp
@@ -81,6 +81,20 @@
   this->Dispatcher.setConfig(Config);
 }
 
+void RelayFixture::beginTokens() {
+  this->Wallets.begin({KeyRing(), 1});
+  this->Simulated.hooks().Spawn([this] { this->Wallets.run(); });
+  this->Simulated.runFor(std::chrono::seconds(4));
+}
+
+void RelayFixture::endTokens() {
+  this->Simulated.hooks().Spawn([this] {
+    TimePoint Now = this->Simulated.now();
+    this->Wallets.stop(Now, Now + std::chrono::seconds(1));
+  });
+  this->Simulated.runFor(std::chrono::seconds(3));
+}
+
 RelayCall RelayFixture::makeCall() {
   RelayCall Call;
   Call.Id = "call-1";
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -71,6 +71,10 @@
   /// Activates the configuration that the fields below describe.
   void configure();
 
+  /// Starts the token budgets, and stops them; both wait until that is done.
+  void beginTokens();
+  void endTokens();
+
   /// Serves one call until it ends. \returns the outcome.
   RelayOutcome serve(RelayCall Call);
   RelayCall makeCall();
