Keep routes in an ordered map, and one branch for budgets of old versions

The linter takes no name of a type alias in lower case, which a hash that finds texts without a copy needs, and no two branches that do the same. No change of behaviour.

--- a/Libraries/LibRelay/RelayCallHandler.cpp
+++ b/Libraries/LibRelay/RelayCallHandler.cpp
@@ -139,12 +139,10 @@
     this->finishFailed(AttemptEnd::HostStops);
   else if (this->isEvacuated())
     this->finishFailed(AttemptEnd::Evacuated);
-  else if (Reservation.error() == WalletError::NoBudget)
-    // A later version than that of the call has taken the budget away.
-    this->refuse(503, RelayEnd::NotRun, RelayReason::ConfigOld,
-                 TokensRetryAfter);
-  else if (IsExhausted && !this->Hooks.IsConfigCurrent())
-    // The budget may have been raised.
+  else if (Reservation.error() == WalletError::NoBudget ||
+           (IsExhausted && !this->Hooks.IsConfigCurrent()))
+    // A later version than that of the call may have raised the budget, or has
+    // taken it away.
     this->refuse(503, RelayEnd::NotRun, RelayReason::ConfigOld,
                  TokensRetryAfter);
   else if (IsExhausted)
--- a/Libraries/LibRelay/RelayConfig.h
+++ b/Libraries/LibRelay/RelayConfig.h
@@ -159,18 +159,6 @@
   Duration IdleTimeout = std::chrono::seconds(15);
 };
 
-namespace detail {
-
-/// Finds texts without a copy of them.
-struct TextHash {
-  using is_transparent = void;
-  std::size_t operator()(std::string_view Text) const {
-    return std::hash<std::string_view>()(Text);
-  }
-};
-
-} // namespace detail
-
 /// One version of the configuration.
 class RelayConfig {
 public:
@@ -230,9 +218,7 @@
   /// The routes of one host.
   struct HostRoutes {
     /// By prefix.
-    std::unordered_map<std::string, RelayRoute, detail::TextHash,
-                       std::equal_to<>>
-        ByPrefix;
+    std::map<std::string, RelayRoute, std::less<>> ByPrefix;
     std::size_t LongestPrefix = 0;
   };
 
