--- a/Tests/Platform/ConfigFormsTest.cpp
+++ b/Tests/Platform/ConfigFormsTest.cpp
@@ -69,7 +69,8 @@
 
 bool isText(const json &Object, const char *Name) {
   return Object.is_object() && Object.contains(Name) &&
-         Object[Name].is_string() && Object[Name] != "";
+         Object[Name].is_string() &&
+         !Object[Name].get_ref<const std::string &>().empty();
 }
 
 /// Tells whether the readable words of \p Entry give \p Key to a team of \p
