--- a/review/standin-3/Rig.cpp
+++ b/review/standin-3/Rig.cpp
@@ -98,6 +98,21 @@
   return Out;
 }
 
+/// Decodes the percent-encoding of a query.
+std::string unescape(const std::string &Text) {
+  std::string Out;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    if (Text[I] == '%') {
+      Out.push_back(static_cast<char>(
+          std::strtoul(Text.substr(I + 1, 2).c_str(), nullptr, 16)));
+      I += 2;
+    } else {
+      Out.push_back(Text[I]);
+    }
+  }
+  return Out;
+}
+
 /// All relays that run, so that none is left behind.
 std::set<pid_t> &runningRelays() {
   static std::set<pid_t> Running;
@@ -290,6 +305,14 @@
   return true;
 }
 
+std::optional<std::size_t> Channel::sendNow(std::string_view Bytes) {
+  ssize_t Count = ::send(this->Socket, Bytes.data(), Bytes.size(),
+                         MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (Count < 0 && errno != EAGAIN)
+    return std::nullopt;
+  return static_cast<std::size_t>(std::max<ssize_t>(0, Count));
+}
+
 void Channel::reset() {
   linger Now{1, 0};
   setsockopt(this->Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
@@ -366,8 +389,8 @@
 void Store::put(std::string_view Topic, const std::string &Key,
                 const std::string &Value) {
   std::lock_guard Guard(this->Lock);
-  this->Topics[std::string(Topic) + "/0"].push_back(bigEndian(Key.size(), 1) +
-                                                    Key + Value);
+  this->Topics[std::string(Topic) + "/0"].add(bigEndian(Key.size(), 1) + Key +
+                                              Value);
   this->Changed.notify_all();
 }
 
@@ -407,17 +430,17 @@
     return {404, "{}"};
   std::string Call = Path.substr(StorePrefix.size());
   std::unique_lock Guard(this->Lock);
-  std::vector<std::string> &Records =
-      this->Topics[Fields["topic"] + "/" + Fields["part"]];
+  Topic &Asked = this->Topics[Fields["topic"] + "/" + Fields["part"]];
+  std::vector<std::string> &Records = Asked.Records;
   if (Call == "log-append") {
-    Answer Appended = this->append(Records, Fields, Request.Body);
+    Answer Appended = this->append(Asked, Fields, Request.Body);
     Guard.unlock();
     constexpr double AppendSeconds = 0.004;
     sleepFor(AppendSeconds);
     return Appended;
   }
   if (Call == "log-newest")
-    return newest(Records);
+    return newest(Asked, unescape(Fields["after"]));
   if (Call != "log-read")
     return {404, "{}"};
   std::size_t From = std::stoul(Fields["from"]);
@@ -437,40 +460,51 @@
   return {200, Out};
 }
 
-Store::Answer Store::append(std::vector<std::string> &To, const Query &Fields,
+void Store::Topic::add(std::string Content) {
+  auto KeyBytes = static_cast<unsigned char>(Content.front());
+  std::string Key = Content.substr(1, KeyBytes);
+  if (Content.size() > 1U + KeyBytes)
+    this->Newest[Key] = this->Records.size();
+  else
+    this->Newest.erase(Key);
+  this->Records.push_back(std::move(Content));
+}
+
+Store::Answer Store::append(Topic &To, const Query &Fields,
                             std::string_view Body) {
   auto At = Fields.find("at");
-  if (At != Fields.end() && std::stoul(At->second) != To.size())
-    return {412, json{{"endOffset", To.size()}}.dump()};
-  std::size_t First = To.size();
+  if (At != Fields.end() && std::stoul(At->second) != To.Records.size())
+    return {412, json{{"endOffset", To.Records.size()}}.dump()};
+  std::size_t First = To.Records.size();
   while (Body.size() >= 4) {
     auto Bytes = static_cast<std::size_t>(readBigEndian(Body.substr(0, 4)));
-    To.emplace_back(Body.substr(4, Bytes));
+    To.add(std::string(Body.substr(4, Bytes)));
     Body.remove_prefix(4 + Bytes);
   }
   this->Changed.notify_all();
-  return {200, json{{"offset", First}, {"endOffset", To.size()}}.dump()};
-}
-
-Store::Answer Store::newest(const std::vector<std::string> &From) {
-  std::map<std::string, json> Newest;
-  for (std::size_t I = 0; I < From.size(); ++I) {
-    auto KeyBytes = static_cast<unsigned char>(From[I].front());
-    std::string Key = From[I].substr(1, KeyBytes);
-    std::string Value = From[I].substr(1 + KeyBytes);
-    if (Value.empty())
-      Newest.erase(Key);
-    else
-      Newest[Key] = {
-          {"key", Key}, {"value", encodeBase64(Value)}, {"offset", I}};
-  }
+  return {200,
+          json{{"offset", First}, {"endOffset", To.Records.size()}}.dump()};
+}
+
+Store::Answer Store::newest(const Topic &From, const std::string &After) {
+  constexpr std::size_t MaxEntries = 500;
+  constexpr std::size_t MaxBytes = 1'000'000;
   json Entries = json::array();
-  for (const auto &[Key, Entry] : Newest)
-    Entries.push_back(Entry);
-  return {
-      200,
-      json{{"entries", Entries}, {"hasMore", false}, {"endOffset", From.size()}}
-          .dump()};
+  std::size_t Bytes = 0;
+  auto At = From.Newest.upper_bound(After);
+  for (; At != From.Newest.end(); ++At) {
+    std::string Value =
+        encodeBase64(From.Records[At->second].substr(1 + At->first.size()));
+    Bytes += Value.size();
+    if (Entries.size() >= MaxEntries || (Bytes > MaxBytes && !Entries.empty()))
+      break;
+    Entries.push_back(
+        {{"key", At->first}, {"value", Value}, {"offset", At->second}});
+  }
+  return {200, json{{"entries", Entries},
+                    {"hasMore", At != From.Newest.end()},
+                    {"endOffset", From.Records.size()}}
+                   .dump()};
 }
 
 Target::Target(Store &Platform, Record &Log, Options Wanted, Execute Run)
@@ -500,7 +534,7 @@
              {"zone", this->Chosen.Domain},
              {"version", this->Chosen.Version},
              {"slots", 64},
-             {"state", this->IsLeaving ? "draining" : "ready"},
+             {"state", "ready"},
              {"coldLeftMs", 0},
              {"seq", ++this->Sequence},
              {"born", this->StartedAt}};
@@ -515,27 +549,15 @@
                 ") crashes");
 }
 
-void Target::leave(const std::string &Fields) {
-  {
-    std::lock_guard Guard(this->Lock);
-    this->ExtraFields = Fields;
-  }
-  this->IsLeaving = true;
-  this->list();
-  this->Log.add("target " + this->Chosen.Id + " begins to leave");
-}
-
 std::vector<Target::Execution> Target::executions() {
   std::lock_guard Guard(this->Lock);
   return this->Executed;
 }
 
-std::string Target::headOf(const HttpMessage &Request) {
-  std::lock_guard Guard(this->Lock);
+std::string Target::headOf(const HttpMessage &Request) const {
   return "HTTP/1.1 200 OK\r\n" +
          field(wire::AttemptId, Request.find(wire::AttemptId).value_or("")) +
-         field(wire::ServerStamp, "stamp." + this->Chosen.Id) +
-         this->ExtraFields;
+         field(wire::ServerStamp, "stamp." + this->Chosen.Id);
 }
 
 void Target::answer(Channel &To, const HttpMessage &Request,
@@ -583,21 +605,23 @@
       std::lock_guard Guard(this->Lock);
       this->Executed.push_back(Begun);
     }
-    this->Log.add("target " + this->Chosen.Id + " (" + this->Chosen.Version +
-                  ") executes " + Begun.CallId + " " + Begun.Line + ", " +
-                  std::to_string(Begun.BodyBytes) + " bytes" +
-                  (Request->find(wire::LastEventId)
-                       ? ", after event " + *Request->find(wire::LastEventId)
-                       : ""));
+    if (this->Chosen.IsLogged)
+      this->Log.add("target " + this->Chosen.Id + " (" + this->Chosen.Version +
+                    ") executes " + Begun.CallId + " " + Begun.Line + ", " +
+                    std::to_string(Begun.BodyBytes) + " bytes" +
+                    (Request->find(wire::LastEventId)
+                         ? ", after event " + *Request->find(wire::LastEventId)
+                         : ""));
     this->Run(*this, Connected, *Request);
     if (!this->IsAlive)
       return;
   }
 }
 
-Relay::Relay(Store &Platform, Record &Log, std::string Name, std::string Domain)
+Relay::Relay(Store &Platform, Record &Log, std::string Name, std::string Domain,
+             MachineSize Size)
     : Platform(Platform), Log(Log), Name(std::move(Name)),
-      Domain(std::move(Domain)), StorePort(Platform.open()) {
+      Domain(std::move(Domain)), StorePort(Platform.open()), Size(Size) {
   static std::atomic<unsigned> Made{0};
   auto Id = static_cast<unsigned>(getpid());
   this->Ip = "127." + std::to_string(70 + Id / 65536 % 50) + "." +
@@ -612,14 +636,15 @@
       << FrontPort << "\nlisten.ready=" << this->Ip << ":" << ReadyPort
       << "\ninternalPorts=7340,7355\nplatform.addr="
       << Platform.address(this->StorePort)
-      << "\nplatform.parts=8\nlimits.memoryMb=260\nlimits.maxFds=4200"
-         "\nlimits.linkMbps=1000.0\nbounds.graceS=8\nbounds.configMs=2000"
+      << "\nplatform.parts=8\nlimits.memoryMb=" << Size.MemoryMb
+      << "\nlimits.maxFds=" << Size.Descriptors
+      << "\nlimits.linkMbps=1000.0\nbounds.graceS=8\nbounds.configMs=2000"
          "\nbounds.drainMs=2000\nbounds.retryBudgetRatio=0.2"
          "\nbounds.retryBudgetSlack=52\nbounds.budgetWindowS=10"
          "\nbounds.revokeFailClosed=false\nbounds.revokeMs=5000\n";
 }
 
-bool Relay::start() {
+bool Relay::start(double Limit) {
   std::string Program = "target/bin/bergamothook-relay";
   std::string Variable = std::string(wire::SettingsEnvironmentVariable) + "=" +
                          this->Folder + "/settings";
@@ -632,18 +657,20 @@
   for (int Stream : {STDOUT_FILENO, STDERR_FILENO})
     posix_spawn_file_actions_addopen(&Actions, Stream, LogPath.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
-  int Failure = posix_spawn(&this->Process, Program.c_str(), &Actions, nullptr,
+  pid_t Started = -1;
+  int Failure = posix_spawn(&Started, Program.c_str(), &Actions, nullptr,
                             Arguments, Environment);
   posix_spawn_file_actions_destroy(&Actions);
   if (Failure != 0)
     return false;
   {
     std::lock_guard Guard(relayLock());
-    runningRelays().insert(this->Process);
+    runningRelays().insert(Started);
+    this->Process = Started;
   }
   this->Log.add("relay " + this->Name + " starts at " + this->Ip);
-  constexpr double StartLimit = 10;
-  for (double End = now() + StartLimit; now() < End; sleepFor(0.05)) {
+  for (double End = now() + Limit; now() < End && this->isRunning();
+       sleepFor(0.05)) {
     auto Ready = Channel::connect(this->Ip, ReadyPort);
     if (!Ready)
       continue;
@@ -676,6 +703,74 @@
   this->Log.add("relay " + this->Name + " is killed");
 }
 
+void Relay::stop() {
+  this->Log.add("relay " + this->Name + " gets SIGTERM");
+  ::kill(this->Process, SIGTERM);
+  constexpr double GraceSeconds = 8;
+  for (double End = now() + GraceSeconds; now() < End && this->isRunning();)
+    sleepFor(0.02);
+  this->kill();
+}
+
+std::size_t Relay::memory() const {
+  pid_t Id = this->Process;
+  if (Id <= 0)
+    return 0;
+  std::size_t Bytes = 0;
+  std::ifstream Status("/proc/" + std::to_string(Id) + "/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmRSS:"))
+      Bytes = std::strtoul(Line.c_str() + 6, nullptr, 10) * 1024;
+  char Local[32];
+  std::snprintf(Local, sizeof(Local), "%08X:%04X", inet_addr(this->Ip.c_str()),
+                static_cast<unsigned>(FrontPort));
+  std::ifstream Sockets("/proc/net/tcp");
+  for (std::string Line; std::getline(Sockets, Line);) {
+    // The columns: number, local and remote address, state, and the bytes that
+    // wait to be sent and to be read.
+    std::size_t At = Line.find(Local);
+    if (At != Line.find(": ") + 2)
+      continue;
+    std::size_t Queues = At + std::strlen("7F000001:2023 7F000001:2023 01 ");
+    Bytes += std::strtoul(Line.substr(Queues + 9, 8).c_str(), nullptr, 16);
+  }
+  return Bytes;
+}
+
+MemoryWatch::MemoryWatch(std::vector<Relay *> Watched, Record &Log)
+    : Fleet(std::move(Watched)), Log(Log), Ended(this->Fleet.size()),
+      Runner([this] { this->run(); }) {}
+
+MemoryWatch::~MemoryWatch() {
+  this->IsOver = true;
+  this->Runner.join();
+}
+
+std::vector<int> MemoryWatch::ended() const {
+  return {this->Ended.begin(), this->Ended.end()};
+}
+
+void MemoryWatch::run() {
+  while (!this->IsOver) {
+    for (std::size_t I = 0; I < this->Fleet.size(); ++I) {
+      Relay &Each = *this->Fleet[I];
+      std::size_t Bytes = Each.memory();
+      this->Peak = std::max<std::size_t>(this->Peak, Bytes);
+      constexpr std::size_t BytesPerMb = 1024 * 1024;
+      if (Bytes <= Each.memoryMb() * BytesPerMb)
+        continue;
+      this->Log.add("relay " + Each.name() + " holds " +
+                        std::to_string(Bytes / BytesPerMb) + " of " +
+                        std::to_string(Each.memoryMb()) +
+                        " MB, and is ended by the platform",
+                    true);
+      ++this->Ended[I];
+      Each.kill();
+    }
+    sleepFor(0.01);
+  }
+}
+
 std::string newCallId() {
   static std::atomic<std::uint64_t> Last{0};
   char Text[24];
--- a/review/standin-3/Rig.h
+++ b/review/standin-3/Rig.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <sys/types.h>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -75,6 +76,9 @@
   /// Reads what has arrived, \p Max bytes at most.
   std::string readSome(std::size_t Max);
   bool send(std::string_view Bytes);
+  /// Sends what can be sent without waiting. \returns how many bytes, and
+  /// nothing if the connection has ended.
+  std::optional<std::size_t> sendNow(std::string_view Bytes);
   /// Ends the connection with a reset.
   void reset();
 
@@ -137,13 +141,20 @@
 
   void serve(Channel &Client, Port &At);
   Answer answer(const HttpMessage &Request, const Port &At);
-  Answer append(std::vector<std::string> &To, const Query &Fields,
-                std::string_view Body);
-  static Answer newest(const std::vector<std::string> &From);
+  struct Topic {
+    std::vector<std::string> Records;
+    /// The offset of the newest record of each key that has a value.
+    std::map<std::string, std::size_t> Newest;
+
+    void add(std::string Content);
+  };
+
+  Answer append(Topic &To, const Query &Fields, std::string_view Body);
+  static Answer newest(const Topic &From, const std::string &After);
 
   std::mutex Lock;
   std::condition_variable Changed;
-  std::map<std::string, std::vector<std::string>> Topics;
+  std::map<std::string, Topic> Topics;
   std::vector<std::unique_ptr<Port>> Ports;
 };
 
@@ -162,6 +173,8 @@
     std::uint16_t Port = 0;
     /// It does not reach the store.
     bool IsCutOff = false;
+    /// Whether the record holds each request that it executes.
+    bool IsLogged = true;
   };
 
   Target(Store &Platform, Record &Log, Options Chosen, Execute Run);
@@ -175,9 +188,6 @@
   /// When it last listed itself.
   double listedAt() const { return this->ListedAt; }
   bool isAlive() const { return this->IsAlive; }
-  /// Begins to leave: its entry in the store says so, and \p Fields are added
-  /// to the head of each of its answers.
-  void leave(const std::string &Fields);
   /// Sends a complete answer with the target's proof.
   void answer(Channel &To, const HttpMessage &Request, const std::string &Body);
   /// Sends the head of a stream in chunks.
@@ -194,7 +204,7 @@
 private:
   void serve(Channel &Client);
   void list();
-  std::string headOf(const HttpMessage &Request);
+  std::string headOf(const HttpMessage &Request) const;
 
   Store &Platform;
   Record &Log;
@@ -204,23 +214,34 @@
   std::atomic<bool> IsCutOff;
   std::atomic<bool> IsAlive{true};
   std::atomic<double> ListedAt{0};
-  std::atomic<bool> IsLeaving{false};
   std::mutex Lock;
-  std::string ExtraFields;
   std::uint64_t Sequence = 0;
   std::vector<Execution> Executed;
   std::unique_ptr<Listener> Server;
 };
 
+struct MachineSize {
+  int MemoryMb = 260;
+  int Descriptors = 4200;
+};
+
 /// One relay, as a process that the command of the deploy file starts.
 class Relay {
 public:
-  Relay(Store &Platform, Record &Log, std::string Name, std::string Domain);
+  Relay(Store &Platform, Record &Log, std::string Name, std::string Domain,
+        MachineSize Size = {});
   ~Relay() { this->kill(); }
 
-  /// \returns whether it got ready within a few seconds.
-  bool start();
+  /// \returns whether it got ready within \p Limit seconds, and still runs.
+  bool start(double Limit = 10);
   void kill();
+  /// Sends SIGTERM, and waits until the process has ended.
+  void stop();
+  /// What the process holds, with what the kernel has received from clients for
+  /// it, in bytes.
+  std::size_t memory() const;
+  int memoryMb() const { return this->Size.MemoryMb; }
+  const std::string &name() const { return this->Name; }
   bool isRunning();
   const std::string &ip() const { return this->Ip; }
   std::size_t storePort() const { return this->StorePort; }
@@ -233,7 +254,31 @@
   std::string Ip;
   std::string Folder;
   std::size_t StorePort;
-  pid_t Process = -1;
+  MachineSize Size;
+  std::atomic<pid_t> Process{-1};
+};
+
+/// Ends relays that take more memory than their machine has, as the platform
+/// does, until it is destroyed.
+class MemoryWatch {
+public:
+  MemoryWatch(std::vector<Relay *> Fleet, Record &Log);
+  ~MemoryWatch();
+
+  /// How often each relay was ended.
+  std::vector<int> ended() const;
+  /// The most that any relay has held, in bytes.
+  std::size_t peak() const { return this->Peak; }
+
+private:
+  void run();
+
+  std::vector<Relay *> Fleet;
+  Record &Log;
+  std::vector<std::atomic<int>> Ended;
+  std::atomic<std::size_t> Peak{0};
+  std::atomic<bool> IsOver{false};
+  std::thread Runner;
 };
 
 /// A client that keeps its connection.
