--- a/review/standin-3/Rig.cpp
+++ b/review/standin-3/Rig.cpp
@@ -534,7 +534,7 @@
              {"zone", this->Chosen.Domain},
              {"version", this->Chosen.Version},
              {"slots", 64},
-             {"state", "ready"},
+             {"state", this->IsLeaving ? "draining" : "ready"},
              {"coldLeftMs", 0},
              {"seq", ++this->Sequence},
              {"born", this->StartedAt}};
@@ -549,6 +549,13 @@
                 ") crashes");
 }
 
+void Target::leave() {
+  this->IsLeaving = true;
+  this->list();
+  this->Log.add("target " + this->Chosen.Id +
+                " begins to leave, and the store has its entry");
+}
+
 std::vector<Target::Execution> Target::executions() {
   std::lock_guard Guard(this->Lock);
   return this->Executed;
--- a/review/standin-3/Rig.h
+++ b/review/standin-3/Rig.h
@@ -188,6 +188,8 @@
   /// When it last listed itself.
   double listedAt() const { return this->ListedAt; }
   bool isAlive() const { return this->IsAlive; }
+  /// Begins to leave: from now on, its entry in the store says so.
+  void leave();
   /// Sends a complete answer with the target's proof.
   void answer(Channel &To, const HttpMessage &Request, const std::string &Body);
   /// Sends the head of a stream in chunks.
@@ -214,6 +216,7 @@
   std::atomic<bool> IsCutOff;
   std::atomic<bool> IsAlive{true};
   std::atomic<double> ListedAt{0};
+  std::atomic<bool> IsLeaving{false};
   std::mutex Lock;
   std::uint64_t Sequence = 0;
   std::vector<Execution> Executed;
